--- /dev/null
+++ b/lovagepier/__init__.py
@@ -0,0 +1,3 @@
+"""A request scheduler for unlike engines."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/lovagepier/callers/_entries.py
@@ -0,0 +1,38 @@
+"""Which entry hosts a caller should use, and for how long."""
+
+from lovagepier.decisions.homes import rank
+from lovagepier.web import json_response
+
+__all__ = ["entries_response"]
+
+MAX_ENTRIES = 4
+
+
+def entries_response(node, account, zone):
+    """Return the entry hosts for an account, preferred first.
+
+    Hosts of the caller's zone come first, then of its region; within those
+    the order differs between accounts, so that bursts spread.
+    """
+    roster = node.roster
+    region = node.view.zones.get(zone, "")
+    names = [name for name in roster.live if roster.facts(name).get("url")]
+
+    def distance(name):
+        facts = roster.facts(name)
+        if zone and facts.get("zone") == zone:
+            return 0
+        return 1 if region and facts.get("region") == region else 2
+
+    ranked = rank(f"entry/{account}", names)
+    ranked.sort(key=distance)
+    entries = [
+        {
+            "address": roster.facts(name)["url"],
+            "zone": roster.facts(name).get("zone", ""),
+            "region": roster.facts(name).get("region", ""),
+        }
+        for name in ranked[:MAX_ENTRIES]
+    ]
+    ttl = node.cfg.callers_entry_ttl
+    return json_response({"entries": entries, "ttl_seconds": ttl})
--- /dev/null
+++ b/lovagepier/callers/_records.py
@@ -0,0 +1,259 @@
+"""Calls to plain services; those that may not be repeated are claimed first."""
+
+import base64
+import hashlib
+import json
+import time
+import uuid
+
+from lovagepier.callers._admission import admit, make_work
+from lovagepier.decisions.claims import Verdict
+from lovagepier.decisions.homes import shard_of
+from lovagepier.errors import ErrorKind, RequestError, Run
+from lovagepier.node._exchange import Exchange, Relay
+from lovagepier.peers import messages
+from lovagepier.targets import NotDispatched
+from lovagepier.web import Response
+
+__all__ = ["RecordRequests", "key_made_at"]
+
+SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
+MAX_KEY = 200
+MAX_KEPT_BODY = 64 * 1024
+CLAIM_POLL_S = 0.1
+MAX_REDISPATCH = 3
+_SKIPPED = {
+    "connection",
+    "content-length",
+    "date",
+    "server",
+    "transfer-encoding",
+    "keep-alive",
+}
+
+
+def key_made_at(key):
+    """Return the wall-clock second a UUIDv7 key was made, or None."""
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return None
+    if parsed.version != 7:
+        return None
+    return (parsed.int >> 80) / 1000.0
+
+
+class RecordRequests:
+    """Carries one call to a service, dispatched at most once per key."""
+
+    def __init__(self, node):
+        self._node = node
+
+    def handle(self, request):
+        """Return the answer to one call."""
+        parts = request.parts()
+        service = parts[1] if len(parts) > 1 else ""
+        if service not in self._node.view.services:
+            admit(self._node, request, "records")
+            raise RequestError(
+                ErrorKind.UNKNOWN_SERVICE, f"no service is named {service[:80]!r}"
+            )
+        admitted = admit(self._node, request, service)
+        body = request.body(self._node.cfg.callers_max_body)
+        exchange = self._exchange(request, admitted, service, body)
+        work = make_work(self._node, admitted, body, max_tokens=1)
+        if self._repeatable(service, request.method):
+            work.id = f"{work.id}.{uuid.uuid4().hex[:12]}"
+            return self._call(service, work, exchange)
+        return self._claimed(request, admitted, service, work, exchange)
+
+    def _repeatable(self, service, method):
+        allowed = self._node.view.services[service].get("idempotent_methods", [])
+        return method in SAFE_METHODS or method in allowed
+
+    def _exchange(self, request, admitted, service, body):
+        prefix = f"/records/{service}"
+        path = request.path[len(prefix) :] or "/"
+        query = request.environ.get("QUERY_STRING", "")
+        headers = {"X-Request-Id": admitted.id, "X-Account": admitted.account.name}
+        for name in ("Content-Type", "Accept", "Idempotency-Key"):
+            if request.header(name):
+                headers[name] = request.header(name)
+        target = f"{path}?{query}" if query else path
+        return Exchange(request.method, target, body, headers)
+
+    # Claims
+
+    def _claimed(self, request, admitted, service, work, exchange):
+        key = request.header("Idempotency-Key")
+        if not key or len(key) > MAX_KEY:
+            raise RequestError(
+                ErrorKind.KEY_REQUIRED,
+                f"{request.method} needs an Idempotency-Key, at most {MAX_KEY} long",
+            )
+        claim = _Claim(self._node, admitted, service, key, exchange)
+        stored = claim.obtain(work.deadline)
+        if stored is not None:
+            return _stored(stored)
+        # The id of the work is the claim's attempt: the claim, not the id,
+        # keeps the call from running twice.
+        work.id = f"{work.id}.{claim.nonce[:12]}"
+        return self._dispatch_claimed(claim, service, work, exchange)
+
+    def _dispatch_claimed(self, claim, service, work, exchange):
+        try:
+            response = self._call(service, work, exchange)
+        except RequestError as exc:
+            if exc.run == Run.NO:
+                claim.release()
+            else:
+                claim.settle({"lost": exc.detail})
+            raise
+        claim.settle(_outcome(response))
+        return response
+
+    # Calls
+
+    def _permit(self, work, service):
+        regions = self._regions(service)
+        error = RequestError(ErrorKind.NO_TARGET, "no region has this service")
+        for region in regions:
+            try:
+                return self._node.permits.seek(work, service, region, True)
+            except RequestError as exc:
+                error = exc
+                if exc.kind not in (ErrorKind.NO_TARGET, ErrorKind.NO_HOME):
+                    raise
+        raise error
+
+    def _regions(self, service):
+        here = self._node.cfg.node_region
+        regions = {r for subject, r in self._node.view.pools() if subject == service}
+        return sorted(regions, key=lambda region: (region != here, region))
+
+    def _region_of(self, answer):
+        return self._node.view.targets[answer.target].region
+
+    def _adapter(self, item):
+        target = self._node.view.targets.get(item.target)
+        if target is None:
+            raise NotDispatched("the target was removed")
+        return self._node.targets.adapter(target)
+
+    def _call(self, service, work, exchange):
+        for _ in range(MAX_REDISPATCH):
+            answer, home = self._permit(work, service)
+            region = self._region_of(answer)
+            item = self._node.permits.begin(work, service, region, home, answer)
+            try:
+                relay = Relay(self._node, item, self._adapter(item), exchange)
+                first = relay.dispatch()
+            except NotDispatched:
+                self._node.permits.give_back(item)
+                work.exclude = work.exclude | {answer.target}
+                work.attempt += 1
+                continue
+            return _relayed(relay, first + b"".join(relay.rest()))
+        raise RequestError(
+            ErrorKind.NO_TARGET, "no target could be connected to", run=Run.NO
+        )
+
+
+class _Claim:
+    """One attempt to hold an idempotency key."""
+
+    __slots__ = ("_body", "_key", "_made_at", "_node", "_shard", "nonce")
+
+    def __init__(self, node, admitted, service, key, exchange):
+        self._node = node
+        self.nonce = uuid.uuid4().hex
+        self._key = f"{admitted.account.name}/{service}/{key}"
+        self._shard = shard_of(self._key, node.cfg.ledger_shards)
+        self._made_at = key_made_at(key)
+        text = f"{exchange.method} {exchange.path}\n".encode() + exchange.body
+        self._body = hashlib.sha256(text).hexdigest()[:32]
+
+    def obtain(self, deadline):
+        """Return the stored first answer, or None once the claim is granted.
+
+        Raise `RequestError` otherwise: the call was not run by this attempt.
+        """
+        limit = min(deadline, self._node.clock() + self._node.cfg.ledger_claim_timeout)
+        last = Verdict.UNAVAILABLE
+        while self._node.clock() < limit:
+            told = self._ask(limit)
+            if told is None:
+                continue
+            last = told.verdict
+            if last == Verdict.GRANTED:
+                return None
+            if last == Verdict.DONE:
+                return told.outcome
+            if last == Verdict.OTHER_BODY:
+                raise RequestError(ErrorKind.KEY_REUSED, "the key holds another body")
+            if last == Verdict.EXPIRED:
+                raise RequestError(ErrorKind.KEY_EXPIRED, "the key is too old")
+            time.sleep(CLAIM_POLL_S)
+        self.release()
+        if last == Verdict.RUNNING:
+            raise RequestError(ErrorKind.KEY_IN_USE, "an earlier call has not ended")
+        raise RequestError(ErrorKind.LEDGER_UNAVAILABLE, "the claim was not written")
+
+    def _owner(self):
+        return self._node.roster.home(f"ledger/{self._shard}")
+
+    def _ask(self, limit):
+        owner = self._owner()
+        if owner is None:
+            time.sleep(CLAIM_POLL_S)
+            return None
+        body = messages.ClaimAsk(
+            self._shard, self._key, self._body, self.nonce, self._made_at
+        )
+        wait = max(0.05, limit - self._node.clock())
+        return self._node.ask(owner, body, wait)
+
+    def settle(self, outcome):
+        """Have the first answer stored."""
+        body = messages.ClaimSettle(self._shard, self._key, self.nonce, outcome)
+        self._node.tell(self._owner(), body)
+
+    def release(self):
+        """Give the key back; nothing was dispatched."""
+        body = messages.ClaimRelease(self._shard, self._key, self.nonce)
+        self._node.tell(self._owner(), body)
+
+
+def _relayed(relay, data):
+    headers = [
+        (name, value)
+        for name, value in relay.headers.items()
+        if name.lower() not in _SKIPPED
+    ]
+    headers.append(("X-Run", str(Run.YES)))
+    return Response(relay.status, data, headers)
+
+
+def _outcome(response):
+    kept = response.body[:MAX_KEPT_BODY]
+    return {
+        "status": response.status,
+        "headers": [list(pair) for pair in response.headers],
+        "body": base64.b64encode(kept).decode(),
+        "cut": len(kept) < len(response.body),
+    }
+
+
+def _stored(outcome):
+    if "lost" in outcome:
+        raise RequestError(
+            ErrorKind.ANSWER_LOST,
+            f"the first call's answer was lost: {outcome['lost']}",
+        )
+    if outcome.get("cut"):
+        body = json.dumps({"detail": "recorded; its answer was too long to keep"})
+        headers = [("X-Run", str(Run.YES)), ("Content-Type", "application/json")]
+        return Response(outcome["status"], body.encode(), headers)
+    headers = [tuple(pair) for pair in outcome["headers"]]
+    headers.append(("Idempotent-Replay", "true"))
+    return Response(outcome["status"], base64.b64decode(outcome["body"]), headers)
--- /dev/null
+++ b/lovagepier/commands/_client.py
@@ -0,0 +1,63 @@
+"""What the operators' subcommands share: one HTTP call, one way to print."""
+
+import json
+import os
+
+import urllib3
+
+from lovagepier.errors import UserError
+
+__all__ = ["OperatorClient", "add_client_options", "print_json"]
+
+TIMEOUT_S = 10.0
+
+
+def add_client_options(parser):
+    """Add the node's address, the operator key and the output form."""
+    parser.add_argument(
+        "--node",
+        default=os.environ.get("LOVAGEPIER_NODE", "http://127.0.0.1:8081"),
+        help="operators' URL of any node (or LOVAGEPIER_NODE)",
+    )
+    parser.add_argument(
+        "--key",
+        default=os.environ.get("LOVAGEPIER_KEY", ""),
+        help="operator key (or LOVAGEPIER_KEY)",
+    )
+    parser.add_argument("--json", action="store_true", help="print JSON")
+
+
+def print_json(value):
+    """Print a value as indented JSON."""
+    print(json.dumps(value, indent=2, sort_keys=True))
+
+
+class OperatorClient:
+    """Calls a node's operators' address; errors become one sentence."""
+
+    def __init__(self, args):
+        self._node = args.node.rstrip("/")
+        self._key = args.key
+        self._http = urllib3.PoolManager(retries=False)
+
+    def call(self, method, path, body=None, headers=None):
+        """Return the answer's JSON; raise `UserError` for a problem."""
+        data = None if body is None else json.dumps(body).encode()
+        all_headers = {"Authorization": f"Bearer {self._key}", **(headers or {})}
+        try:
+            resp = self._http.request(
+                method,
+                f"{self._node}{path}",
+                body=data,
+                headers=all_headers,
+                timeout=TIMEOUT_S,
+            )
+        except urllib3.exceptions.HTTPError as exc:
+            raise UserError(f"{self._node} did not answer: {type(exc).__name__}")
+        try:
+            answer = json.loads(resp.data)
+        except ValueError:
+            raise UserError(f"{self._node} answered {resp.status} without JSON")
+        if resp.status >= 400 and "title" in answer:
+            raise UserError(f"{answer['title']}: {answer.get('detail', '')}")
+        return answer
--- /dev/null
+++ b/lovagepier/commands/_main.py
@@ -0,0 +1,53 @@
+"""Parse arguments, find the subcommand, print errors as one sentence."""
+
+import argparse
+import sys
+
+from lovagepier import __version__
+from lovagepier.commands import (  # noqa: F401  each registers itself
+    _config,
+    _move,
+    _node,
+    _send,
+    _standin,
+    _status,
+    _timeline,
+)
+from lovagepier.commands._registry import COMMANDS
+from lovagepier.errors import UserError
+
+__all__ = ["main"]
+
+
+def _parser():
+    parser = argparse.ArgumentParser(
+        prog="lovagepier",
+        description="A request scheduler for unlike engines.",
+        epilog="Exit codes: 0 done, 1 error, 2 wrong usage, 3 the answer is no.",
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    subparsers = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
+    for name, each in COMMANDS.items():
+        sub = subparsers.add_parser(
+            name,
+            help=each.help,
+            description=each.help,
+            epilog=each.examples,
+            formatter_class=argparse.RawDescriptionHelpFormatter,
+        )
+        each.add_options(sub)
+    return parser
+
+
+def main(argv=None):
+    """Run the command line; return the exit code."""
+    args = _parser().parse_args(argv)
+    try:
+        return COMMANDS[args.command].run(args) or 0
+    except UserError as exc:
+        print(f"lovagepier: {exc}", file=sys.stderr)
+        return 1
+    except BrokenPipeError:
+        return 1
+    except KeyboardInterrupt:
+        return 130
--- /dev/null
+++ b/lovagepier/commands/_status.py
@@ -0,0 +1,48 @@
+"""`status`: the fleet, pools, duties and versions in force."""
+
+from lovagepier.commands._client import OperatorClient, add_client_options, print_json
+from lovagepier.commands._registry import Command, command
+
+__all__ = ["StatusCommand"]
+
+
+@command("status")
+class StatusCommand(Command):
+    """Show what every node says of itself."""
+
+    help = "Show the fleet, its pools and the versions in force."
+    examples = "examples:\n  lovagepier status --node http://127.0.0.1:8081"
+
+    def add_options(self, parser):
+        """Add the node's address."""
+        add_client_options(parser)
+
+    def run(self, args):
+        """Print the status."""
+        nodes = OperatorClient(args).call("GET", "/v1/status")["nodes"]
+        if args.json:
+            print_json(nodes)
+            return 0
+        for node in sorted(nodes, key=lambda item: item["node"]):
+            self._print_node(node)
+        return 0
+
+    def _print_node(self, node):
+        state = "stopping" if node["stopping"] else "serving"
+        store = "reachable" if node["store_ok"] else "out of reach"
+        print(
+            f"{node['node']}  zone {node['zone']}  region {node['region']}  {state}  "
+            f"version {node['version']}  running {node['running']}  store {store}"
+        )
+        for pool in node["pools"]:
+            print(
+                f"  pool {pool['subject']}/{pool['region']}  "
+                f"waiting {pool.get('waiting')}  {pool.get('counts')}"
+            )
+            for target in pool.get("targets", []):
+                flags = [flag for flag in ("leaving", "down") if target[flag]]
+                print(
+                    f"    {target['name']}  {target['version'] or '-'}  "
+                    f"{target['in_flight']}/{target['limit']} in flight  "
+                    f"{target['ms_a_token']} ms a token  {' '.join(flags)}"
+                )
--- /dev/null
+++ b/lovagepier/config/_view.py
@@ -0,0 +1,161 @@
+"""A typed, read-only view of one version of the configuration."""
+
+from dataclasses import dataclass
+
+from lovagepier.decisions.shares import Move
+
+__all__ = ["Account", "ConfigView", "Model", "Target"]
+
+DEFAULT_LINK_BYTES_PER_S = 1_000_000
+DEFAULT_LINK_BURST_BYTES = 2_000_000
+
+
+@dataclass(slots=True, frozen=True)
+class Account:
+    """A client account and its contract; `tier` 0 is the highest."""
+
+    name: str
+    tier: int
+    weight: float
+    longest_deadline: float | None
+
+
+@dataclass(slots=True, frozen=True)
+class Model:
+    """A model and the version that serves by default."""
+
+    name: str
+    serving: str
+    weights_bytes: float
+
+
+@dataclass(slots=True, frozen=True)
+class Target:
+    """A back end: an engine worker or a plain service."""
+
+    name: str
+    kind: str
+    address: str
+    zone: str
+    region: str
+    model: str
+    version: str
+    service: str
+    adapter: str
+    fenced: bool
+    slots: int
+    generation: str
+
+    @property
+    def subject(self):
+        """The model or service that the target runs."""
+        return self.model or self.service
+
+
+class ConfigView:
+    """One version of the configuration with its look-up tables."""
+
+    __slots__ = (
+        "account_by_hash",
+        "accounts",
+        "document",
+        "limits",
+        "models",
+        "moves",
+        "operator_by_hash",
+        "routes",
+        "services",
+        "targets",
+        "tiers",
+        "version",
+        "zones",
+    )
+
+    def __init__(self, version, document):
+        self.version = version
+        self.document = document
+        self.tiers = list(document["tiers"])
+        self.zones = {n: zone["region"] for n, zone in document["zones"].items()}
+        self.accounts = {n: self._account(n) for n in document["accounts"]}
+        self.account_by_hash = _owners(document["accounts"])
+        self.operator_by_hash = _owners(document["operators"])
+        self.models = {n: self._model(n) for n in document["models"]}
+        self.services = document["services"]
+        self.routes = set(document["routes"])
+        self.targets = {n: self._target(n) for n in document["targets"]}
+        self.moves = {n: self._move(n) for n in document["moves"]}
+        self.limits = document["limits"]
+
+    def _account(self, name):
+        raw = self.document["accounts"][name]
+        longest = raw.get("longest_deadline_ms")
+        return Account(
+            name,
+            self.tiers.index(raw["tier"]),
+            raw.get("weight", 1.0),
+            longest / 1000.0 if longest else None,
+        )
+
+    def _model(self, name):
+        raw = self.document["models"][name]
+        return Model(name, raw["serving"], raw.get("weights_bytes", 0.0))
+
+    def _target(self, name):
+        raw = self.document["targets"][name]
+        default = "openai" if raw["kind"] == "engine" else "http"
+        return Target(
+            name=name,
+            kind=raw["kind"],
+            address=raw["address"],
+            zone=raw["zone"],
+            region=self.zones[raw["zone"]],
+            model=raw.get("model", ""),
+            version=raw.get("version", ""),
+            service=raw.get("service", ""),
+            adapter=raw.get("adapter", default),
+            fenced=raw.get("fenced", False),
+            slots=raw.get("slots", 0),
+            generation=raw.get("generation", ""),
+        )
+
+    def _move(self, name):
+        raw = self.document["moves"][name]
+        serving = self.document["models"][raw["model"]]["serving"]
+        fields = {}
+        if "steps" in raw:
+            fields["steps"] = tuple(tuple(step) for step in raw["steps"])
+        return Move(
+            id=name,
+            model=raw["model"],
+            old=raw.get("from", serving),
+            new=raw["to"],
+            start=raw["start"],
+            finish_by=raw["finish_by"],
+            **fields,
+        )
+
+    def move_state(self, name):
+        """Return open, done or taken-back as the configuration has it."""
+        return self.document["moves"][name].get("state", "open")
+
+    def brake_clears(self, name):
+        """Return how often operators have cleared a move's brake."""
+        return self.document["moves"][name].get("cleared", 0)
+
+    def open_move(self, model):
+        """Return the open `Move` of a model, or None."""
+        for name, move in self.moves.items():
+            if move.model == model and self.move_state(name) == "open":
+                return move
+        return None
+
+    def pools(self):
+        """Return {(subject, region): [Target]} of all targets."""
+        pools = {}
+        for target in self.targets.values():
+            pools.setdefault((target.subject, target.region), []).append(target)
+        return pools
+
+
+def _owners(table):
+    return {item: name for name, entry in table.items() for item in entry["key_hashes"]}
--- /dev/null
+++ b/lovagepier/decisions/estimates.py
@@ -0,0 +1,112 @@
+"""Learn request lengths and target speeds from finished work."""
+
+__all__ = ["LengthEstimates", "Mean", "SpeedEstimate"]
+
+_LENGTH_GAIN = 0.1
+_SPEED_GAIN = 0.15
+_MAX_KEYS = 20_000
+_MIN_RATE = 1.0
+
+
+class Mean:
+    """An exponentially weighted mean with a count of what it has seen."""
+
+    __slots__ = ("count", "gain", "value")
+
+    def __init__(self, value, gain):
+        self.value = value
+        self.gain = gain
+        self.count = 0
+
+    def add(self, sample):
+        """Fold in one sample; early samples weigh more."""
+        self.count += 1
+        gain = max(self.gain, 1.0 / (self.count + 1))
+        self.value += gain * (sample - self.value)
+
+
+class LengthEstimates:
+    """Expected decode length in tokens per account and route.
+
+    Falls back from the pair to the route, then to a share of the caller's
+    own limit.
+    """
+
+    __slots__ = ("_all", "_default", "_means")
+
+    def __init__(self, default_tokens=200):
+        self._default = default_tokens
+        self._all = Mean(default_tokens, _LENGTH_GAIN)
+        self._means = {}
+
+    def expect(self, account, route, limit):
+        """Return the expected decode tokens, never above `limit` if given."""
+        for key in ((account, route), ("", route)):
+            mean = self._means.get(key)
+            if mean is not None and mean.count >= 3:
+                return min(mean.value, limit) if limit else mean.value
+        guess = self._default
+        return min(guess, limit) if limit else guess
+
+    def typical(self):
+        """Return the mean decode length in tokens over all requests."""
+        return self._all.value
+
+    def learn(self, account, route, tokens):
+        """Fold in the decode length of one finished request."""
+        self._all.add(tokens)
+        for key in ((account, route), ("", route)):
+            mean = self._means.get(key)
+            if mean is None:
+                if len(self._means) >= _MAX_KEYS:
+                    self._means.pop(next(iter(self._means)))
+                mean = self._means[key] = Mean(tokens, _LENGTH_GAIN)
+            mean.add(tokens)
+
+
+class SpeedEstimate:
+    """Prefill rate and decode pace of one target.
+
+    `prefill_rate` is tokens a second with the target otherwise idle;
+    `token_seconds` is the pace of one stream at its usual batch.
+    """
+
+    __slots__ = ("_pace", "_rate")
+
+    def __init__(self, prefill_rate=4000.0, token_seconds=0.02):
+        self._rate = Mean(prefill_rate, _SPEED_GAIN)
+        self._pace = Mean(token_seconds, _SPEED_GAIN)
+
+    @property
+    def prefill_rate(self):
+        """Prefill tokens a second."""
+        return max(self._rate.value, _MIN_RATE)
+
+    @property
+    def token_seconds(self):
+        """Seconds between two tokens of one stream."""
+        return self._pace.value
+
+    @property
+    def known(self):
+        """Whether at least one whole outcome has been folded in."""
+        return self._pace.count > 0
+
+    def learn_prefill(self, tokens, seconds):
+        """Fold in a prefill of `tokens` that took `seconds`."""
+        if tokens >= 32 and seconds > 0:
+            self._rate.add(tokens / seconds)
+
+    def learn_decode(self, tokens, seconds):
+        """Fold in `tokens` decoded over `seconds`."""
+        if tokens >= 2 and seconds >= 0:
+            self._pace.add(seconds / (tokens - 1))
+
+    def learn_whole(self, seconds):
+        """Fold in a call that counts as one token, such as a look-up."""
+        self._pace.add(seconds)
+
+    def service_seconds(self, prefill_tokens, decode_tokens):
+        """Return the expected seconds of one request on a free slot."""
+        prefill = prefill_tokens / self.prefill_rate
+        return prefill + decode_tokens * self.token_seconds
--- /dev/null
+++ b/lovagepier/decisions/evidence.py
@@ -0,0 +1,76 @@
+"""Counts of how versions behave, merged between nodes without order."""
+
+__all__ = ["Counts", "Evidence", "Key"]
+
+from typing import NamedTuple
+
+
+class Key(NamedTuple):
+    """What one row of evidence is about and which process counted it."""
+
+    move: str
+    version: str
+    route: str
+    source: str
+
+
+class Counts(NamedTuple):
+    """Outcomes seen: all, failed, and slow against the old version."""
+
+    seen: int = 0
+    failed: int = 0
+    slow: int = 0
+
+    def plus(self, other):
+        """Return the sum of two rows."""
+        return Counts(*(a + b for a, b in zip(self, other, strict=True)))
+
+    def minus(self, other):
+        """Return the difference of two rows."""
+        return Counts(*(a - b for a, b in zip(self, other, strict=True)))
+
+
+class Evidence:
+    """Grow-only counters per key.
+
+    Each source only raises its own rows, so merging takes the maximum of
+    each number and gives the same result in any order, with repeats.
+    """
+
+    __slots__ = ("_rows",)
+
+    def __init__(self):
+        self._rows = {}
+
+    def count(self, key, failed, slow):
+        """Add one outcome to a row this process owns."""
+        row = self._rows.get(key, Counts())
+        self._rows[key] = row.plus(Counts(1, int(failed), int(slow)))
+
+    def merge(self, key, counts):
+        """Take in a peer's row; return what it adds."""
+        row = self._rows.get(key, Counts())
+        merged = Counts(*(max(a, b) for a, b in zip(row, counts, strict=True)))
+        self._rows[key] = merged
+        return merged.minus(row)
+
+    def rows(self, move=None):
+        """Return {key: counts}, of one move or of all."""
+        return {
+            key: counts
+            for key, counts in self._rows.items()
+            if move is None or key.move == move
+        }
+
+    def total(self, move, version):
+        """Return the summed counts of one version in one move."""
+        total = Counts()
+        for key, counts in self._rows.items():
+            if key.move == move and key.version == version:
+                total = total.plus(counts)
+        return total
+
+    def forget(self, move):
+        """Drop the rows of a move that is over."""
+        for key in [key for key in self._rows if key.move == move]:
+            del self._rows[key]
--- /dev/null
+++ b/lovagepier/decisions/fleet.py
@@ -0,0 +1,211 @@
+"""The targets of one pool as its home sees them."""
+
+from sortedcontainers import SortedList
+
+from lovagepier.decisions.estimates import SpeedEstimate
+from lovagepier.decisions.limits import InFlightLimit
+
+__all__ = ["Fleet", "TargetState"]
+
+EJECT_FAILURES = 3
+EJECT_SECONDS = 2.0
+EJECT_MAX_SECONDS = 60.0
+SLOW_START_LIMIT = 2.0
+
+
+class TargetState:
+    """One target: what runs there, how fast it is, whether it takes work."""
+
+    __slots__ = (
+        "down",
+        "ejected_until",
+        "ejections",
+        "failures",
+        "incarnation",
+        "key",
+        "leaving",
+        "limit",
+        "name",
+        "prefilling",
+        "probing",
+        "queued_prefill",
+        "reported",
+        "reported_at",
+        "running",
+        "speed",
+        "version",
+        "zone",
+    )
+
+    def __init__(self, name, zone="", version="", incarnation="", limit=8.0):
+        self.name = name
+        self.zone = zone
+        self.version = version
+        self.incarnation = incarnation
+        self.leaving = False
+        self.down = False
+        self.limit = InFlightLimit(limit)
+        self.speed = SpeedEstimate()
+        self.running = {}
+        self.prefilling = {}
+        self.queued_prefill = 0
+        self.failures = 0
+        self.ejections = 0
+        self.ejected_until = float("-inf")
+        self.probing = False
+        self.reported = 0
+        self.reported_at = float("-inf")
+        self.key = None
+
+    @property
+    def in_flight(self):
+        """Requests granted to this target and not reported back."""
+        return len(self.running)
+
+    def takes_work(self, now):
+        """Return whether new work may go here at all."""
+        if self.leaving or self.down:
+            return False
+        if now < self.ejected_until:
+            return False
+        return not (self.probing and self.running)
+
+    def room(self, extra=0):
+        """Return whether one more request fits; `extra` slots on top."""
+        if self.probing:
+            return not self.running
+        return self.limit.room(self.in_flight - extra)
+
+    def wait_seconds(self):
+        """Return the expected wait before a new prefill would start."""
+        return self.queued_prefill / self.speed.prefill_rate
+
+    def finish_seconds(self, work, hit_tokens):
+        """Return the expected seconds until `work` would be whole."""
+        prefill = max(work.prefill_tokens - hit_tokens, 0)
+        service = self.speed.service_seconds(prefill, work.decode_tokens)
+        return self.wait_seconds() + service
+
+    def start(self, work, hit_tokens):
+        """Count `work` as running here."""
+        prefill = max(work.prefill_tokens - hit_tokens, 0)
+        self.running[work.id] = work
+        self.prefilling[work.id] = prefill
+        self.queued_prefill += prefill
+
+    def prefilled(self, request_id):
+        """Return the prefill tokens of an id whose first byte arrived."""
+        tokens = self.prefilling.pop(request_id, None)
+        if tokens is not None:
+            self.queued_prefill -= tokens
+        return tokens
+
+    def finish(self, request_id):
+        """Stop counting an id as running; return its work or None."""
+        self.prefilled(request_id)
+        return self.running.pop(request_id, None)
+
+    def on_success(self):
+        """Close the circuit after work that ended well."""
+        self.failures = 0
+        self.ejections = 0
+        self.probing = False
+
+    def on_failure(self, now):
+        """Count a failure; return whether the target is ejected by it."""
+        self.failures += 1
+        self.limit.on_failure(now)
+        if not self.probing and self.failures < EJECT_FAILURES:
+            return False
+        pause = min(EJECT_SECONDS * 2**self.ejections, EJECT_MAX_SECONDS)
+        self.ejections += 1
+        self.ejected_until = now + pause
+        self.probing = True
+        self.failures = 0
+        return True
+
+
+class Fleet:
+    """Targets indexed by version and by how soon each could finish work."""
+
+    __slots__ = ("_order", "_targets")
+
+    def __init__(self):
+        self._targets = {}
+        self._order = {}
+
+    def __iter__(self):
+        return iter(self._targets.values())
+
+    def __len__(self):
+        return len(self._targets)
+
+    def get(self, name):
+        """Return the `TargetState` of a name, or None."""
+        return self._targets.get(name)
+
+    def add(self, state):
+        """Put a new target in service."""
+        self._targets[state.name] = state
+        self.reindex(state)
+
+    def remove(self, name):
+        """Take a target out; its running work is still answered for."""
+        state = self._targets.pop(name, None)
+        if state is not None:
+            self._unindex(state)
+        return state
+
+    def _unindex(self, state):
+        if state.key is not None:
+            version, key = state.key
+            self._order[version].discard(key)
+            state.key = None
+
+    def reindex(self, state):
+        """Put the target in its place after any change to it. O(log n).
+
+        A target without a free slot leaves the order, so that a look at the
+        first few entries sees only targets that could start work.
+        """
+        self._unindex(state)
+        if state.leaving or state.down or not state.room(extra=1):
+            return
+        load = state.in_flight / max(state.limit.value, 1.0)
+        pace = state.speed.token_seconds * 100 + 500 / state.speed.prefill_rate
+        key = (state.wait_seconds() + pace * (1.0 + load), state.name)
+        state.key = (state.version, key)
+        order = self._order.setdefault(state.version, SortedList())
+        order.add(key)
+
+    def versions(self):
+        """Return the versions that have targets in service."""
+        return {state.version for state in self._targets.values()}
+
+    def likeliest(self, version, count):
+        """Yield up to `count` targets of `version`, soonest first."""
+        order = self._order.get(version)
+        if not order:
+            return
+        for _, name in order.islice(0, count):
+            yield self._targets[name]
+
+    def in_flight(self, version=None):
+        """Return the work running on one version's targets, or on all."""
+        return sum(
+            state.in_flight
+            for state in self._targets.values()
+            if version is None or state.version == version
+        )
+
+    def best_service(self, work):
+        """Return the least expected seconds for `work` on an idle target."""
+        best = None
+        for version in self._order:
+            for state in self.likeliest(version, 4):
+                seconds = state.speed.service_seconds(
+                    work.prefill_tokens, work.decode_tokens
+                )
+                if best is None or seconds < best:
+                    best = seconds
+        return best
--- /dev/null
+++ b/lovagepier/decisions/limits.py
@@ -0,0 +1,51 @@
+"""An in-flight limit per target that keeps its own queue short but busy."""
+
+__all__ = ["InFlightLimit"]
+
+_QUEUE_TOLERANCE_S = 0.15
+_BACKOFF = 0.85
+_MIN_LIMIT = 1.0
+_MAX_LIMIT = 4096.0
+
+
+class InFlightLimit:
+    """Additive increase, multiplicative decrease on queueing inside a target.
+
+    Engines admit in arrival order, so a request that waits inside an engine
+    can't be overtaken. The limit grows while first bytes come as fast as the
+    prefill alone explains, and shrinks, at most once a queueing delay, when
+    they come later.
+    """
+
+    __slots__ = ("_hold_until", "value")
+
+    def __init__(self, start=8.0):
+        self.value = start
+        self._hold_until = float("-inf")
+
+    def room(self, in_flight, reserve=0):
+        """Return whether one more request fits, keeping `reserve` slots."""
+        return in_flight + 1 + reserve <= max(self.value, _MIN_LIMIT)
+
+    def on_first_byte(self, waited, in_flight, now):
+        """Fold in `waited` seconds in the target's queue before prefill."""
+        if waited <= _QUEUE_TOLERANCE_S:
+            if in_flight >= self.value - 1:
+                self.value = min(self.value + 1.0 / self.value, _MAX_LIMIT)
+            return
+        if now < self._hold_until:
+            return
+        self.value = max(self.value * _BACKOFF, _MIN_LIMIT)
+        self._hold_until = now + waited
+
+    def on_report(self, running, waiting, now):
+        """Fold in a load report: a target that queues runs at its capacity."""
+        if waiting > 0 and running > 0 and running < self.value:
+            ceiling = running + 1.0
+            self.value = max(min(self.value, ceiling), _MIN_LIMIT)
+            self._hold_until = max(self._hold_until, now)
+
+    def on_failure(self, now):
+        """Shrink after a refusal or failure of the target."""
+        self.value = max(self.value * _BACKOFF, _MIN_LIMIT)
+        self._hold_until = now + 1.0
--- /dev/null
+++ b/lovagepier/decisions/membership.py
@@ -0,0 +1,284 @@
+"""Which nodes live, by random probing with incarnations and suspicion."""
+
+import math
+from dataclasses import dataclass
+
+__all__ = ["Member", "Membership", "Probe", "Status", "Update"]
+
+PROBE_PERIOD_S = 0.5
+PROBE_TIMEOUT_S = 0.25
+INDIRECT_PROBES = 3
+SUSPECT_PERIODS = 4
+MAX_UPDATES = 8
+SPREAD_FACTOR = 3
+DEAD_KEEP_S = 600.0
+
+
+class Status:
+    """States of a member; a later one wins within an incarnation."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    LEAVING = 2
+    DEAD = 3
+
+
+@dataclass(slots=True)
+class Member:
+    """One node as this node sees it. `facts` are its addresses and zone."""
+
+    name: str
+    facts: dict
+    incarnation: int = 0
+    status: int = Status.ALIVE
+    since: float = 0.0
+
+
+@dataclass(slots=True, frozen=True)
+class Update:
+    """One piggybacked fact about a member."""
+
+    name: str
+    incarnation: int
+    status: int
+    facts: dict
+
+
+@dataclass(slots=True, frozen=True)
+class Probe:
+    """A probe to send: to `target`, on behalf of `via` if indirect."""
+
+    target: str
+    via: str | None
+    sequence: int
+
+
+class _Outstanding:
+    __slots__ = ("indirect", "sent", "target")
+
+    def __init__(self, target, sent):
+        self.target = target
+        self.sent = sent
+        self.indirect = False
+
+
+class Membership:
+    """The member table of one node and its failure detector.
+
+    `tick` returns the probes to send. Each probe and answer carries the
+    updates that `updates` returns, a bounded number, so the traffic of a
+    node does not grow with the fleet. Suspicion lasts a number of probe
+    periods that grows with the logarithm of the fleet.
+    """
+
+    def __init__(self, name, facts, incarnation, rng):
+        self.name = name
+        self.incarnation = incarnation
+        self._rng = rng
+        self._members = {name: Member(name, facts, incarnation)}
+        self._ring = []
+        self._outstanding = {}
+        self._sequence = 0
+        self._next_probe = float("-inf")
+        self._spread = {}
+        self._events = []
+        self._announce(self._members[name])
+
+    # Reading
+
+    def member(self, name):
+        """Return the `Member` of a name, or None."""
+        return self._members.get(name)
+
+    def members(self):
+        """Return all known members, dead ones included."""
+        return list(self._members.values())
+
+    def live(self):
+        """Return the names of members that may carry duties, sorted."""
+        usable = (Status.ALIVE, Status.SUSPECT)
+        return sorted(m.name for m in self._members.values() if m.status in usable)
+
+    def reachable(self):
+        """Return the names of members that are not dead, sorted."""
+        return sorted(m.name for m in self._members.values() if m.status != Status.DEAD)
+
+    def is_dead(self, name):
+        """Return whether a member is known to be dead."""
+        member = self._members.get(name)
+        return member is not None and member.status == Status.DEAD
+
+    def events(self):
+        """Return and clear [(name, status, why)] since the last call."""
+        events = self._events
+        self._events = []
+        return events
+
+    # Probing
+
+    def tick(self, now):
+        """Advance to `now`; return the probes to send."""
+        probes = self._check_outstanding(now)
+        self._check_suspects(now)
+        self._drop_old_dead(now)
+        if now < self._next_probe:
+            return probes
+        self._next_probe = now + PROBE_PERIOD_S
+        target = self._next_target()
+        if target is not None:
+            probes.append(self._probe(target, now))
+        return probes
+
+    def _probe(self, target, now):
+        self._sequence += 1
+        self._outstanding[self._sequence] = _Outstanding(target, now)
+        return Probe(target, None, self._sequence)
+
+    def _next_target(self):
+        while self._ring:
+            name = self._ring.pop()
+            member = self._members.get(name)
+            if member is not None and member.status != Status.DEAD:
+                return name
+        self._ring = [name for name in self.reachable() if name != self.name]
+        self._rng.shuffle(self._ring)
+        return self._ring.pop() if self._ring else None
+
+    def _check_outstanding(self, now):
+        probes = []
+        for sequence, out in list(self._outstanding.items()):
+            waited = now - out.sent
+            if not out.indirect and waited >= PROBE_TIMEOUT_S:
+                out.indirect = True
+                probes.extend(self._indirect(out.target, sequence))
+            elif waited >= 2 * PROBE_TIMEOUT_S + PROBE_PERIOD_S:
+                del self._outstanding[sequence]
+                self._suspect(out.target, now)
+        return probes
+
+    def _indirect(self, target, sequence):
+        others = [n for n in self.live() if n not in (self.name, target)]
+        helpers = self._rng.sample(others, min(INDIRECT_PROBES, len(others)))
+        return [Probe(target, via, sequence) for via in helpers]
+
+    def _suspect(self, name, now):
+        member = self._members.get(name)
+        if member is None or member.status not in (Status.ALIVE,):
+            if member is not None and member.status == Status.LEAVING:
+                self._set(member, Status.DEAD, now, "left and stopped answering")
+            return
+        self._set(member, Status.SUSPECT, now, "no answer, direct or through others")
+
+    def suspicion_seconds(self):
+        """Return how long a suspect has to refute."""
+        size = max(len(self._members), 2)
+        return SUSPECT_PERIODS * PROBE_PERIOD_S * max(1.0, math.log10(size))
+
+    def _check_suspects(self, now):
+        limit = self.suspicion_seconds()
+        for member in list(self._members.values()):
+            if member.status == Status.SUSPECT and now - member.since >= limit:
+                self._set(member, Status.DEAD, now, "suspicion was not refuted")
+
+    def _drop_old_dead(self, now):
+        for member in list(self._members.values()):
+            if member.status == Status.DEAD and now - member.since > DEAD_KEEP_S:
+                del self._members[member.name]
+
+    def _set(self, member, status, now, why):
+        member.status = status
+        member.since = now
+        self._announce(member)
+        self._events.append((member.name, status, why))
+
+    # Messages
+
+    def on_ack(self, sequence, now):
+        """Note the answer to a probe."""
+        out = self._outstanding.pop(sequence, None)
+        if out is not None:
+            self.heard_from(out.target, now)
+
+    def heard_from(self, name, now):
+        """Note a direct sign of life; lifts only this node's own suspicion."""
+        member = self._members.get(name)
+        if member is not None and member.status == Status.SUSPECT:
+            self._set(member, Status.ALIVE, now, "answered again")
+
+    def leave(self, now):
+        """Announce that this node is stopping; it takes no duties any more."""
+        me = self._members[self.name]
+        self._set(me, Status.LEAVING, now, "is stopping")
+
+    def hint_dead(self, name, now):
+        """Take the platform's word as a reason to suspect, not to bury."""
+        self._suspect(name, now)
+
+    def _announce(self, member):
+        self._spread[member.name] = 0
+
+    def updates(self):
+        """Return the updates to piggyback, the least spread first."""
+        limit = SPREAD_FACTOR * math.ceil(math.log2(len(self._members) + 1))
+        chosen = sorted(self._spread, key=lambda name: self._spread[name])
+        result = []
+        for name in chosen[:MAX_UPDATES]:
+            member = self._members.get(name)
+            self._spread[name] += 1
+            if member is None or self._spread[name] > limit:
+                del self._spread[name]
+            if member is not None:
+                result.append(_update_of(member))
+        return result
+
+    def everything(self):
+        """Return updates about all members, for a node that joins."""
+        return [_update_of(member) for member in self._members.values()]
+
+    def apply(self, updates, now):
+        """Merge updates from a peer."""
+        for update in updates:
+            if update.name == self.name:
+                self._refute(update, now)
+            else:
+                self._merge(update, now)
+
+    def _refute(self, update, now):
+        me = self._members[self.name]
+        if update.incarnation < me.incarnation:
+            return
+        if update.status <= me.status and update.incarnation == me.incarnation:
+            return
+        me.incarnation = self.incarnation = update.incarnation + 1
+        self._announce(me)
+        self._events.append((self.name, me.status, "refuted a false report"))
+
+    def _merge(self, update, now):
+        member = self._members.get(update.name)
+        if member is None:
+            if update.status == Status.DEAD:
+                return
+            member = Member(update.name, update.facts, update.incarnation)
+            member.status = update.status
+            member.since = now
+            self._members[update.name] = member
+            self._announce(member)
+            self._events.append((member.name, update.status, "joined"))
+            self._ring.insert(self._rng.randint(0, len(self._ring)), member.name)
+            return
+        newer = update.incarnation > member.incarnation
+        same = update.incarnation == member.incarnation
+        if not newer and not (same and update.status > member.status):
+            return
+        changed = update.status != member.status
+        member.incarnation = update.incarnation
+        member.facts = update.facts or member.facts
+        if changed:
+            why = "was reported so by a peer"
+            self._set(member, update.status, now, why)
+        else:
+            self._announce(member)
+
+
+def _update_of(member):
+    return Update(member.name, member.incarnation, member.status, member.facts)
--- /dev/null
+++ b/lovagepier/decisions/policies.py
@@ -0,0 +1,155 @@
+"""Placement policies: the product's own and the baselines it is held against."""
+
+__all__ = ["POLICIES", "Policy", "policy"]
+
+POLICIES = {}
+
+CONSIDERED = 8
+MAX_AFFINITY_GAIN_S = 0.5
+ZONE_COST_S = 0.001
+
+
+def policy(name):
+    """Register a policy class under `name`."""
+
+    def register(cls):
+        cls.name = name
+        POLICIES[name] = cls
+        return cls
+
+    return register
+
+
+class Policy:
+    """What varies between schedulers.
+
+    `queues` tells whether work waits at the home for a free slot; without
+    it work goes to an engine on arrival and waits there. `sheds` tells
+    whether work that can't finish in time is refused before it starts.
+    """
+
+    queues = False
+    sheds = False
+
+    def choose(self, fleet, version, work, prefixes, now, rng):
+        """Return (target, hit tokens, why) or None."""
+        raise NotImplementedError
+
+
+def _open(fleet, version, work, now):
+    return [
+        state
+        for state in fleet
+        if state.version == version
+        and state.name not in work.exclude
+        and state.takes_work(now)
+    ]
+
+
+@policy("random")
+class RandomPolicy(Policy):
+    """Pick any target in service."""
+
+    def choose(self, fleet, version, work, prefixes, now, rng):
+        """Pick uniformly."""
+        states = _open(fleet, version, work, now)
+        if not states:
+            return None
+        return rng.choice(states), 0, "random"
+
+
+@policy("least-reported")
+class LeastReportedPolicy(Policy):
+    """Pick the least load by the targets' own lagging reports."""
+
+    def choose(self, fleet, version, work, prefixes, now, rng):
+        """Pick the least reported load; ties fall at random."""
+        states = _open(fleet, version, work, now)
+        if not states:
+            return None
+        least = min(state.reported for state in states)
+        return (
+            rng.choice([state for state in states if state.reported == least]),
+            0,
+            f"reported load {least}",
+        )
+
+
+@policy("two-choices")
+class TwoChoicesPolicy(Policy):
+    """Draw two targets and pick the one with less in flight from here."""
+
+    def choose(self, fleet, version, work, prefixes, now, rng):
+        """Pick the less loaded of two drawn targets."""
+        states = _open(fleet, version, work, now)
+        if not states:
+            return None
+        pair = rng.sample(states, min(2, len(states)))
+        chosen = min(pair, key=lambda state: state.in_flight)
+        return chosen, 0, f"{chosen.in_flight} in flight"
+
+
+@policy("finish-time")
+class FinishTimePolicy(Policy):
+    """Pick the least expected finish time among the likeliest targets.
+
+    Looks at a fixed number of targets, those the index puts first and those
+    that hold the longest cached prefix, so the cost does not grow with the
+    pool beyond the index's own O(log n).
+    """
+
+    queues = True
+    sheds = True
+
+    def choose(self, fleet, version, work, prefixes, now, rng):
+        """Pick the least expected finish time."""
+        best = None
+        for state, hit in self._considered(fleet, version, work, prefixes):
+            if state.name in work.exclude or not state.takes_work(now):
+                continue
+            if not state.room(extra=1 if work.tier == 0 else 0):
+                continue
+            cost = self._cost(state, hit, work)
+            if best is None or cost < best[0]:
+                best = (cost, state, hit)
+        if best is None:
+            return None
+        cost, state, hit = best
+        return state, hit, f"finishes in {cost:.3f} s, {hit} tokens cached"
+
+    def _cost(self, state, hit, work):
+        saved = hit / state.speed.prefill_rate
+        # The cap keeps a popular prefix from making one target hot.
+        capped = hit * min(1.0, MAX_AFFINITY_GAIN_S / saved) if saved else 0
+        cost = state.finish_seconds(work, capped)
+        return cost + (ZONE_COST_S if state.zone != work.zone else 0.0)
+
+    def _considered(self, fleet, version, work, prefixes):
+        seen = set()
+        hits = prefixes.hits(work.blocks) if work.blocks else {}
+        per_block = work.prefill_tokens / len(work.blocks) if work.blocks else 0
+        longest = sorted(hits, key=lambda name: -hits[name])[:CONSIDERED]
+        for name in longest:
+            state = fleet.get(name)
+            if state is not None and state.version == version:
+                seen.add(name)
+                yield state, int(hits[name] * per_block)
+        for state in fleet.likeliest(version, CONSIDERED):
+            if state.name not in seen:
+                yield state, int(hits.get(state.name, 0) * per_block)
+
+
+@policy("random-queued")
+class RandomQueuedPolicy(FinishTimePolicy):
+    """The product's queue and limits with placement drawn at random."""
+
+    def choose(self, fleet, version, work, prefixes, now, rng):
+        """Pick any target with a free slot."""
+        states = [
+            state
+            for state in _open(fleet, version, work, now)
+            if state.room(extra=1 if work.tier == 0 else 0)
+        ]
+        if not states:
+            return None
+        return rng.choice(states), 0, "random with a free slot"
--- /dev/null
+++ b/lovagepier/decisions/scheduler.py
@@ -0,0 +1,506 @@
+"""The decisions of one pool: what starts where, what waits, what is refused."""
+
+from lovagepier.decisions.estimates import LengthEstimates
+from lovagepier.decisions.fleet import (
+    SLOW_START_LIMIT,
+    Fleet,
+    TargetState,
+)
+from lovagepier.decisions.policies import POLICIES
+from lovagepier.decisions.prefixes import PrefixIndex
+from lovagepier.decisions.retries import RetryBudget
+from lovagepier.decisions.strikes import Strikes
+from lovagepier.decisions.waiting import WaitingRequests
+from lovagepier.decisions.work import Grant, Join, Refusal
+from lovagepier.errors import ErrorKind
+
+__all__ = ["PoolScheduler", "SchedulerOptions"]
+
+SHED_HOLD_S = 1.0
+FINISHED_KEEP_S = 600.0
+MAX_SET_ASIDE = 8
+DEADLINE_MARGIN_S = 0.02
+
+
+class SchedulerOptions:
+    """Settings of one pool scheduler; times in seconds."""
+
+    __slots__ = (
+        "finished_keep",
+        "max_waiting",
+        "policy",
+        "shed_hold",
+        "slots",
+        "tiers",
+    )
+
+    def __init__(
+        self,
+        tiers=4,
+        max_waiting=10_000,
+        policy="finish-time",
+        slots=8.0,
+        shed_hold=SHED_HOLD_S,
+        finished_keep=FINISHED_KEEP_S,
+    ):
+        self.tiers = tiers
+        self.max_waiting = max_waiting
+        self.policy = policy
+        self.slots = slots
+        self.shed_hold = shed_hold
+        self.finished_keep = finished_keep
+
+
+class _Running:
+    __slots__ = ("granted_at", "target", "version", "work")
+
+    def __init__(self, work, target, version, granted_at):
+        self.work = work
+        self.target = target
+        self.version = version
+        self.granted_at = granted_at
+
+
+class PoolScheduler:
+    """Waiting requests, targets and running work of one pool.
+
+    Every method takes `now` in seconds and returns the decisions that
+    follow from the event: `Grant`, `Join` and `Refusal` objects. An id is
+    granted at most once as long as this scheduler remembers it.
+    """
+
+    def __init__(self, options, rng):
+        self.options = options
+        self.policy = POLICIES[options.policy]()
+        self.fleet = Fleet()
+        self.waiting = WaitingRequests(options.tiers, options.max_waiting)
+        self.lengths = LengthEstimates()
+        self.prefixes = PrefixIndex()
+        self.strikes = Strikes()
+        self.retries = RetryBudget()
+        self.share = {}
+        self.old_version = None
+        self._rng = rng
+        self._running = {}
+        self._finished = {}
+        self._sequence = 0
+        self._held_tier = None
+        self._held_until = float("-inf")
+
+    # Requests
+
+    def offer(self, work, now):
+        """Take in one request; return the decisions that follow."""
+        known = self._known(work)
+        if known is not None:
+            return [known]
+        refusal = self._refuse_at_once(work, now)
+        if refusal is not None:
+            return [refusal]
+        self._prepare(work, now)
+        if self.policy.sheds and self._infeasible(work, now):
+            kind = ErrorKind.DEADLINE_INFEASIBLE
+            why = "an idle target could not finish by the deadline"
+            return [Refusal(work, kind, why, retry_after=0)]
+        if not self.policy.queues:
+            grant = self._place(work, now)
+            if grant is None:
+                why = "no target takes work"
+                return [Refusal(work, ErrorKind.NO_TARGET, why)]
+            return [grant]
+        victim = self.waiting.add(work)
+        decisions = []
+        if victim is not None:
+            decisions.append(self._shed(victim, now, ErrorKind.SHED, "queue full"))
+        return decisions + self._drain(now)
+
+    def _known(self, work):
+        running = self._running.get(work.id)
+        if running is not None:
+            return self._join(work, running.work.fingerprint, running.target, False)
+        finished = self._finished.get(work.id)
+        if finished is not None:
+            _, target, fingerprint = finished
+            return self._join(work, fingerprint, target, True)
+        return None
+
+    def _join(self, work, fingerprint, target, finished):
+        if fingerprint and work.fingerprint and fingerprint != work.fingerprint:
+            why = "the id came before with another body"
+            return Refusal(work, ErrorKind.KEY_REUSED, why, retry_after=0)
+        return Join(work, target, finished)
+
+    def _refuse_at_once(self, work, now):
+        if self.strikes.is_condemned(work.fingerprint):
+            why = "targets died each time this body ran"
+            return Refusal(work, ErrorKind.SUSPECT_REQUEST, why, retry_after=0)
+        if work.id in self.waiting:
+            why = "the same id waits here already"
+            return Refusal(work, ErrorKind.KEY_IN_USE, why)
+        if not len(self.fleet):
+            return Refusal(work, ErrorKind.NO_TARGET, "the pool has no targets")
+        if work.attempt == 0:
+            self.retries.on_first_try(now)
+        elif not self.retries.spend(now):
+            return Refusal(work, ErrorKind.SHED, "the retry budget is spent")
+        return None
+
+    def _prepare(self, work, now):
+        self._sequence += 1
+        work.sequence = self._sequence
+        work.arrived = now
+        work.decode_tokens = self.lengths.expect(
+            work.account, work.route, work.max_decode_tokens
+        )
+        service = self.fleet.best_service(work) or 0.0
+        margin = DEADLINE_MARGIN_S if self._learned() else 0.0
+        work.latest_start = work.deadline - (service if margin else 0.0) - margin
+
+    def _learned(self):
+        return any(state.speed.known for state in self.fleet)
+
+    def _infeasible(self, work, now):
+        return work.latest_start < now
+
+    def withdraw(self, request_id, now):
+        """Forget waiting work whose caller went away; return whether it waited."""
+        return self.waiting.remove(request_id) is not None
+
+    def look(self, work):
+        """Return the `Join` or `Refusal` of an id that is known, or None."""
+        return self._known(work)
+
+    # Service
+
+    def tick(self, now):
+        """Refuse what can't finish in time any more and start what can."""
+        return self._drain(now)
+
+    def next_event(self):
+        """Return the next time in seconds at which `tick` has work, or None."""
+        return self.waiting.first_expiry()
+
+    def _expire(self, now):
+        decisions = []
+        if not self.policy.sheds:
+            return decisions
+        for work in self.waiting.expired(now):
+            why = "it could not finish by its deadline if started now"
+            kind = ErrorKind.DEADLINE_WAITING
+            decisions.append(self._shed(work, now, kind, why))
+        return decisions
+
+    def _shed(self, work, now, kind, why):
+        # Lower tiers pause after a higher one lost work to lack of room.
+        if self._held_tier is None or now >= self._held_until:
+            self._held_tier = work.tier
+        self._held_tier = min(self._held_tier, work.tier)
+        self._held_until = now + self.options.shed_hold
+        return Refusal(work, kind, why)
+
+    def _held(self, work, now):
+        if self._held_tier is None or now >= self._held_until:
+            return False
+        return work.tier > self._held_tier
+
+    def _drain(self, now):
+        decisions = self._expire(now)
+        aside = 0
+        while True:
+            started, skipped = self._start_next(now, aside)
+            if started is None:
+                break
+            decisions.append(started)
+            aside = skipped
+        return decisions
+
+    def _start_next(self, now, aside):
+        top = self.waiting.highest_waiting_tier()
+        for work in self.waiting.candidates():
+            if self._held(work, now):
+                return None, aside
+            # Lower work may pass higher work only where constraints, not
+            # room, keep the higher work from starting.
+            if work.tier != top and not self._constrained_top(top):
+                return None, aside
+            grant = self._place(work, now)
+            if grant is not None:
+                self.waiting.take(work, self._cost(work, grant))
+                return grant, aside
+            aside += 1
+            if aside >= MAX_SET_ASIDE:
+                return None, aside
+            if not self._constrained(work):
+                return None, aside
+        return None, aside
+
+    def _constrained(self, work):
+        return bool(work.exclude) or self.strikes.is_suspect(work.fingerprint)
+
+    def _constrained_top(self, top):
+        for work in self.waiting.candidates():
+            if work.tier != top:
+                return True
+            if not self._constrained(work):
+                return False
+        return True
+
+    def _cost(self, work, grant):
+        state = self.fleet.get(grant.target)
+        return max(state.finish_seconds(work, grant.hit_tokens), 1e-3)
+
+    def _place(self, work, now):
+        for version in self._versions(work):
+            chosen = self.policy.choose(
+                self.fleet, version, work, self.prefixes, now, self._rng
+            )
+            if chosen is None:
+                continue
+            state, hit, why = chosen
+            if not self._may_join(state, work):
+                work.exclude = work.exclude | {state.name}
+                return None
+            return self._start(work, state, hit, why, now)
+        return None
+
+    def _may_join(self, state, work):
+        # Two suspects on one target could not be told apart if it dies.
+        if not self.strikes.is_suspect(work.fingerprint):
+            return True
+        return not any(
+            self.strikes.is_suspect(other.fingerprint)
+            for other in state.running.values()
+        )
+
+    def _versions(self, work):
+        """Return the versions `work` may go to, preferred first."""
+        if self.old_version is None:
+            return sorted(self.fleet.versions())
+        drawn = self._drawn_version(work.draw)
+        if drawn == self.old_version:
+            return [drawn]
+        if self._over_share(drawn):
+            return [self.old_version]
+        return [drawn, self.old_version]
+
+    def _drawn_version(self, draw):
+        edge = 0.0
+        for version, share in sorted(self.share.items()):
+            edge += share
+            if draw < edge:
+                return version
+        return self.old_version
+
+    def _over_share(self, version):
+        # The share bounds work in flight too: a slow version holds each
+        # request longer and would gather more than its share of slots.
+        share = self.share.get(version, 0.0)
+        if share >= 1.0:
+            return False
+        total = self.fleet.in_flight() + 1
+        return self.fleet.in_flight(version) + 1 > max(1.0, share * total * 2.0)
+
+    def _start(self, work, state, hit, why, now):
+        state.start(work, hit)
+        self.fleet.reindex(state)
+        self._running[work.id] = _Running(work, state.name, state.version, now)
+        if work.blocks:
+            self.prefixes.add(state.name, work.blocks)
+        return Grant(work, state.name, state.version, hit, why)
+
+    # Outcomes
+
+    def first_byte(self, request_id, seconds, now):
+        """Fold in that the first byte came `seconds` after dispatch."""
+        running = self._running.get(request_id)
+        if running is None:
+            return
+        state = self.fleet.get(running.target)
+        if state is None:
+            return
+        self._learn_first(state, request_id, seconds, now)
+        self.fleet.reindex(state)
+
+    def _learn_first(self, state, request_id, seconds, now):
+        tokens = state.prefilled(request_id)
+        if tokens is None:
+            return
+        alone = tokens / state.speed.prefill_rate
+        waited = max(0.0, seconds - alone * 1.5)
+        state.limit.on_first_byte(waited, state.in_flight, now)
+        if waited < 0.5 * alone or not state.speed.known:
+            state.speed.learn_prefill(tokens, seconds)
+
+    def finish(self, outcome, now):
+        """Fold in one outcome; return the decisions that follow."""
+        running = self._running.pop(outcome.id, None)
+        if running is None:
+            return []
+        self._remember(outcome, running, now)
+        state = self.fleet.get(running.target)
+        if outcome.status == "died" and state is not None and not state.down:
+            death_id = f"{state.name}/{state.incarnation}"
+            self.target_died(state.name, death_id, now)
+        if state is not None:
+            if outcome.first_seconds is not None:
+                self._learn_first(state, outcome.id, outcome.first_seconds, now)
+            state.finish(outcome.id)
+            self._learn_outcome(state, running.work, outcome, now)
+            self.fleet.reindex(state)
+        return self._drain(now)
+
+    def _remember(self, outcome, running, now):
+        if outcome.status in ("not-run", "returned"):
+            return
+        self._finished[outcome.id] = (now, running.target, running.work.fingerprint)
+        oldest = next(iter(self._finished))
+        while now - self._finished[oldest][0] > self.options.finished_keep:
+            del self._finished[oldest]
+            oldest = next(iter(self._finished))
+
+    def _learn_outcome(self, state, work, outcome, now):
+        if outcome.status == "ok":
+            state.on_success()
+            self.strikes.on_finish(work.fingerprint)
+            self._learn_lengths(state, work, outcome)
+        elif outcome.status in ("failed", "not-run"):
+            state.on_failure(now)
+
+    def _learn_lengths(self, state, work, outcome):
+        if outcome.first_seconds is None or outcome.total_seconds is None:
+            return
+        if work.max_decode_tokens == 1:
+            state.speed.learn_whole(outcome.total_seconds)
+            return
+        if outcome.decode_tokens:
+            self.lengths.learn(work.account, work.route, outcome.decode_tokens)
+        decoding = outcome.total_seconds - outcome.first_seconds
+        state.speed.learn_decode(outcome.decode_tokens, decoding)
+
+    def adopt_running(self, work, target, now):
+        """Register work another home granted; it is never granted again."""
+        if work.id in self._running or work.id in self._finished:
+            return
+        self.waiting.remove(work.id)
+        state = self.fleet.get(target)
+        version = state.version if state else ""
+        self._running[work.id] = _Running(work, target, version, now)
+        if state is not None:
+            state.start(work, 0)
+            self.fleet.reindex(state)
+
+    def forget_entry(self, entry, now):
+        """Drop waiting work of a dead entry node; its running work stays.
+
+        A request sent again under its id joins the running stream.
+        """
+        gone = [w for w in self._all_waiting() if w.entry == entry]
+        for work in gone:
+            self.waiting.remove(work.id)
+        return len(gone)
+
+    def _all_waiting(self):
+        return list(self.waiting.works())
+
+    def running_of(self, entry):
+        """Return the ids granted to an entry node and not reported back."""
+        return [r.work.id for r in self._running.values() if r.work.entry == entry]
+
+    def find_running(self, request_id):
+        """Return (work, target, version) of a running id, or None."""
+        running = self._running.get(request_id)
+        if running is None:
+            return None
+        return running.work, running.target, running.version
+
+    def note_dispatched(self, request_id, target, now):
+        """Remember that a target was given an id before this home began."""
+        if request_id not in self._running and request_id not in self._finished:
+            self._finished[request_id] = (now, target, "")
+
+    def expected_wait(self, tier):
+        """Return the expected seconds before new work of a tier starts."""
+        ahead = sum(self.waiting.sizes()[: tier + 1])
+        if not ahead:
+            return 0.0
+        rate = sum(
+            max(state.limit.value, 1.0)
+            / max(state.speed.token_seconds * self.lengths.typical(), 1e-3)
+            for state in self.fleet
+            if not state.leaving and not state.down
+        )
+        return ahead / rate if rate else float("inf")
+
+    def running(self):
+        """Return (work, target, version) of all running work."""
+        return [(r.work, r.target, r.version) for r in self._running.values()]
+
+    # Targets
+
+    def set_target(self, name, zone, version, incarnation, now):
+        """Put a target in service or adopt its new version or incarnation."""
+        state = self.fleet.get(name)
+        if state is None:
+            state = TargetState(name, zone, version, incarnation, self._first_slots())
+            self.fleet.add(state)
+            return self._drain(now)
+        if state.incarnation != incarnation and incarnation:
+            self._restart(state, incarnation)
+        if state.version != version:
+            state.version = version
+        state.zone = zone
+        self.fleet.reindex(state)
+        return self._drain(now)
+
+    def _first_slots(self):
+        return self.options.slots
+
+    def _restart(self, state, incarnation):
+        state.incarnation = incarnation
+        state.leaving = False
+        state.limit.value = min(state.limit.value, SLOW_START_LIMIT)
+        self.prefixes.forget(state.name)
+
+    def target_leaving(self, name, leaving):
+        """Stop or resume new work to a target."""
+        state = self.fleet.get(name)
+        if state is not None and state.leaving != leaving:
+            state.leaving = leaving
+            self.fleet.reindex(state)
+
+    def target_died(self, name, death_id, now):
+        """Fold in a target's death; return newly condemned fingerprints."""
+        state = self.fleet.get(name)
+        if state is None:
+            return []
+        state.down = True
+        state.limit.value = min(state.limit.value, SLOW_START_LIMIT)
+        self.prefixes.forget(name)
+        self.fleet.reindex(state)
+        running = [work.fingerprint for work in state.running.values()]
+        return self.strikes.on_death(death_id, running, now)
+
+    def remove_target(self, name):
+        """Take a target out of the pool."""
+        self.fleet.remove(name)
+        self.prefixes.forget(name)
+
+    def report(self, name, running, waiting, now, incarnation=""):
+        """Fold in a target's own lagging load report."""
+        state = self.fleet.get(name)
+        if state is None:
+            return
+        if incarnation and state.incarnation != incarnation:
+            self._restart(state, incarnation)
+        state.down = False
+        state.reported = running + waiting
+        state.reported_at = now
+        state.limit.on_report(running, waiting, now)
+        self.fleet.reindex(state)
+
+    def cache_event(self, name, stored, evicted):
+        """Fold in a late cache event of a target."""
+        if self.fleet.get(name) is None:
+            return
+        self.prefixes.add(name, stored)
+        self.prefixes.remove(name, evicted)
--- /dev/null
+++ b/lovagepier/decisions/slowness.py
@@ -0,0 +1,67 @@
+"""Call an outcome slow against what the old version does on the same route."""
+
+from collections import deque
+
+from sortedcontainers import SortedList
+
+__all__ = ["SlownessJudge"]
+
+_WINDOW = 200
+_QUANTILE = 0.95
+_MARGIN = 1.3
+_MIN_SAMPLES = 20
+_PREFILL_UNIT = 1000.0
+
+
+class _Quantile:
+    __slots__ = ("_order", "_sorted")
+
+    def __init__(self):
+        self._order = deque()
+        self._sorted = SortedList()
+
+    def add(self, value):
+        self._order.append(value)
+        self._sorted.add(value)
+        if len(self._order) > _WINDOW:
+            self._sorted.remove(self._order.popleft())
+
+    def threshold(self):
+        if len(self._order) < _MIN_SAMPLES:
+            return None
+        return self._sorted[int(len(self._sorted) * _QUANTILE)] * _MARGIN
+
+
+class SlownessJudge:
+    """Per route and hardware generation, the old version's usual times."""
+
+    __slots__ = ("_first", "_pace")
+
+    def __init__(self):
+        self._first = {}
+        self._pace = {}
+
+    def judge(self, key, is_old, work, outcome):
+        """Return whether the outcome is slow; learn from it if old."""
+        first, pace = _normal(work, outcome)
+        slow = False
+        for table, value in ((self._first, first), (self._pace, pace)):
+            if value is None:
+                continue
+            quantile = table.setdefault(key, _Quantile())
+            threshold = quantile.threshold()
+            slow = slow or (threshold is not None and value > threshold)
+            if is_old:
+                quantile.add(value)
+        return slow
+
+
+def _normal(work, outcome):
+    """Return first-byte time per prefill size and seconds per token."""
+    if outcome.first_seconds is None:
+        return None, None
+    first = outcome.first_seconds / (1.0 + work.prefill_tokens / _PREFILL_UNIT)
+    if outcome.total_seconds is None or outcome.decode_tokens < 2:
+        return first, None
+    decoding = outcome.total_seconds - outcome.first_seconds
+    return first, decoding / (outcome.decode_tokens - 1)
--- /dev/null
+++ b/lovagepier/decisions/waiting.py
@@ -0,0 +1,152 @@
+"""The waiting requests of one pool: tier, then account fairness, then slack."""
+
+from sortedcontainers import SortedList
+
+__all__ = ["WaitingRequests"]
+
+
+class _Account:
+    __slots__ = ("cost", "name", "virtual", "works")
+
+    def __init__(self, name, virtual):
+        self.name = name
+        self.virtual = virtual
+        self.cost = 0.0
+        self.works = SortedList(key=_slack_key)
+
+
+class _Tier:
+    __slots__ = ("accounts", "floor", "order", "size")
+
+    def __init__(self):
+        self.accounts = {}
+        self.order = SortedList()
+        self.floor = 0.0
+        self.size = 0
+
+
+def _slack_key(work):
+    return (work.latest_start, work.sequence)
+
+
+class WaitingRequests:
+    """Bounded queue of `Work`, strict between tiers.
+
+    Within a tier the account with the least service per weight goes first
+    (start-time fair queueing over estimated seconds), and within an account
+    the request whose latest start comes first. All steps are O(log n).
+    """
+
+    __slots__ = ("_by_id", "_expiry", "_tiers", "limit")
+
+    def __init__(self, tiers, limit):
+        self._tiers = [_Tier() for _ in range(tiers)]
+        self._by_id = {}
+        self._expiry = SortedList(key=_slack_key)
+        self.limit = limit
+
+    def __len__(self):
+        return len(self._by_id)
+
+    def __contains__(self, request_id):
+        return request_id in self._by_id
+
+    def get(self, request_id):
+        """Return the waiting `Work` of an id, or None."""
+        return self._by_id.get(request_id)
+
+    def sizes(self):
+        """Return the number waiting in each tier, highest tier first."""
+        return [tier.size for tier in self._tiers]
+
+    def add(self, work):
+        """Add `work`; return the work evicted for it, possibly itself."""
+        self._insert(work)
+        if len(self._by_id) <= self.limit:
+            return None
+        victim = self._victim()
+        self.remove(victim.id)
+        return victim
+
+    def _insert(self, work):
+        tier = self._tiers[work.tier]
+        account = tier.accounts.get(work.account)
+        if account is None:
+            account = _Account(work.account, tier.floor)
+            tier.accounts[work.account] = account
+        if not account.works:
+            account.virtual = max(account.virtual, tier.floor)
+            tier.order.add((account.virtual, account.name))
+        account.works.add(work)
+        tier.size += 1
+        self._by_id[work.id] = work
+        self._expiry.add(work)
+
+    def _victim(self):
+        """Pick from the lowest tier: the account furthest over its share."""
+        tier = next(tier for tier in reversed(self._tiers) if tier.size)
+        greedy = max(
+            (tier.accounts[name] for _, name in tier.order),
+            key=lambda account: len(account.works) / account.works[0].weight,
+        )
+        return greedy.works[-1]
+
+    def remove(self, request_id):
+        """Take out and return the work of an id, or None."""
+        work = self._by_id.pop(request_id, None)
+        if work is None:
+            return None
+        self._expiry.remove(work)
+        tier = self._tiers[work.tier]
+        account = tier.accounts[work.account]
+        account.works.remove(work)
+        tier.size -= 1
+        if not account.works:
+            tier.order.remove((account.virtual, account.name))
+            self._trim(tier, account)
+        return work
+
+    def _trim(self, tier, account):
+        # An idle account at or below the floor carries no debt to remember.
+        if account.virtual <= tier.floor:
+            del tier.accounts[account.name]
+
+    def candidates(self):
+        """Yield waiting work in service order without taking it out."""
+        for tier in self._tiers:
+            for _, name in tier.order:
+                yield tier.accounts[name].works[0]
+
+    def take(self, work, cost):
+        """Take out `work` for service and charge its account `cost` seconds."""
+        tier = self._tiers[work.tier]
+        account = tier.accounts[work.account]
+        tier.order.remove((account.virtual, account.name))
+        tier.floor = max(tier.floor, account.virtual)
+        account.virtual += cost / max(work.weight, 1e-6)
+        tier.order.add((account.virtual, account.name))
+        return self.remove(work.id)
+
+    def expired(self, now):
+        """Take out and return all work whose latest start has passed."""
+        late = []
+        while self._expiry and self._expiry[0].latest_start < now:
+            work = self._expiry[0]
+            self.remove(work.id)
+            late.append(work)
+        return late
+
+    def first_expiry(self):
+        """Return the next latest start in seconds, or None."""
+        return self._expiry[0].latest_start if self._expiry else None
+
+    def works(self):
+        """Return all waiting work in no set order."""
+        return self._by_id.values()
+
+    def highest_waiting_tier(self):
+        """Return the number of the highest tier with work, or None."""
+        for number, tier in enumerate(self._tiers):
+            if tier.size:
+                return number
+        return None
--- /dev/null
+++ b/lovagepier/decisions/work.py
@@ -0,0 +1,87 @@
+"""What the scheduler knows of one request; the body stays at its entry node."""
+
+from dataclasses import dataclass, field
+
+__all__ = ["Grant", "Join", "Outcome", "Refusal", "Work"]
+
+
+@dataclass(slots=True)
+class Work:
+    """One request as the scheduler sees it.
+
+    `deadline` and `arrived` are seconds on the home's clock. `tier` 0 is the
+    highest. `blocks` are chained hashes of prompt blocks, longest last.
+    `draw` in [0, 1) fixes which version the request gets.
+    """
+
+    id: str
+    entry: str
+    account: str
+    tier: int
+    deadline: float
+    weight: float = 1.0
+    route: str = ""
+    prefill_tokens: int = 0
+    max_decode_tokens: int = 0
+    blocks: tuple = ()
+    draw: float = 0.0
+    fingerprint: str = ""
+    zone: str = ""
+    body_bytes: int = 0
+    exclude: frozenset = frozenset()
+    attempt: int = 0
+    nonce: str = ""
+    arrived: float = 0.0
+    decode_tokens: float = 0.0
+    latest_start: float = 0.0
+    sequence: int = 0
+
+
+@dataclass(slots=True)
+class Grant:
+    """Permission to dispatch one request to one target."""
+
+    work: Work
+    target: str
+    version: str
+    hit_tokens: int = 0
+    why: str = ""
+
+
+@dataclass(slots=True)
+class Join:
+    """The request is already running or done at `target`; do not dispatch."""
+
+    work: Work
+    target: str
+    finished: bool = False
+
+
+@dataclass(slots=True)
+class Refusal:
+    """The request was not run; `kind` is an `ErrorKind`."""
+
+    work: Work
+    kind: str
+    why: str = ""
+    retry_after: float = 1.0
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What became of a granted request, as its entry node saw it.
+
+    `first_seconds` is dispatch to first byte, `total_seconds` dispatch to
+    end; both are None where that point was not reached. `status` is one of
+    ok, failed, refused, late, cancelled, died, not-run (the target could not
+    be connected to) and returned (the grant was not used).
+    """
+
+    id: str
+    target: str
+    status: str
+    first_seconds: float | None = None
+    total_seconds: float | None = None
+    decode_tokens: int = 0
+    in_time: bool = True
+    notes: dict = field(default_factory=dict)
--- /dev/null
+++ b/lovagepier/node/_members.py
@@ -0,0 +1,158 @@
+"""The membership actor: probes peers and publishes the roster."""
+
+import random
+import time
+from dataclasses import dataclass
+
+from lovagepier.decisions.membership import Membership, Status, Update
+from lovagepier.node._actors import NodeActor, Tick
+from lovagepier.node._roster import Roster
+from lovagepier.peers import messages
+
+__all__ = ["Leave", "MembersActor", "PeerMessage"]
+
+_WORDS = {
+    Status.ALIVE: "alive",
+    Status.SUSPECT: "suspected",
+    Status.LEAVING: "leaving",
+    Status.DEAD: "dead",
+}
+SEED_PERIOD_S = 1.0
+
+
+@dataclass(slots=True, frozen=True)
+class PeerMessage:
+    """A message from a peer with the function that answers it."""
+
+    body: object
+    reply: object
+
+
+@dataclass(slots=True, frozen=True)
+class Leave:
+    """This node is stopping."""
+
+
+class MembersActor(NodeActor):
+    """Runs `Membership` over the links."""
+
+    part = "members"
+    handlers = {Tick: "on_tick", PeerMessage: "on_peer", Leave: "on_leave"}
+
+    def __init__(self, node):
+        super().__init__(node)
+        rng = random.Random(f"{node.cfg.node_name}/{node.boot}")
+        incarnation = int(time.time() * 1000)
+        self._members = Membership(node.cfg.node_name, node.facts(), incarnation, rng)
+        self._seeded_at = float("-inf")
+        self._publish()
+
+    def on_tick(self, _):
+        """Probe, look for seeds while alone, publish changes."""
+        now = self.node.clock()
+        for probe in self._members.tick(now):
+            self._send_probe(probe)
+        if now - self._seeded_at >= SEED_PERIOD_S:
+            self._seeded_at = now
+            self._greet_seeds()
+        self._publish_changes()
+
+    def _send_probe(self, probe):
+        receiver = probe.via or probe.target
+        self._send(receiver, self._probe_body(probe.target, probe.sequence))
+
+    def _probe_body(self, target, sequence, updates=None):
+        rows = self._members.updates() if updates is None else updates
+        return messages.ProbeSent(
+            origin=self.node.cfg.node_name,
+            target=target,
+            sequence=sequence,
+            config_version=self.node.view.version,
+            updates=[_row(update) for update in rows],
+        )
+
+    def _send(self, name, body):
+        member = self._members.member(name)
+        if member is None or not member.facts.get("peer"):
+            return
+        self.node.links.tell(tuple(member.facts["peer"]), body)
+
+    def _greet_seeds(self):
+        known = {
+            tuple(member.facts.get("peer", ()))
+            for member in self._members.members()
+            if member.status != Status.DEAD
+        }
+        for address in self.node.seeds():
+            if tuple(address) not in known:
+                everything = self._members.everything()
+                body = self._probe_body("", 0, everything)
+                self.node.links.tell(address, body)
+
+    def on_peer(self, message):
+        """Answer probes, relay indirect ones, take in answers."""
+        body = message.body
+        now = self.node.clock()
+        if body.origin == self.node.cfg.node_name:
+            return
+        newcomer = self._members.member(body.origin) is None
+        self._members.apply([Update(*row) for row in body.updates], now)
+        self._members.heard_from(body.origin, now)
+        self.node.note_peer_version(body.origin, body.config_version)
+        if isinstance(body, messages.ProbeSent):
+            self._answer_probe(body, newcomer)
+        else:
+            self._members.on_ack(body.sequence, now)
+        self._publish_changes()
+
+    def _answer_probe(self, body, newcomer):
+        me = self.node.cfg.node_name
+        if body.target and body.target != me:
+            self._relay(body)
+            return
+        member = self._members
+        updates = member.everything() if newcomer else member.updates()
+        ack = messages.ProbeAck(
+            me, body.sequence, self.node.view.version, [_row(u) for u in updates]
+        )
+        self._send(body.origin, ack)
+
+    def _relay(self, body):
+        # The target answers the origin itself; a cut between just those two
+        # would hide it, so the helper's probe carries the origin's name.
+        self._send(body.target, body)
+
+    def on_leave(self, _):
+        """Tell peers that this node takes no duties any more."""
+        self._members.leave(self.node.clock())
+        for name in self._members.reachable():
+            if name != self.node.cfg.node_name:
+                self._send(name, self._probe_body(name, 0))
+        self._publish_changes()
+
+    def _publish_changes(self):
+        events = self._members.events()
+        for name, status, why in events:
+            self.node.timeline.add(
+                "members", f"node {_WORDS[status]}", why=why, subject=name
+            )
+            self.log.info("a node changed state", node=name, state=_WORDS[status])
+        if events:
+            self._publish()
+
+    def _publish(self):
+        members = self._members.members()
+        dead = [m.name for m in members if m.status == Status.DEAD]
+        self.node.set_roster(
+            Roster(
+                self.node.cfg.node_name,
+                members,
+                self._members.live(),
+                self._members.reachable(),
+                dead,
+            )
+        )
+
+
+def _row(update):
+    return [update.name, update.incarnation, update.status, update.facts]
--- /dev/null
+++ b/lovagepier/node/_timeline.py
@@ -0,0 +1,64 @@
+"""The events of one process, kept in a bounded ring for the time line."""
+
+import itertools
+import threading
+import time
+from collections import deque
+
+__all__ = ["Timeline", "merge_events"]
+
+MAX_EVENTS = 20_000
+
+
+class Timeline:
+    """Events with wall-clock time and a sequence number.
+
+    Each event names its part, what happened, why, and the request or move
+    it belongs to. Keys and bodies never enter.
+    """
+
+    def __init__(self, node, wall=time.time):
+        self._node = node
+        self._wall = wall
+        self._events = deque(maxlen=MAX_EVENTS)
+        self._numbers = itertools.count(1)
+        self._lock = threading.Lock()
+
+    def add(self, part, event, why="", request="", move="", **facts):
+        """Record one event."""
+        entry = {
+            "at": self._wall(),
+            "node": self._node,
+            "part": part,
+            "event": event,
+        }
+        for name, value in (("why", why), ("request", request), ("move", move)):
+            if value:
+                entry[name] = value
+        if facts:
+            entry["facts"] = facts
+        with self._lock:
+            entry["number"] = next(self._numbers)
+            self._events.append(entry)
+
+    def find(self, request="", move="", since=0.0, limit=1000):
+        """Return the newest matching events in the order they happened."""
+        with self._lock:
+            events = list(self._events)
+        found = [
+            event
+            for event in events
+            if event["at"] >= since
+            and (not request or event.get("request", "").endswith(request))
+            and (not move or event.get("move") == move)
+        ]
+        return found[-limit:]
+
+
+def merge_events(lists):
+    """Return events of several processes in one order, without repeats."""
+    seen = {}
+    for events in lists:
+        for event in events:
+            seen[(event["node"], event["number"])] = event
+    return sorted(seen.values(), key=lambda e: (e["at"], e["node"], e["number"]))
--- /dev/null
+++ b/lovagepier/operators/_app.py
@@ -0,0 +1,228 @@
+"""Configuration, moves, events, status and metrics for operators."""
+
+import uuid
+
+from lovagepier import keys
+from lovagepier.callers._entries import entries_response
+from lovagepier.config import PatchError
+from lovagepier.errors import ErrorKind, RequestError
+from lovagepier.logs import part_log
+from lovagepier.node._timeline import merge_events
+from lovagepier.peers import messages
+from lovagepier.platform import StoreError
+from lovagepier.web import Response, json_response, problem_response
+
+__all__ = ["OperatorsApp"]
+
+ASK_TIMEOUT_S = 2.0
+MAX_PATCH_BYTES = 1 << 20
+MAX_PATCH_ID = 100
+
+
+class OperatorsApp:
+    """The application behind the operators' address."""
+
+    def __init__(self, node):
+        self._node = node
+        self._log = part_log("operators")
+
+    def handle(self, request):
+        """Answer one request; never raises."""
+        try:
+            return self._route(request)
+        except PatchError as exc:
+            extra = {"faults": [list(fault) for fault in exc.faults]}
+            if exc.current is not None:
+                extra["current"] = exc.current
+            return problem_response(exc, extra=extra)
+        except RequestError as exc:
+            return problem_response(exc)
+        except StoreError as exc:
+            error = RequestError(ErrorKind.CONFIG_UNAVAILABLE, str(exc))
+            return problem_response(error)
+        except Exception as exc:  # noqa: BLE001  no traceback may reach an operator
+            self._log.error("a request met a fault", exc_info=exc)
+            return problem_response(
+                RequestError(ErrorKind.INTERNAL, type(exc).__name__)
+            )
+
+    def _route(self, request):
+        if request.path == "/healthz":
+            return json_response({"ok": True})
+        if request.path == "/readyz":
+            return self._ready()
+        if request.path == "/v1/entries":
+            return self._entries(request)
+        operator = self._operator(request)
+        parts = request.parts()
+        if parts == ["v1", "config"] and request.method == "GET":
+            return self._config()
+        if parts == ["v1", "config"] and request.method == "PATCH":
+            return self._patch(request, operator)
+        if parts == ["v1", "config", "history"]:
+            return self._history(request)
+        if len(parts) == 4 and parts[:2] == ["v1", "config"] and parts[3] == "in-force":
+            return self._in_force(parts[2])
+        if parts == ["v1", "moves"]:
+            return self._moves()
+        if parts == ["v1", "events"]:
+            return self._events(request)
+        if parts == ["v1", "status"]:
+            return self._status()
+        if request.path == "/metrics":
+            return self._metrics()
+        raise RequestError(ErrorKind.UNKNOWN_PATH, "no such path")
+
+    def _operator(self, request):
+        key = keys.bearer(request.header("Authorization"))
+        if key and keys.matches(key, self._node.cfg.operators_key_hashes):
+            return "settings"
+        owner = keys.find_owner(key, self._node.view.operator_by_hash)
+        if owner is None:
+            raise RequestError(ErrorKind.UNAUTHENTICATED, "no operator has this key")
+        return owner
+
+    def _ready(self):
+        ready = not self._node.stopping.is_set() and self._node.view.version > 0
+        status = 200 if ready else 503
+        return json_response({"ready": ready}, status=status)
+
+    def _entries(self, request):
+        key = keys.bearer(request.header("Authorization"))
+        owner = keys.find_owner(key, self._node.view.account_by_hash)
+        if owner is None:
+            raise RequestError(ErrorKind.UNAUTHENTICATED, "no account has this key")
+        return entries_response(self._node, owner, request.argument("zone", ""))
+
+    # Configuration
+
+    def _config(self):
+        view = self._node.view
+        body = {"version": view.version, "document": view.document}
+        return json_response(body, headers=[("ETag", f'"{view.version}"')])
+
+    def _patch(self, request, operator):
+        operations = request.json(MAX_PATCH_BYTES)
+        if not isinstance(operations, list):
+            raise RequestError(ErrorKind.BAD_REQUEST, "the body is not a JSON Patch")
+        base = self._base(request)
+        patch_id = request.header("X-Patch-Id") or uuid.uuid4().hex
+        if len(patch_id) > MAX_PATCH_ID:
+            raise RequestError(ErrorKind.BAD_REQUEST, "X-Patch-Id is too long")
+        record = self._node.submit_patch(operations, base, patch_id, operator)
+        accepted = record.patches.get(patch_id, record.version)
+        self._node.timeline.add(
+            "config", f"patch accepted as version {accepted}", why=f"by {operator}"
+        )
+        body = {"version": accepted, "patch_id": patch_id}
+        return json_response(body, headers=[("ETag", f'"{accepted}"')])
+
+    def _base(self, request):
+        text = request.header("If-Match").strip().strip('"')
+        if not text.isdigit():
+            raise RequestError(
+                ErrorKind.BAD_REQUEST, "If-Match must name the version patched"
+            )
+        return int(text)
+
+    def _history(self, request):
+        limit = request.argument("limit", "50")
+        if not limit.isdigit():
+            raise RequestError(ErrorKind.BAD_REQUEST, "limit is not a number")
+        found = self._node.config_store.history(min(int(limit), 500))
+        rows = [{"version": version, **entry} for version, entry in found]
+        return json_response({"history": rows})
+
+    def _in_force(self, text):
+        if not text.isdigit():
+            raise RequestError(ErrorKind.BAD_REQUEST, "the version is not a number")
+        version = int(text)
+        nodes = {s["node"]: s["version"] for s in self._statuses()}
+        silent = [n for n in self._node.roster.live if n not in nodes]
+        everywhere = not silent and all(v >= version for v in nodes.values())
+        body = {
+            "version": version,
+            "everywhere": everywhere,
+            "nodes": nodes,
+            "silent": silent,
+        }
+        return json_response(body)
+
+    # Fleet
+
+    def _ask_all(self, body):
+        futures = []
+        for name in sorted(self._node.roster.reachable):
+            address = self._node.roster.address(name)
+            if name != self._node.cfg.node_name and address:
+                futures.append(self._node.links.ask(address, body))
+        answers = []
+        for fut in futures:
+            try:
+                answers.append(fut.result(ASK_TIMEOUT_S))
+            except Exception:  # noqa: BLE001  a silent node is reported as silent
+                continue
+        return answers
+
+    def _statuses(self):
+        told = self._ask_all(messages.StatusAsk())
+        return [self._node.status(), *(answer.status for answer in told)]
+
+    def _status(self):
+        return json_response({"nodes": self._statuses()})
+
+    def _moves(self):
+        view = self._node.view
+        states = {}
+        for status in self._statuses():
+            for name, state in status["moves"].items():
+                known = states.get(name)
+                if known is None or state["state"] == "taken-back":
+                    states[name] = state
+        moves = []
+        for name, raw in view.document["moves"].items():
+            live = states.get(name, {})
+            settled = raw.get("state", "open")
+            moves.append(
+                {
+                    "move": name,
+                    **raw,
+                    "state": settled
+                    if settled != "open"
+                    else live.get("state", "open"),
+                    "settled": settled != "open",
+                    "share": live.get("share", 0.0),
+                    "cause": raw.get("cause") or live.get("cause") or "",
+                }
+            )
+        return json_response({"moves": moves})
+
+    def _events(self, request):
+        try:
+            since = float(request.argument("since", "0"))
+            limit = int(request.argument("limit", "2000"))
+        except ValueError:
+            raise RequestError(ErrorKind.BAD_REQUEST, "since or limit is not a number")
+        ask = messages.EventsAsk(
+            request.argument("request", ""),
+            request.argument("move", ""),
+            since,
+            limit,
+        )
+        own = self._node.timeline.find(ask.request, ask.move, since, limit)
+        told = self._ask_all(ask)
+        events = merge_events([own, *(answer.events for answer in told)])
+        return json_response({"events": events[-limit:]})
+
+    def _metrics(self):
+        node = self._node
+        gauges = {
+            "config_version": node.view.version,
+            "running": node.permits.count(),
+            "live_nodes": len(node.roster.live),
+            "store_calls_total": node.store.calls,
+            "peer_bytes_sent_total": node.links.bytes_sent,
+            "peer_bytes_received_total": node.links.bytes_received,
+        }
+        text = node.metrics.text(gauges)
+        return Response(200, text.encode(), [("Content-Type", "text/plain")])
--- /dev/null
+++ b/lovagepier/peers/messages.py
@@ -0,0 +1,303 @@
+"""Every message between nodes. Times are seconds, counts are plain numbers."""
+
+from dataclasses import dataclass, field
+
+from lovagepier.peers._codec import message
+
+__all__ = [
+    "BrakeTold",
+    "ClaimAsk",
+    "ClaimRelease",
+    "ClaimSettle",
+    "ClaimTold",
+    "ConfigPull",
+    "ConfigTold",
+    "EventsAsk",
+    "EventsTold",
+    "EvidenceTold",
+    "PoolAnswer",
+    "PoolAsk",
+    "PoolFinished",
+    "PoolFirstByte",
+    "PoolLook",
+    "PoolRegister",
+    "PoolWithdraw",
+    "ProbeAck",
+    "ProbeSent",
+    "StatusAsk",
+    "StatusTold",
+    "StrikesTold",
+    "TargetsTold",
+]
+
+
+@message("ping")
+@dataclass(slots=True)
+class ProbeSent:
+    """A probe; `target` differs from the receiver if it is to be relayed.
+
+    `updates` are [name, incarnation, status, facts] rows.
+    """
+
+    origin: str
+    target: str
+    sequence: int
+    config_version: int
+    updates: list
+
+    def check(self):
+        """Raise if a field is of the wrong kind."""
+        _check_rows(self.updates, (str, int, int, dict))
+        int(self.config_version)
+
+
+@message("pong")
+@dataclass(slots=True)
+class ProbeAck:
+    """The answer to a probe, with updates of its own."""
+
+    origin: str
+    sequence: int
+    config_version: int
+    updates: list
+
+    def check(self):
+        """Raise if a field is of the wrong kind."""
+        _check_rows(self.updates, (str, int, int, dict))
+
+
+def _check_rows(rows, kinds):
+    for row in rows:
+        if len(row) != len(kinds):
+            raise ValueError
+        for value, kind in zip(row, kinds, strict=True):
+            if not isinstance(value, kind):
+                raise TypeError
+
+
+@message("cfg?")
+@dataclass(slots=True)
+class ConfigPull:
+    """Ask for the configuration if it is newer than `have`."""
+
+    have: int
+
+
+@message("cfg")
+@dataclass(slots=True)
+class ConfigTold:
+    """A whole version of the configuration, as stored."""
+
+    version: int
+    data: bytes
+
+
+@message("ask")
+@dataclass(slots=True)
+class PoolAsk:
+    """Ask a pool's home for a permit; `work` holds the fields of `Work`.
+
+    `remaining` is the seconds to the deadline, so that clocks need not
+    agree. `fresh` says that the id was made by the entry node and can't be
+    known anywhere.
+    """
+
+    subject: str
+    region: str
+    remaining: float
+    fresh: bool
+    may_cross: bool
+    work: dict
+
+    def check(self):
+        """Raise if a field is of the wrong kind."""
+        float(self.remaining)
+        if not isinstance(self.work["id"], str) or not isinstance(self.subject, str):
+            raise TypeError
+        if not isinstance(self.work["tier"], int) or self.work["tier"] < 0:
+            raise ValueError
+
+
+@message("look")
+@dataclass(slots=True)
+class PoolLook:
+    """Ask a pool's home whether it knows an id, without asking for a permit."""
+
+    subject: str
+    region: str
+    id: str
+    fingerprint: str
+
+
+@message("told")
+@dataclass(slots=True)
+class PoolAnswer:
+    """The home's answer: verdict is queued, grant, join, refuse, moved, unknown."""
+
+    verdict: str
+    id: str = ""
+    nonce: str = ""
+    target: str = ""
+    version: str = ""
+    epoch: str = ""
+    kind: str = ""
+    why: str = ""
+    retry_after: float = 0.0
+    finished: bool = False
+
+
+@message("first")
+@dataclass(slots=True)
+class PoolFirstByte:
+    """The first byte of an id came `seconds` after dispatch."""
+
+    subject: str
+    region: str
+    id: str
+    seconds: float
+
+
+@message("end")
+@dataclass(slots=True)
+class PoolFinished:
+    """The outcome of a granted id; fields as in `Outcome`."""
+
+    subject: str
+    region: str
+    nonce: str
+    outcome: dict
+
+
+@message("gone")
+@dataclass(slots=True)
+class PoolWithdraw:
+    """The caller of a waiting id went away."""
+
+    subject: str
+    region: str
+    id: str
+
+
+@message("reg")
+@dataclass(slots=True)
+class PoolRegister:
+    """Running work of an entry node, told to a new home: [[work, target]]."""
+
+    subject: str
+    region: str
+    running: list
+
+
+@message("tgt")
+@dataclass(slots=True)
+class TargetsTold:
+    """Targets that are leaving, as [name, incarnation] rows."""
+
+    leaving: list
+
+
+@message("clm?")
+@dataclass(slots=True)
+class ClaimAsk:
+    """Ask a shard's owner to claim an idempotency key."""
+
+    shard: int
+    key: str
+    body: str
+    nonce: str
+    made_at: float | None = None
+
+
+@message("clm")
+@dataclass(slots=True)
+class ClaimTold:
+    """The owner's verdict on a claim."""
+
+    verdict: str
+    outcome: dict | None = None
+
+
+@message("clm+")
+@dataclass(slots=True)
+class ClaimSettle:
+    """The outcome of a claim's work."""
+
+    shard: int
+    key: str
+    nonce: str
+    outcome: dict
+
+
+@message("clm-")
+@dataclass(slots=True)
+class ClaimRelease:
+    """A claim whose work was never dispatched."""
+
+    shard: int
+    key: str
+    nonce: str
+
+
+@message("evi")
+@dataclass(slots=True)
+class EvidenceTold:
+    """Rows of evidence: [move, version, route, source, seen, failed, slow]."""
+
+    rows: list
+
+    def check(self):
+        """Raise if a field is of the wrong kind."""
+        _check_rows(self.rows, (str, str, str, str, int, int, int))
+
+
+@message("brk")
+@dataclass(slots=True)
+class BrakeTold:
+    """A move's brake is set; `clears` is the clearing it comes after."""
+
+    move: str
+    clears: int
+    cause: str
+
+
+@message("stk")
+@dataclass(slots=True)
+class StrikesTold:
+    """Suspects: [fingerprint, [death ids], condemned]."""
+
+    rows: list
+
+
+@message("evt?")
+@dataclass(slots=True)
+class EventsAsk:
+    """Ask for a node's recent events, filtered."""
+
+    request: str = ""
+    move: str = ""
+    since: float = 0.0
+    limit: int = 1000
+
+
+@message("evt")
+@dataclass(slots=True)
+class EventsTold:
+    """A node's events as dicts in the order they happened."""
+
+    events: list = field(default_factory=list)
+
+
+@message("sta?")
+@dataclass(slots=True)
+class StatusAsk:
+    """Ask a node for its status."""
+
+    detail: bool = True
+
+
+@message("sta")
+@dataclass(slots=True)
+class StatusTold:
+    """A node's status."""
+
+    status: dict = field(default_factory=dict)
--- /dev/null
+++ b/lovagepier/platform/_weights.py
@@ -0,0 +1,34 @@
+"""The platform's rate-limited weight store: which weights lie there."""
+
+import json
+
+import urllib3
+
+from lovagepier.platform._port import StoreError
+
+__all__ = ["WeightStore"]
+
+
+class WeightStore:
+    """Reads weight sizes by HTTP; engines fetch the weights themselves."""
+
+    __slots__ = ("_http", "_timeout", "_url")
+
+    def __init__(self, cfg):
+        self._url = cfg.platform_weights
+        self._timeout = cfg.platform_timeout
+        self._http = urllib3.PoolManager(maxsize=2, retries=False)
+
+    def read(self):
+        """Return ({(model, version): bytes}, bytes a second)."""
+        if not self._url:
+            return {}, 0.0
+        try:
+            resp = self._http.request(
+                "GET", f"{self._url}/weights", timeout=self._timeout
+            )
+            body = json.loads(resp.data)
+            sizes = {(w["model"], w["version"]): w["bytes"] for w in body["weights"]}
+            return sizes, float(body["bytes_per_second"])
+        except (urllib3.exceptions.HTTPError, ValueError, KeyError, TypeError) as exc:
+            raise StoreError(f"the weight store did not answer: {type(exc).__name__}")
--- /dev/null
+++ b/lovagepier/standins/__init__.py
@@ -0,0 +1,12 @@
+"""Small stand-ins of the systems around the program, for tests and trials."""
+
+from lovagepier.standins import (  # noqa: F401  each registers itself
+    _engine,
+    _hosts,
+    _kv,
+    _records,
+    _weights,
+)
+from lovagepier.standins._registry import STANDINS, standin
+
+__all__ = ["STANDINS", "standin"]
--- /dev/null
+++ b/lovagepier/targets/_openai.py
@@ -0,0 +1,80 @@
+"""The adapter for engines with the OpenAI-compatible HTTP API and SSE."""
+
+import contextlib
+import json
+from urllib.parse import quote
+
+from lovagepier.targets._http import HttpAdapter
+from lovagepier.targets._port import (
+    LoadReport,
+    NotDispatched,
+    TargetBroken,
+    TargetGone,
+    adapter,
+)
+
+__all__ = ["OpenAiAdapter"]
+
+END_MARK = b"data: [DONE]"
+CANCEL_TIMEOUT_S = 0.5
+
+
+@adapter("openai")
+class OpenAiAdapter(HttpAdapter):
+    """Completions, resume and cancel by id, load reports and orders."""
+
+    def resume(self, request_id, offset, timeout):
+        """Return a `Stream` of a known id from a byte offset."""
+        path = f"/v1/streams/{quote(request_id, safe='')}?offset={offset}"
+        try:
+            stream = self._open("GET", path, None, {}, timeout)
+        except NotDispatched as exc:
+            raise TargetGone(str(exc))
+        if stream.status == 404:
+            stream.close()
+            raise TargetGone(f"{self.target.name} does not know the id")
+        return stream
+
+    def cancel(self, request_id):
+        """Ask the engine to stop a request."""
+        path = f"/v1/cancel/{quote(request_id, safe='')}"
+        with contextlib.suppress(NotDispatched, TargetBroken):
+            self._open("POST", path, b"", {}, CANCEL_TIMEOUT_S).close()
+
+    def _json(self, method, path, body, timeout):
+        data = json.dumps(body).encode() if body is not None else None
+        stream = self._open(method, path, data, {}, timeout)
+        content = b"".join(stream.chunks)
+        if stream.status != 200:
+            raise TargetBroken(f"{self.target.name} answered {stream.status}")
+        try:
+            return json.loads(content)
+        except ValueError:
+            raise TargetBroken(f"{self.target.name} answered no JSON")
+
+    def load(self, timeout):
+        """Return a `LoadReport`; raise as `dispatch` does."""
+        body = self._json("GET", "/v1/load", None, timeout)
+        return LoadReport(
+            int(body.get("running", 0)),
+            int(body.get("waiting", 0)),
+            str(body.get("incarnation", "")),
+            list(body.get("evicted_blocks", [])),
+            list(body.get("loaded", [])),
+        )
+
+    def known_ids(self, timeout):
+        """Return the ids the engine has been given."""
+        return self._json("GET", "/v1/requests", None, timeout).get("ids", [])
+
+    def order(self, body, fence, timeout):
+        """Give an order; return False where the engine refuses the number."""
+        try:
+            self._json("POST", "/v1/orders", {**body, "fence": fence}, timeout)
+        except (NotDispatched, TargetBroken):
+            return False
+        return True
+
+    def is_whole(self, tail, streamed):
+        """Return whether a streamed answer ends with its end mark."""
+        return not streamed or tail.rstrip().endswith(END_MARK)
--- /dev/null
+++ b/test/__init__.py
@@ -0,0 +1,1 @@
+"""The test suite: a file a module, builders in `test.builders`."""
--- /dev/null
+++ b/test/conftest.py
@@ -0,0 +1,41 @@
+"""Fixed seeds for hypothesis; one shared cluster for tests that don't break it."""
+
+import pytest
+from hypothesis import HealthCheck, settings
+
+from lovagepier.client import Caller
+from trials.cluster import Cluster
+
+settings.register_profile(
+    "fixed",
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+settings.register_profile("soak", deadline=None, max_examples=2000)
+settings.load_profile("fixed")
+
+
+@pytest.fixture(scope="session")
+def cluster():
+    """Three nodes in two regions with engines and records workers."""
+    with Cluster() as made:
+        made.platform()
+        for number, zone in enumerate(("a1", "a2", "b1")):
+            made.engine(f"e{number}", zone)
+        made.records("r1", "a1")
+        made.records("r2", "b1")
+        made.account("blue", "urgent")
+        made.account("piece", "standard")
+        for name, zone in (("n1", "a1"), ("n2", "a2"), ("n3", "b1")):
+            made.node(name, zone)
+        made.await_members(3)
+        made.configure()
+        yield made
+
+
+@pytest.fixture
+def caller(cluster):
+    """A caller of account blue."""
+    return Caller(cluster.doors(), "key-of-blue", "a1")
--- /dev/null
+++ b/trials/__init__.py
@@ -0,0 +1,1 @@
+"""Trials over real processes on loopback: the demo, benchmarks, fault tests."""
--- /dev/null
+++ b/trials/cluster.py
@@ -0,0 +1,377 @@
+"""Start, signal and end the processes of a trial; keep their settings."""
+
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import urllib3
+
+from lovagepier import keys
+
+__all__ = ["Cluster", "Process", "free_port", "http_json", "wait_until"]
+
+START_TIMEOUT_S = 20.0
+END_TIMEOUT_S = 30.0
+OPERATOR_KEY = "operator-key-of-the-trial"
+PEER_KEY = "peer-key-of-the-trial"
+_HTTP = urllib3.PoolManager(maxsize=16, retries=False)
+
+
+def free_port():
+    """Return a loopback port that is free right now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def http_json(method, url, body=None, headers=None, timeout=10.0):
+    """Return (status, JSON) of one call."""
+    data = None if body is None else json.dumps(body).encode()
+    resp = _HTTP.request(
+        method, url, body=data, headers=headers or {}, timeout=timeout, retries=False
+    )
+    with contextlib.suppress(ValueError):
+        return resp.status, json.loads(resp.data)
+    return resp.status, {}
+
+
+def wait_until(check, seconds, what):
+    """Wait until `check()` is true; raise AssertionError naming `what`."""
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        with contextlib.suppress(urllib3.exceptions.HTTPError, OSError, KeyError):
+            found = check()
+            if found:
+                return found
+        time.sleep(0.05)
+    raise AssertionError(f"{what} did not come within {seconds:g} s")
+
+
+class Process:
+    """One process of a trial."""
+
+    def __init__(self, name, args, port, log):
+        self.name = name
+        self.args = args
+        self.port = port
+        self.url = f"http://127.0.0.1:{port}"
+        self._log = log
+        self._popen = None
+
+    def start(self):
+        """Start the process and wait until its port accepts."""
+        command = [sys.executable, "-m", "lovagepier", *self.args]
+        with open(self._log, "ab") as log:
+            self._popen = subprocess.Popen(
+                command, stdout=log, stderr=log, stdin=subprocess.DEVNULL
+            )
+        wait_until(self._accepts, START_TIMEOUT_S, f"{self.name} on port {self.port}")
+        return self
+
+    def _accepts(self):
+        if self._popen.poll() is not None:
+            raise AssertionError(f"{self.name} ended: {self.log_text()[-2000:]}")
+        with socket.socket() as sock:
+            sock.settimeout(0.5)
+            return sock.connect_ex(("127.0.0.1", self.port)) == 0
+
+    def log_text(self):
+        """Return what the process has written."""
+        return Path(self._log).read_text(errors="replace")
+
+    @property
+    def pid(self):
+        """The process id."""
+        return self._popen.pid
+
+    def alive(self):
+        """Return whether the process runs."""
+        return self._popen is not None and self._popen.poll() is None
+
+    def signal(self, number):
+        """Send a signal."""
+        if self.alive():
+            os.kill(self._popen.pid, number)
+
+    def kill(self):
+        """End the process at once."""
+        if self.alive():
+            self.signal(signal.SIGCONT)
+            self._popen.kill()
+        self._popen.wait(END_TIMEOUT_S)
+
+    def terminate(self):
+        """Ask the process to stop."""
+        self.signal(signal.SIGTERM)
+
+    def wait(self, seconds=END_TIMEOUT_S):
+        """Wait for the end; return the exit code."""
+        return self._popen.wait(seconds)
+
+
+class Cluster:
+    """Stand-ins and nodes of one trial, all on loopback."""
+
+    def __init__(self, zones=None, ledger_shards=4, policy="finish-time", **settings):
+        self.dir = Path(tempfile.mkdtemp(prefix="trial-"))
+        self.zones = zones or {"a1": "west", "a2": "west", "b1": "east"}
+        self.processes = {}
+        self.nodes = {}
+        self.engines = {}
+        self.services = {}
+        self.accounts = {}
+        self.settings = settings
+        self.policy = policy
+        self.shards = ledger_shards
+        self.document = []
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.close()
+
+    def close(self):
+        """End all that was started."""
+        for process in self.processes.values():
+            if process.alive():
+                process.kill()
+
+    def _add(self, name, args, port):
+        process = Process(name, args, port, self.dir / f"{name}.log")
+        self.processes[name] = process
+        return process.start()
+
+    def standin(self, kind, name=None, **options):
+        """Start a stand-in; options become flags."""
+        name = name or kind
+        port = free_port()
+        args = ["standin", kind, "--listen", f"127.0.0.1:{port}"]
+        for key, value in options.items():
+            flag = f"--{key.replace('_', '-')}"
+            if value is True:
+                args.append(flag)
+            elif isinstance(value, list):
+                args += [flag, *map(str, value)]
+            else:
+                args += [flag, str(value)]
+        return self._add(name, args, port)
+
+    def platform(self, **kv_options):
+        """Start the platform's stand-ins."""
+        self.standin("kv", **kv_options)
+        self.standin("hosts", lag=1.0)
+        self.standin("weights")
+
+    def engine(self, name, zone, model="drafter", version="v1", fenced=True, **options):
+        """Start an engine and note it for the configuration."""
+        process = self.standin(
+            "engine", name, version_name=version, fenced=fenced, **options
+        )
+        self.engines[name] = {
+            "kind": "engine",
+            "address": process.url,
+            "zone": zone,
+            "model": model,
+            "version": version,
+            "fenced": fenced,
+        }
+        return process
+
+    def records(self, name, zone, service="ledger", **options):
+        """Start a records worker and note it for the configuration."""
+        process = self.standin("records", name, **options)
+        self.services[name] = {
+            "kind": "service",
+            "address": process.url,
+            "zone": zone,
+            "service": service,
+        }
+        return process
+
+    def node(self, name, zone, **more):
+        """Write a node's settings and start it."""
+        ports = {part: free_port() for part in ("callers", "operators", "peers")}
+        path = self.dir / f"{name}.ini"
+        path.write_text(self._ini(name, zone, ports, more))
+        process = Process(
+            name,
+            ["node", "--settings", str(path)],
+            ports["callers"],
+            self.dir / f"{name}.log",
+        )
+        process.operators = f"http://127.0.0.1:{ports['operators']}"
+        process.peer = f"127.0.0.1:{ports['peers']}"
+        process.zone = zone
+        self.processes[name] = process
+        self.nodes[name] = process
+        self.list_host(name, "live", process.peer)
+        return process.start()
+
+    def _ini(self, name, zone, ports, more):
+        sections = {
+            "node": {"name": name, "zone": zone, "region": self.zones[zone]},
+            "callers": {
+                "listen": f"127.0.0.1:{ports['callers']}",
+                "entry_ttl": "2s",
+                "threads": "128",
+            },
+            "operators": {
+                "listen": f"127.0.0.1:{ports['operators']}",
+                "key_hashes": keys.digest(OPERATOR_KEY),
+            },
+            "peers": {
+                "listen": f"127.0.0.1:{ports['peers']}",
+                "key": PEER_KEY,
+                "seeds": " ".join(
+                    node.peer for node in self.nodes.values() if node.alive()
+                ),
+            },
+            "platform": {
+                "store": self.processes["kv"].url,
+                "hosts": self.processes["hosts"].url,
+                "weights": self.processes["weights"].url,
+            },
+            "pools": {"policy": self.policy},
+            "ledger": {"shards": str(self.shards)},
+            "logs": {"level": "info"},
+        }
+        for key, value in {**self.settings, **more}.items():
+            section, _, field = key.partition("_")
+            sections[section][field] = str(value)
+        return "\n".join(
+            f"[{section}]\n" + "\n".join(f"{k} = {v}" for k, v in fields.items())
+            for section, fields in sections.items()
+        )
+
+    def list_host(self, name, state, peer="", incarnation="1"):
+        """Put a host into the platform's list."""
+        body = {"state": state, "peer": peer, "incarnation": incarnation}
+        http_json("PUT", f"{self.processes['hosts'].url}/hosts/{name}", body)
+
+    def account(self, name, tier="standard", **contract):
+        """Make an account; return its key."""
+        key = f"key-of-{name}"
+        self.accounts[name] = {
+            "key_hashes": [keys.digest(key)],
+            "tier": tier,
+            **contract,
+        }
+        return key
+
+    # Operators
+
+    def any_node(self):
+        """Return a node that runs."""
+        return next(node for node in self.nodes.values() if node.alive())
+
+    def operate(self, method, path, body=None, headers=None, node=None):
+        """Call the operators' address of a node; return (status, JSON)."""
+        node = node or self.any_node()
+        sent = {"Authorization": f"Bearer {OPERATOR_KEY}", **(headers or {})}
+        return http_json(method, f"{node.operators}{path}", body, sent)
+
+    def patch(self, operations, node=None, patch_id=None, base=None):
+        """Submit a patch on the current version; return the new version."""
+        if base is None:
+            base = self.operate("GET", "/v1/config", node=node)[1]["version"]
+        headers = {"If-Match": str(base)}
+        if patch_id:
+            headers["X-Patch-Id"] = patch_id
+        status, body = self.operate("PATCH", "/v1/config", operations, headers, node)
+        if status != 200:
+            raise AssertionError(f"the patch was refused: {body}")
+        return body["version"]
+
+    def configure(self, routes=("report", "note"), **more):
+        """Write the first configuration; wait until it is in force."""
+        services = {entry["service"] for entry in self.services.values()}
+        models = {}
+        for entry in self.engines.values():
+            models.setdefault(entry["model"], {"serving": entry["version"]})
+        tables = {
+            "zones": {name: {"region": r} for name, r in self.zones.items()},
+            "accounts": self.accounts,
+            "models": models,
+            "services": {name: {} for name in services},
+            "routes": {name: {} for name in routes},
+            "targets": {**self.engines, **self.services},
+            **more,
+        }
+        operations = [
+            {"op": "replace", "path": f"/{name}", "value": value}
+            for name, value in tables.items()
+        ]
+        version = self.patch(operations)
+        self.await_version(version)
+        return version
+
+    def await_version(self, version, seconds=10.0):
+        """Wait until a version is in force on all running nodes."""
+        for node in self.nodes.values():
+            if node.alive():
+                wait_until(
+                    lambda node=node: self.version_at(node) >= version,
+                    seconds,
+                    f"version {version} at {node.name}",
+                )
+
+    def version_at(self, node):
+        """Return the version in force at a node."""
+        return self.operate("GET", "/v1/config", node=node)[1]["version"]
+
+    def await_members(self, count, seconds=15.0):
+        """Wait until all running nodes see `count` live nodes."""
+
+        def seen(node):
+            nodes = self.operate("GET", "/v1/status", node=node)[1]["nodes"]
+            own = next(n for n in nodes if n["node"] == node.name)
+            return len(own["live"]) == count
+
+        for node in self.nodes.values():
+            if node.alive():
+                wait_until(
+                    lambda node=node: seen(node), seconds, f"{count} at {node.name}"
+                )
+
+    # Books
+
+    def counts(self, name):
+        """Return a stand-in's own counts."""
+        return http_json("GET", f"{self.processes[name].url}/counts")[1]
+
+    def journal(self, name):
+        """Return a records worker's journal."""
+        return http_json("GET", f"{self.processes[name].url}/journal")[1]["journal"]
+
+    def fault(self, name, **faults):
+        """Switch faults of a stand-in on: name=value or name=(value, seconds)."""
+        body = {}
+        for fault, value in faults.items():
+            if value is None:
+                body[fault] = None
+            elif isinstance(value, tuple):
+                body[fault] = {"value": value[0], "seconds": value[1]}
+            else:
+                body[fault] = {"value": value}
+        http_json("POST", f"{self.processes[name].url}/faults", body)
+
+    def dispatches(self):
+        """Return {request id: times dispatched} over all running engines."""
+        total = {}
+        for name in self.engines:
+            if self.processes[name].alive():
+                for request_id, times in self.counts(name)["dispatches"].items():
+                    total[request_id] = total.get(request_id, 0) + times
+        return total
+
+    def doors(self):
+        """Return the callers' URLs of running nodes."""
+        return [node.url for node in self.nodes.values() if node.alive()]
