Properties of the queue, the scheduler and the claim ledger

Cause: a stateful test of the ledger found that a batch written again after a lost answer answered a later claimant of the same key, whose own claim was not in the store yet (claim n1, answer lost, n1 told not run, claim n2, write: n2 was granted by n1's batch). Change: a batch answers only the claims it carries, by nonce. Conclusion: a grant now always stands in the store.

--- /dev/null
+++ b/lovagepier/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the decisions, pure and over real processes."""
--- a/lovagepier/decisions/claims.py
+++ b/lovagepier/decisions/claims.py
@@ -116,14 +116,11 @@
             return ClaimAnswer(key, nonce, Verdict.OTHER_BODY)
         if held.outcome is not None:
             return ClaimAnswer(key, nonce, Verdict.DONE, held.outcome)
-        if held.nonce == nonce and key in self._claims and not self._is_waiting(key):
-            return ClaimAnswer(key, nonce, Verdict.GRANTED)
-        if held.nonce == nonce:
+        if held.nonce != nonce:
+            return ClaimAnswer(key, nonce, Verdict.RUNNING)
+        if self._waiting.get(key) == nonce:
             return None
-        return ClaimAnswer(key, nonce, Verdict.RUNNING)
-
-    def _is_waiting(self, key):
-        return key in self._waiting
+        return ClaimAnswer(key, nonce, Verdict.GRANTED)
 
     def _enqueue(self, key, body, nonce, now):
         self._pending[key] = Claim(key, body, nonce, now)
@@ -176,10 +173,11 @@
         self._sequence += 1
         answers = []
         for claim in batch.claims:
-            nonce = self._waiting.pop(claim.key, None)
-            if nonce is None:
+            # A later claim of the same key may wait for a batch of its own.
+            if self._waiting.get(claim.key) != claim.nonce or claim.released:
                 continue
-            answers.append(ClaimAnswer(claim.key, nonce, Verdict.GRANTED))
+            del self._waiting[claim.key]
+            answers.append(ClaimAnswer(claim.key, claim.nonce, Verdict.GRANTED))
         return answers
 
     def give_up_waiting(self):
--- /dev/null
+++ b/test/test_scheduler.py
@@ -0,0 +1,250 @@
+"""The pool scheduler: order, limits, at-most-once grants, ejection."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from lovagepier.decisions.work import Grant, Join, Refusal
+from lovagepier.errors import ErrorKind
+from test.builders import ended, make_scheduler, make_work
+
+
+def _granted(decisions):
+    return [d.work.id for d in decisions if isinstance(d, Grant)]
+
+
+def test_a_free_target_is_granted_at_once():
+    scheduler = make_scheduler()
+    (grant,) = scheduler.offer(make_work("r1"), 1.0)
+    assert (grant.target, grant.version) == ("e1", "v1")
+
+
+def test_higher_tiers_start_first():
+    scheduler = make_scheduler(slots=1.0)
+    first = make_work("r0", tier=3)
+    scheduler.offer(first, 1.0)
+    for name, tier in (("low", 3), ("mid", 2), ("high", 1)):
+        assert scheduler.offer(make_work(name, tier=tier), 1.0) == []
+    over = ended(first, status="cancelled")
+    assert _granted(scheduler.finish(over, 2.0)) == ["high"]
+
+
+def test_a_full_queue_sheds_the_lowest_tier():
+    scheduler = make_scheduler(slots=1.0, max_waiting=2)
+    scheduler.offer(make_work("r0"), 1.0)
+    scheduler.offer(make_work("low", tier=3), 1.0)
+    scheduler.offer(make_work("mid", tier=2), 1.0)
+    (refusal,) = scheduler.offer(make_work("high", tier=1), 1.0)
+    assert (refusal.work.id, refusal.kind) == ("low", ErrorKind.SHED)
+
+
+def test_lower_work_pauses_after_higher_work_was_shed():
+    scheduler = make_scheduler(slots=1.0, max_waiting=1, shed_hold=1.0)
+    running = make_work("r0", tier=1)
+    scheduler.offer(running, 1.0)
+    scheduler.offer(make_work("r1", tier=1), 1.0)
+    (refusal,) = scheduler.offer(make_work("r2", tier=1), 1.0)
+    assert refusal.kind == ErrorKind.SHED
+    kept = next(iter(scheduler.waiting.works()))
+    assert _granted(scheduler.finish(ended(running), 1.1)) == [kept.id]
+    scheduler.finish(ended(kept), 1.2)
+    assert scheduler.offer(make_work("low", tier=3), 1.3) == []
+    assert _granted(scheduler.tick(2.1)) == ["low"]
+
+
+def test_work_that_cannot_finish_is_refused_before_its_prefill():
+    scheduler = make_scheduler()
+    work = make_work("r1")
+    scheduler.offer(work, 1.0)
+    scheduler.finish(ended(work, decode_tokens=100, total_seconds=10.0), 11.0)
+    (refusal,) = scheduler.offer(make_work("r2", deadline=12.0), 11.0)
+    assert refusal.kind == ErrorKind.DEADLINE_INFEASIBLE
+
+
+def test_waiting_work_is_refused_once_its_deadline_is_out_of_reach():
+    scheduler = make_scheduler(slots=1.0)
+    scheduler.offer(make_work("r0"), 1.0)
+    scheduler.offer(make_work("r1", deadline=5.0), 1.0)
+    assert scheduler.tick(4.0) == []
+    (refusal,) = scheduler.tick(5.1)
+    assert refusal.kind == ErrorKind.DEADLINE_WAITING
+
+
+def test_a_target_that_is_leaving_gets_nothing_new():
+    scheduler = make_scheduler(("e1", "e2"))
+    scheduler.target_leaving("e1", True)
+    names = {scheduler.offer(make_work(f"r{n}"), 1.0)[0].target for n in range(2)}
+    assert names == {"e2"}
+
+
+def test_a_target_that_returns_under_a_new_incarnation_takes_work():
+    scheduler = make_scheduler()
+    scheduler.target_leaving("e1", True)
+    assert scheduler.offer(make_work("r1"), 1.0) == []
+    scheduler.report("e1", 0, 0, 2.0, "i2")
+    assert _granted(scheduler.tick(2.0)) == ["r1"]
+
+
+def test_a_failing_target_is_ejected_and_probed():
+    scheduler = make_scheduler(("e1",), slots=8.0)
+    for number in range(3):
+        work = make_work(f"r{number}")
+        scheduler.offer(work, 1.0)
+        scheduler.finish(ended(work, status="failed"), 1.0)
+    assert scheduler.offer(make_work("next"), 1.5) == []
+    assert scheduler.offer(make_work("other"), 1.6) == []
+    assert len(_granted(scheduler.tick(3.1))) == 1
+
+
+def test_unused_grants_do_not_count_against_a_target():
+    scheduler = make_scheduler(("e1",), slots=8.0)
+    for number in range(10):
+        work = make_work(f"r{number}")
+        scheduler.offer(work, 1.0)
+        scheduler.finish(ended(work, status="returned"), 1.0)
+    assert _granted(scheduler.offer(make_work("next"), 1.5)) == ["next"]
+
+
+def test_a_returned_grant_may_be_granted_again():
+    scheduler = make_scheduler(("e1", "e2"))
+    work = make_work("r1")
+    scheduler.offer(work, 1.0)
+    scheduler.finish(ended(work, status="not-run"), 1.0)
+    again = make_work("r1", exclude=frozenset({"e1"}), attempt=1)
+    (grant,) = scheduler.offer(again, 1.1)
+    assert grant.target == "e2"
+
+
+def test_ids_given_to_targets_before_this_home_are_joined():
+    scheduler = make_scheduler()
+    scheduler.note_dispatched("r1", "e1", 1.0)
+    (join,) = scheduler.offer(make_work("r1"), 1.0)
+    assert isinstance(join, Join) and join.finished
+
+
+def test_a_new_version_gets_no_more_than_its_share_of_what_runs():
+    scheduler = make_scheduler(("e1", "e2"), slots=50.0)
+    scheduler.set_target("n1", "a1", "v2", "i1", 0.0)
+    scheduler.share = {"v2": 0.1}
+    versions = []
+    for number in range(60):
+        work = make_work(f"r{number}", draw=(number % 10) / 10)
+        versions += [d.version for d in scheduler.offer(work, 1.0)]
+    assert 1 <= versions.count("v2") <= 12
+
+
+def test_a_version_without_a_move_gets_nothing():
+    scheduler = make_scheduler(("e1",), slots=1.0)
+    scheduler.set_target("n1", "a1", "v2", "i1", 0.0)
+    scheduler.offer(make_work("r0", draw=0.0), 1.0)
+    assert scheduler.offer(make_work("r1", draw=0.0), 1.0) == []
+
+
+class SchedulerMachine(RuleBasedStateMachine):
+    """Offers, outcomes, resends, leaving targets and time in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self.scheduler = make_scheduler(("e1", "e2"), slots=2.0, max_waiting=5)
+        self.now = 1.0
+        self.sent = {}
+        self.grants = {}
+        self.running = {}
+        self.answered = set()
+        self.leaving = set()
+        self.shed = []
+
+    def _take(self, decisions):
+        for decision in decisions:
+            work = decision.work
+            if isinstance(decision, Grant):
+                self._on_grant(decision)
+            elif isinstance(decision, Refusal):
+                self.answered.add(work.id)
+                if decision.kind in (ErrorKind.SHED, ErrorKind.DEADLINE_WAITING):
+                    self.shed.append((self.now, work.tier))
+            else:
+                assert work.id in self.grants
+
+    def _on_grant(self, grant):
+        work = grant.work
+        assert work.id not in self.grants
+        assert grant.target not in self.leaving
+        assert not any(
+            tier < work.tier and self.now - at < 1.0 for at, tier in self.shed
+        )
+        self.grants[work.id] = grant.target
+        self.running[work.id] = grant
+
+    @rule(
+        tier=st.integers(0, 3), account=st.sampled_from("ab"), slack=st.floats(0.1, 9)
+    )
+    def offer(self, tier, account, slack):
+        name = f"r{len(self.sent)}"
+        work = make_work(name, tier=tier, account=account, deadline=self.now + slack)
+        self.sent[name] = work
+        self._take(self.scheduler.offer(work, self.now))
+
+    @rule(data=st.data())
+    def resend(self, data):
+        if not self.sent:
+            return
+        name = data.draw(st.sampled_from(sorted(self.sent)))
+        if name in self.answered:
+            return
+        waiting = name in self.scheduler.waiting
+        again = make_work(name, deadline=self.now + 5)
+        decisions = self.scheduler.offer(again, self.now)
+        if waiting:
+            assert [d.kind for d in decisions] == [ErrorKind.KEY_IN_USE]
+        else:
+            self._take(decisions)
+
+    @rule(data=st.data(), status=st.sampled_from(["ok", "failed", "died", "cancelled"]))
+    def finish(self, data, status):
+        if not self.running:
+            return
+        name = data.draw(st.sampled_from(sorted(self.running)))
+        grant = self.running.pop(name)
+        outcome = ended(grant.work, grant.target, status)
+        self._take(self.scheduler.finish(outcome, self.now))
+
+    @rule(name=st.sampled_from(["e1", "e2"]), leaving=st.booleans())
+    def leave(self, name, leaving):
+        self.scheduler.target_leaving(name, leaving)
+        (self.leaving.add if leaving else self.leaving.discard)(name)
+
+    @rule(name=st.sampled_from(["e1", "e2"]), boot=st.integers(1, 3))
+    def report(self, name, boot):
+        before = self.scheduler.fleet.get(name).incarnation
+        self.scheduler.report(name, 1, 0, self.now, f"i{boot}")
+        if before != f"i{boot}":
+            self.leaving.discard(name)
+
+    @rule(seconds=st.floats(0.01, 3.0))
+    def wait(self, seconds):
+        self.now += seconds
+        self._take(self.scheduler.tick(self.now))
+
+    @invariant()
+    def every_request_is_in_one_place(self):
+        for name in self.sent:
+            places = [
+                name in self.scheduler.waiting,
+                name in self.grants,
+                name in self.answered,
+            ]
+            assert sum(places) == 1, (name, places)
+
+    @invariant()
+    def counts_agree(self):
+        for state in self.scheduler.fleet:
+            names = [n for n, g in self.running.items() if g.target == state.name]
+            assert sorted(state.running) == sorted(names)
+            assert state.queued_prefill == sum(state.prefilling.values())
+
+
+TestSchedulerMachine = SchedulerMachine.TestCase
+TestSchedulerMachine.settings = settings(
+    max_examples=100, stateful_step_count=30, deadline=None, derandomize=True
+)
