--- a/lovagepier/node/_moves.py
+++ b/lovagepier/node/_moves.py
@@ -17,6 +17,7 @@
 PUSH_PERIOD_S = 0.2
 FULL_PUSH_PERIOD_S = 2.0
 RECORD_PERIOD_S = 1.0
+SHOWN_STEPS = 10
 
 
 @dataclass(slots=True, frozen=True)
@@ -218,7 +219,7 @@
 
     def _show(self, entry, state, share, now):
         word = state_at(entry.move, state, now)
-        shown = (word, round(share, 2))
+        shown = (word, round(share * SHOWN_STEPS))
         if shown != entry.shown:
             entry.shown = shown
             why = f"{state.judged} clean outcomes, suspicion {state.suspicion:.2f}"
--- a/lovagepier/node/_node.py
+++ b/lovagepier/node/_node.py
@@ -45,6 +45,8 @@
 SETTLE_S = 0.3
 DRAIN_CHECK_S = 0.1
 MAX_CONDEMNED = 1000
+ADOPT_WAIT_S = 1.0
+ADOPT_POLL_S = 0.002
 SHED_FILL_STEP = 0.15
 
 
@@ -219,8 +221,15 @@
             operations, base, patch_id, author, self.wall()
         )
         self.adopt(record, f"a patch by {author}")
+        self._await_view(record.version)
         return record
 
+    def _await_view(self, version):
+        # Whoever patches here must read here what was accepted.
+        until = self.clock() + ADOPT_WAIT_S
+        while self.view.version < version and self.clock() < until:
+            time.sleep(ADOPT_POLL_S)
+
     def observe_outcome(self, subject, running, outcome):
         """Hand an outcome at a pool home to the moves actor."""
         work, _, version = running
--- /dev/null
+++ b/test/faults.py
@@ -0,0 +1,167 @@
+"""What the tests under failure share: a fleet, steady traffic, two books."""
+
+import threading
+import time
+import uuid
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+
+from lovagepier.client import Caller, CallerError
+from test.builders import completion
+from trials.cluster import Cluster, wait_until
+
+__all__ = ["Traffic", "make_fleet", "streams"]
+
+
+def make_fleet(nodes=3, engines=3, records=2, pace=0.01, **settings):
+    """Return a started `Cluster` with accounts of the first three tiers."""
+    settings.setdefault("callers_entry_ttl", "1s")
+    cluster = Cluster(**settings)
+    zones = ("a1", "a2", "b1", "a1", "a2", "b1")
+    cluster.platform()
+    for number in range(engines):
+        cluster.engine(f"e{number}", zones[number], pace=pace)
+    for number in range(records):
+        cluster.records(f"r{number}", zones[number])
+    for name, tier in (("high", "urgent"), ("mid", "standard"), ("low", "batch")):
+        cluster.account(name, tier)
+    for number in range(nodes):
+        cluster.node(f"n{number}", zones[number])
+    cluster.await_members(nodes)
+    cluster.configure()
+    return cluster
+
+
+class Traffic:
+    """Callers that send model requests and writes until stopped.
+
+    Keeps the callers' book; `faults` compares it with the books of engines
+    and records workers.
+    """
+
+    def __init__(self, cluster, tokens=20, senders=2, records=1, deadline_ms=15_000):
+        self.cluster = cluster
+        self.tokens = tokens
+        self.deadline_ms = deadline_ms
+        self.replies = []
+        self.writes = []
+        self._stop = threading.Event()
+        self._lock = threading.Lock()
+        self._threads = []
+        for account in ("high", "mid", "low"):
+            for number in range(senders):
+                self._add(self._models, account, number)
+        for number in range(records):
+            self._add(self._records, "mid", number)
+
+    def _add(self, run, account, number):
+        thread = threading.Thread(target=run, args=(account, number))
+        thread.start()
+        self._threads.append(thread)
+
+    def _caller(self, account, number):
+        doors = self.cluster.doors()
+        turned = doors[number % len(doors) :] + doors
+        return Caller(turned, f"key-of-{account}", ("a1", "b1")[number % 2])
+
+    def _models(self, account, number):
+        caller = self._caller(account, number)
+        while not self._stop.is_set():
+            try:
+                reply = caller.complete(
+                    completion(tokens=self.tokens), self.deadline_ms
+                )
+            except CallerError:
+                time.sleep(0.05)
+                continue
+            with self._lock:
+                self.replies.append((account, reply))
+
+    def _records(self, account, number):
+        caller = self._caller(account, number)
+        while not self._stop.is_set():
+            key = uuid.uuid4().hex
+            try:
+                reply = caller.record("POST", "/ledger/entries", b"{}", key, 8000)
+            except CallerError:
+                time.sleep(0.05)
+                continue
+            with self._lock:
+                self.writes.append((key, reply))
+            time.sleep(0.02)
+
+    def count(self):
+        """Return the number of replies so far."""
+        with self._lock:
+            return len(self.replies) + len(self.writes)
+
+    def await_more(self, count, seconds=20.0):
+        """Wait until `count` more replies have come."""
+        wanted = self.count() + count
+        wait_until(lambda: self.count() >= wanted, seconds, f"{count} more replies")
+
+    def stop(self):
+        """End the senders and wait for what they have sent."""
+        self._stop.set()
+        for thread in self._threads:
+            thread.join(60)
+
+    def faults(self):
+        """Return where the books disagree."""
+        return self._model_faults() + self._write_faults()
+
+    def _model_faults(self):
+        counted = self.cluster.dispatches()
+        faults = [f"{i} dispatched {n} times" for i, n in counted.items() if n > 1]
+        for account, reply in self.replies:
+            name = f"{account}.{reply.id}"
+            if reply.run == "no" and name in counted:
+                faults.append(f"{name} told not run ({reply.problem()}), dispatched")
+            if reply.status == 200 and reply.whole:
+                faults += self._answer_faults(name, reply)
+        return faults
+
+    def _answer_faults(self, name, reply):
+        tokens = [
+            f"{name}:{number} ".encode() in reply.body for number in range(self.tokens)
+        ]
+        events = reply.body.count(b'"content"')
+        if not all(tokens) or events != self.tokens:
+            return [f"{name}: {sum(tokens)} tokens in {events} events"]
+        return []
+
+    def _write_faults(self):
+        journal = Counter()
+        for name in self.cluster.services:
+            journal.update(entry["key"] for entry in self.cluster.journal(name))
+        faults = [f"key {k} written {n} times" for k, n in journal.items() if n > 1]
+        for key, reply in self.writes:
+            if reply.status == 201 and journal[key] != 1:
+                faults.append(f"key {key} answered 201, written {journal[key]} times")
+            if reply.run == "no" and journal[key]:
+                faults.append(f"key {key} told not run ({reply.problem()}), written")
+        return faults
+
+    def unanswered(self):
+        """Return (account, id, status, error kind) of what was not answered."""
+        return [
+            (account, reply.id, reply.status, reply.problem())
+            for account, reply in self.replies
+            if not (reply.status == 200 and reply.whole)
+        ]
+
+
+def streams(cluster, count, tokens, account="high"):
+    """Start `count` streams over all nodes; return futures of replies."""
+    threads = ThreadPoolExecutor(count)
+
+    def one(number):
+        doors = cluster.doors()
+        door = doors[number % len(doors)]
+        caller = Caller([door, *doors], f"key-of-{account}")
+        # Pin the first entry, so that streams run through every node.
+        caller._entries = [door, *[d for d in doors if d != door]]
+        caller._until = time.monotonic() + 1.0
+        return caller.complete(completion(f"s{number}", tokens), 60_000)
+
+    return [threads.submit(one, number) for number in range(count)]
--- a/trials/cluster.py
+++ b/trials/cluster.py
@@ -66,17 +66,21 @@
         self._popen = None
 
     def start(self):
-        """Start the process and wait until its port accepts."""
+        """Start the process; `ready` waits for its port."""
         command = [sys.executable, "-m", "lovagepier", *self.args]
         with open(self._log, "ab") as log:
             self._popen = subprocess.Popen(
                 command, stdout=log, stderr=log, stdin=subprocess.DEVNULL
             )
+        return self
+
+    def ready(self):
+        """Wait until the port accepts connections."""
         wait_until(self._accepts, START_TIMEOUT_S, f"{self.name} on port {self.port}")
         return self
 
     def _accepts(self):
-        if self._popen.poll() is not None:
+        if not self.alive():
             raise AssertionError(f"{self.name} ended: {self.log_text()[-2000:]}")
         with socket.socket() as sock:
             sock.settimeout(0.5)
@@ -169,6 +173,13 @@
         self.standin("kv", **kv_options)
         self.standin("hosts", lag=1.0)
         self.standin("weights")
+        self.ready()
+
+    def ready(self):
+        """Wait until all running processes accept connections."""
+        for process in self.processes.values():
+            if process.alive():
+                process.ready()
 
     def engine(self, name, zone, model="drafter", version="v1", fenced=True, **options):
         """Start an engine and note it for the configuration."""
@@ -292,6 +303,7 @@
 
     def configure(self, routes=("report", "note"), **more):
         """Write the first configuration; wait until it is in force."""
+        self.ready()
         services = {entry["service"] for entry in self.services.values()}
         models = {}
         for entry in self.engines.values():
@@ -329,6 +341,7 @@
 
     def await_members(self, count, seconds=15.0):
         """Wait until all running nodes see `count` live nodes."""
+        self.ready()
 
         def seen(node):
             nodes = self.operate("GET", "/v1/status", node=node)[1]["nodes"]
--- /dev/null
+++ b/trials/demo.py
@@ -0,0 +1,250 @@
+"""The demo: a small fleet, real traffic, two moves, a kill and a stop."""
+
+import json
+import signal
+import sys
+import threading
+import time
+import uuid
+from collections import Counter
+
+from lovagepier.client import Caller, CallerError
+from trials.cluster import Cluster, wait_until
+
+__all__ = ["main"]
+
+ENGINES = (
+    ("slow-west", "a1", 0.02, 4000),
+    ("fast-west", "a1", 0.005, 16000),
+    ("mid-west", "a2", 0.01, 8000),
+    ("mid-east", "b1", 0.01, 8000),
+)
+ACCOUNTS = (
+    ("surveyors", "urgent"),
+    ("counters", "standard"),
+    ("letters", "batch"),
+    ("archive", "spare"),
+)
+MOVE_SECONDS = 14.0
+SENDERS = 3
+PAUSE_S = 0.03
+
+
+class Books:
+    """What callers asked and were told."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self.replies = []
+        self.records = []
+
+    def add(self, account, reply):
+        """Note the reply to a model request."""
+        with self._lock:
+            self.replies.append((account, reply))
+
+    def add_record(self, account, key, reply):
+        """Note the reply to a write."""
+        with self._lock:
+            self.records.append((account, key, reply))
+
+
+def _send_models(cluster, books, account, stop):
+    caller = Caller(cluster.doors(), f"key-of-{account}", "a1")
+    number = 0
+    while not stop.is_set():
+        number += 1
+        tokens = 60 if number % 5 == 0 else 8
+        route = "report" if number % 5 == 0 else "note"
+        fields = {
+            "model": "drafter",
+            "messages": [{"role": "user", "content": f"text [[tokens={tokens}]]"}],
+            "stream": number % 2 == 0,
+        }
+        try:
+            books.add(account, caller.complete(fields, 10_000, route=route))
+        except CallerError:
+            time.sleep(PAUSE_S)
+        time.sleep(PAUSE_S)
+
+
+def _send_records(cluster, books, account, stop):
+    caller = Caller(cluster.doors(), f"key-of-{account}", "b1")
+    while not stop.is_set():
+        key = uuid.uuid4().hex
+        try:
+            reply = caller.record("POST", "/ledger/pledges", b"{}", key, 8000)
+        except CallerError:
+            continue
+        books.add_record(account, key, reply)
+        time.sleep(PAUSE_S)
+
+
+def _start(cluster):
+    cluster.platform()
+    for name, zone, pace, prefill in ENGINES:
+        cluster.engine(name, zone, pace=pace, prefill=prefill)
+    cluster.engine("good-west", "a2", version="v2", pace=0.008)
+    cluster.engine("good-east", "b1", version="v2", pace=0.008)
+    cluster.engine("bad-west", "a1", version="v3", pace=0.008)
+    cluster.records("records-west", "a1")
+    cluster.records("records-east", "b1")
+    for name, tier in ACCOUNTS:
+        cluster.account(name, tier)
+    for name, zone in (("n1", "a1"), ("n2", "a2"), ("n3", "b1")):
+        cluster.node(name, zone)
+    cluster.await_members(3)
+    cluster.configure()
+
+
+def _move(cluster, name, version, seconds):
+    now = time.time()
+    value = {
+        "model": "drafter",
+        "to": version,
+        "start": now,
+        "finish_by": now + seconds,
+        "steps": [[0, 0.05], [0.2, 0.2], [0.4, 0.6], [0.6, 1.0]],
+    }
+    path = f"/moves/{name}"
+    cluster.patch([{"op": "add", "path": path, "value": value}])
+
+
+def _await_move(cluster, name, seconds):
+    def settled():
+        moves = cluster.operate("GET", "/v1/moves")[1]["moves"]
+        move = next(m for m in moves if m["move"] == name)
+        return move["state"] if move["settled"] else None
+
+    return wait_until(settled, seconds, f"the end of move {name}")
+
+
+def _traffic(cluster, books, stop):
+    threads = []
+    for account, _ in ACCOUNTS:
+        for _ in range(SENDERS):
+            threads.append(
+                threading.Thread(
+                    target=_send_models, args=(cluster, books, account, stop)
+                )
+            )
+    threads.append(
+        threading.Thread(target=_send_records, args=(cluster, books, "counters", stop))
+    )
+    for thread in threads:
+        thread.start()
+    return threads
+
+
+def _play(cluster, books):
+    stop = threading.Event()
+    threads = _traffic(cluster, books, stop)
+    story = []
+    try:
+        time.sleep(2)
+        _move(cluster, "to-good", "v2", MOVE_SECONDS)
+        story.append(("good version", _await_move(cluster, "to-good", 40), "done"))
+        cluster.fault("bad-west", failing=0.8)
+        _move(cluster, "to-bad", "v3", MOVE_SECONDS)
+        story.append(("bad version", _await_move(cluster, "to-bad", 40), "taken-back"))
+        cluster.nodes["n2"].signal(signal.SIGKILL)
+        time.sleep(4)
+        cluster.nodes["n1"].terminate()
+        story.append(("exit code of the stop", cluster.nodes["n1"].wait(), 0))
+        time.sleep(1)
+    finally:
+        stop.set()
+        for thread in threads:
+            thread.join(30)
+    return story
+
+
+def _print_timeline(cluster):
+    events = cluster.operate("GET", "/v1/events?limit=100000")[1]["events"]
+    shown = [e for e in events if e["part"] not in ("entry",) and "request" not in e]
+    print(f"time line: {len(events)} events, those that are not a request's own:")
+    began = shown[0]["at"] if shown else 0
+    for event in shown:
+        why = f" because {event['why']}" if "why" in event else ""
+        move = f" [{event['move']}]" if "move" in event else ""
+        facts = " ".join(f"{k}={v}" for k, v in event.get("facts", {}).items())
+        at = event["at"] - began
+        line = f"  {at:7.2f} s {event['node']} {event['part']}: {event['event']}"
+        print(f"{line}{why}{move} {facts}")
+
+
+def _check(cluster, books, story):
+    """Return faults; print what was asked, answered, refused and recorded."""
+    faults = [f"{what}: {got}, not {want}" for what, got, want in story if got != want]
+    dispatched = cluster.dispatches()
+    faults += [f"{i} was dispatched {n} times" for i, n in dispatched.items() if n > 1]
+    print(f"{'account':<12}{'asked':>7}{'answered':>10}{'refused':>9}{'other':>7}")
+    for account, _ in ACCOUNTS:
+        replies = [r for a, r in books.replies if a == account]
+        good = [r for r in replies if r.status == 200 and r.whole]
+        refused = [r for r in replies if r.status != 200 and r.run == "no"]
+        other = len(replies) - len(good) - len(refused)
+        print(
+            f"{account:<12}{len(replies):>7}{len(good):>10}{len(refused):>9}{other:>7}"
+        )
+        faults += _check_replies(account, good, refused, dispatched)
+    faults += _check_records(cluster, books)
+    kinds = Counter(r.problem() for _, r in books.replies if r.status != 200)
+    print(f"errors: {json.dumps(kinds)}")
+    return faults
+
+
+def _check_replies(account, good, refused, dispatched):
+    faults = []
+    for reply in good:
+        if dispatched.get(f"{account}.{reply.id}") != 1:
+            faults.append(f"{reply.id} was answered without one dispatch")
+        if f"{account}.{reply.id}:".encode() not in reply.body:
+            faults.append(f"{reply.id} got another's answer")
+    for reply in refused:
+        if f"{account}.{reply.id}" in dispatched:
+            faults.append(f"{reply.id} was told not run and was dispatched")
+    return faults
+
+
+def _check_records(cluster, books):
+    journal = cluster.journal("records-west") + cluster.journal("records-east")
+    written = Counter(entry["key"] for entry in journal)
+    faults = [f"key {key} was written {n} times" for key, n in written.items() if n > 1]
+    told = Counter()
+    for _, key, reply in books.records:
+        if reply.status == 201:
+            told["recorded"] += 1
+            if written[key] != 1:
+                faults.append(f"key {key} was answered and is not in the journal")
+        elif reply.run == "no":
+            told["refused"] += 1
+            if written[key]:
+                faults.append(f"key {key} was told not run and is in the journal")
+        else:
+            told["other"] += 1
+    print(
+        f"records: asked {len(books.records)}, recorded {told['recorded']}, "
+        f"refused {told['refused']}, other {told['other']}, in journals {len(journal)}"
+    )
+    return faults
+
+
+def main():
+    """Run the demo; return 0 only if both sides' books agree."""
+    began = time.monotonic()
+    books = Books()
+    with Cluster(callers_entry_ttl="1s") as cluster:
+        _start(cluster)
+        print(f"the fleet runs after {time.monotonic() - began:.1f} s")
+        story = _play(cluster, books)
+        _print_timeline(cluster)
+        faults = _check(cluster, books, story)
+    for fault in faults[:20]:
+        print(f"FAULT: {fault}")
+    print(f"{len(faults)} faults after {time.monotonic() - began:.1f} s")
+    return 1 if faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
