Failure tests of targets, cuts and inputs; what they found

Causes and changes, each with its test: - An answer cut short was resumed for ever (65 s): resumes that bring no byte are now bounded. - A last word of a claim told to an owner that then froze was lost, so resends got key-in-use for good: entry nodes tell it again until it is in the store. - A suspect request that met another suspect was barred from that target for good: the bar now lasts one placement. - A resend right after its entry died was told answer-lost because one home was silent: it now looks at the next homes, its own region first. - A refused upload was read to its end first (up to 99 MB): the connection is closed instead; bodies have an overall time limit; ten kept connections became 4096. - An id sent again while it waited was refused until its dead entry was buried: the last asker is now served. Conclusion: each was a gap between two parts, not in one of them.

--- a/lovagepier/callers/_models.py
+++ b/lovagepier/callers/_models.py
@@ -96,7 +96,7 @@
         others = self._other_regions(model, here)
         permits = self._node.permits
         if work.attempt and not fresh and not work.exclude:
-            found = permits.look_elsewhere(work, model, others)
+            found = permits.look_for(work, model, [here, *others])
             if found is not None:
                 return found
         try:
--- a/lovagepier/callers/_records.py
+++ b/lovagepier/callers/_records.py
@@ -216,12 +216,12 @@
     def settle(self, outcome):
         """Have the first answer stored."""
         body = messages.ClaimSettle(self._shard, self._key, self.nonce, outcome)
-        self._node.tell(self._owner(), body)
+        self._node.settlements.add(body)
 
     def release(self):
         """Give the key back; nothing was dispatched."""
         body = messages.ClaimRelease(self._shard, self._key, self.nonce)
-        self._node.tell(self._owner(), body)
+        self._node.settlements.add(body)
 
 
 def _relayed(relay, data):
--- a/lovagepier/client/_caller.py
+++ b/lovagepier/client/_caller.py
@@ -13,6 +13,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_ATTEMPTS = 5
+ANSWER_GRACE_S = 1.0
+DEFAULT_PATIENCE_S = 60.0
 PAUSE_S = 0.1
 READ_BYTES = 65536
 END_MARK = b"data: [DONE]"
@@ -49,10 +51,15 @@
 
 
 class Caller:
-    """One account's caller in one availability zone."""
+    """One account's caller in one availability zone.
 
-    def __init__(self, doors, key, zone=""):
+    `pinned` uses the given addresses as they are, in their order, without
+    asking which to use.
+    """
+
+    def __init__(self, doors, key, zone="", pinned=False):
         self._doors = list(doors)
+        self._pinned = pinned
         self._key = key
         self._zone = zone
         self._entries = []
@@ -63,6 +70,8 @@
 
     def entries(self):
         """Return the addresses to use, asked anew after their time to live."""
+        if self._pinned:
+            return self._doors
         if time.monotonic() < self._until and self._entries:
             return self._entries
         for door in [*self._entries, *self._doors]:
@@ -136,13 +145,17 @@
 
     def _once(self, reply, method, url, body, headers, streamed, began):
         """Try one time; return whether the reply is final."""
+        # An entry host that is frozen accepts and never answers.
+        limit = headers.get("X-Deadline-Ms")
+        patience = float(limit) / 1000 if limit else DEFAULT_PATIENCE_S
+        patience += ANSWER_GRACE_S
         try:
             resp = self._http.request(
                 method,
                 url,
                 body=body,
                 headers=headers,
-                timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=180.0),
+                timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=patience),
                 preload_content=False,
                 redirect=False,
             )
--- a/lovagepier/decisions/claims.py
+++ b/lovagepier/decisions/claims.py
@@ -148,6 +148,23 @@
         if held is not None and held.nonce == nonce and held.outcome is None:
             self._pending[key] = Claim(key, held.body, nonce, held.at, None, True)
 
+    def is_over(self, key, nonce):
+        """Return whether the attempt `nonce` has its last word in the store.
+
+        True as well where the key is unknown or held by another attempt:
+        there is nothing to settle or release any more.
+        """
+        pending = self._pending.get(key)
+        if pending is not None and pending.nonce == nonce:
+            return False
+        held = self._claims.get(key)
+        if held is None or held.nonce != nonce:
+            return True
+        if held.outcome is None and not held.released:
+            return False
+        batch = self._outstanding
+        return batch is None or all(claim is not held for claim in batch.claims)
+
     def take_batch(self, nonce):
         """Return the next `Batch` to write, or None if there is nothing.
 
--- a/lovagepier/decisions/scheduler.py
+++ b/lovagepier/decisions/scheduler.py
@@ -94,6 +94,8 @@
         known = self._known(work)
         if known is not None:
             return [known]
+        # Sent again while it waits: the entry node that asked last serves it.
+        self.waiting.remove(work.id)
         refusal = self._refuse_at_once(work, now)
         if refusal is not None:
             return [refusal]
@@ -134,9 +136,6 @@
         if self.strikes.is_condemned(work.fingerprint):
             why = "targets died each time this body ran"
             return Refusal(work, ErrorKind.SUSPECT_REQUEST, why, retry_after=0)
-        if work.id in self.waiting:
-            why = "the same id waits here already"
-            return Refusal(work, ErrorKind.KEY_IN_USE, why)
         if not len(self.fleet):
             return Refusal(work, ErrorKind.NO_TARGET, "the pool has no targets")
         if work.attempt == 0:
@@ -250,27 +249,31 @@
         return max(state.finish_seconds(work, grant.hit_tokens), 1e-3)
 
     def _place(self, work, now):
+        excluded = work.exclude
+        if self.strikes.is_suspect(work.fingerprint):
+            work.exclude = excluded | self._with_suspects()
+        try:
+            return self._place_on_any(work, now)
+        finally:
+            work.exclude = excluded
+
+    def _place_on_any(self, work, now):
         for version in self._versions(work):
             chosen = self.policy.choose(
                 self.fleet, version, work, self.prefixes, now, self._rng
             )
-            if chosen is None:
-                continue
-            state, hit, why = chosen
-            if not self._may_join(state, work):
-                work.exclude = work.exclude | {state.name}
-                return None
-            return self._start(work, state, hit, why, now)
+            if chosen is not None:
+                state, hit, why = chosen
+                return self._start(work, state, hit, why, now)
         return None
 
-    def _may_join(self, state, work):
+    def _with_suspects(self):
         # Two suspects on one target could not be told apart if it dies.
-        if not self.strikes.is_suspect(work.fingerprint):
-            return True
-        return not any(
-            self.strikes.is_suspect(other.fingerprint)
-            for other in state.running.values()
-        )
+        return {
+            item.target
+            for item in self._running.values()
+            if self.strikes.is_suspect(item.work.fingerprint)
+        }
 
     def _versions(self, work):
         """Return the versions `work` may go to, preferred first."""
--- a/lovagepier/node/_exchange.py
+++ b/lovagepier/node/_exchange.py
@@ -49,6 +49,7 @@
         self._stream = None
         self._chunks = None
         self._over = False
+        self._resumes = 0
         self.status = 0
         self.headers = {}
 
@@ -112,6 +113,8 @@
         return chunk
 
     def _count(self, chunk):
+        if chunk:
+            self._resumes = 0
         self._offset += len(chunk)
         self._events += chunk.count(EVENT_END)
         self._tail = (self._tail + chunk)[-TAIL_BYTES:]
@@ -145,10 +148,12 @@
             self._finish("ok")
 
     def _broken(self, cause):
-        """Resume a broken stream; return its next chunk or raise."""
-        for _ in range(MAX_RESUMES):
-            if self._past_deadline():
-                break
+        """Resume a broken stream; return its next chunk or raise.
+
+        Gives up after a few resumes in a row that brought no byte.
+        """
+        while self._resumes < MAX_RESUMES and not self._past_deadline():
+            self._resumes += 1
             try:
                 return self._resume_once()
             except TargetGone as exc:
--- a/lovagepier/node/_ledger.py
+++ b/lovagepier/node/_ledger.py
@@ -1,6 +1,5 @@
 """The ledger actor: owns claim shards and commits claims in batches."""
 
-import base64
 import json
 import uuid
 from dataclasses import asdict, dataclass
@@ -30,16 +29,18 @@
 
 @dataclass(slots=True, frozen=True)
 class Settled:
-    """The outcome of a claim."""
+    """The outcome of a claim; `reply` is told once it is in the store."""
 
     body: messages.ClaimSettle
+    reply: object
 
 
 @dataclass(slots=True, frozen=True)
 class Released:
-    """A claim whose work was never dispatched."""
+    """A claim whose work was never dispatched; `reply` as for `Settled`."""
 
     body: messages.ClaimRelease
+    reply: object
 
 
 class _Owned:
@@ -97,15 +98,23 @@
         """Store the first answer of a claim."""
         body = message.body
         owned = self._own(body.shard)
-        if owned is not None:
-            owned.shard.settle(body.key, body.nonce, body.outcome)
+        if owned is None:
+            return
+        if owned.shard.is_over(body.key, body.nonce):
+            message.reply(messages.ClaimTold(Verdict.DONE))
+            return
+        owned.shard.settle(body.key, body.nonce, body.outcome)
 
     def on_released(self, message):
         """Give a claim back."""
         body = message.body
         owned = self._own(body.shard)
-        if owned is not None:
-            owned.shard.release(body.key, body.nonce)
+        if owned is None:
+            return
+        if owned.shard.is_over(body.key, body.nonce):
+            message.reply(messages.ClaimTold(Verdict.DONE))
+            return
+        owned.shard.release(body.key, body.nonce)
 
     # Time
 
@@ -274,13 +283,3 @@
 def _claim_fields(claim):
     fields = asdict(claim)
     return {name: value for name, value in fields.items() if value not in (None, False)}
-
-
-def encode_body(data):
-    """Return bytes as text for a stored outcome."""
-    return base64.b64encode(data).decode()
-
-
-def decode_body(text):
-    """Return the bytes of a stored outcome's body."""
-    return base64.b64decode(text)
--- a/lovagepier/node/_node.py
+++ b/lovagepier/node/_node.py
@@ -30,6 +30,7 @@
     Withdrawn,
 )
 from lovagepier.node._roster import Roster
+from lovagepier.node._settlements import Settlements
 from lovagepier.node._targets import TargetReader
 from lovagepier.node._timeline import Timeline
 from lovagepier.peers import Links, messages
@@ -43,6 +44,7 @@
 MOVES_EVERY = 5
 POOL_EVERY = 2
 SETTLE_S = 0.3
+MAX_SETTLE_S = 15.0
 DRAIN_CHECK_S = 0.1
 MAX_CONDEMNED = 1000
 ADOPT_WAIT_S = 1.0
@@ -80,6 +82,7 @@
         self.permits = Permits(self)
         self.links = Links(cfg, self._on_peer_message)
         self.targets = TargetReader(self)
+        self.settlements = Settlements(self)
         self._watcher = ConfigWatcher(self)
         self._log = part_log("node")
         self._epochs = itertools.count(1)
@@ -113,6 +116,7 @@
             self.note_hosts(self.host_list.read())
         self._watcher.start()
         self.targets.start()
+        self.settlements.start()
         threading.Thread(target=self._tick, name="ticks", daemon=True).start()
         self.timeline.add("node", "started", boot=self.boot)
         self._log.info("the node runs", node=self.cfg.node_name, boot=self.boot)
@@ -144,7 +148,10 @@
         until = self.clock() + idle_seconds
         while self.clock() < until or busy() or self.permits.count():
             time.sleep(DRAIN_CHECK_S)
-        # Outcomes and settlements of the last requests are still on their way.
+        until = self.clock() + MAX_SETTLE_S
+        while self.settlements.count() and self.clock() < until:
+            time.sleep(DRAIN_CHECK_S)
+        # The outcomes of the last requests are still on their way to homes.
         time.sleep(SETTLE_S)
 
     def stop(self):
@@ -339,10 +346,11 @@
     def _to_ledger(self, body, reply):
         wrap = {
             messages.ClaimAsk: lambda: Claimed(body, reply),
-            messages.ClaimSettle: lambda: Settled(body),
-            messages.ClaimRelease: lambda: Released(body),
+            messages.ClaimSettle: lambda: Settled(body, reply),
+            messages.ClaimRelease: lambda: Released(body, reply),
         }[type(body)]
-        if not post(self._refs["ledger"], wrap()):
+        told = post(self._refs["ledger"], wrap())
+        if not told and isinstance(body, messages.ClaimAsk):
             reply(messages.ClaimTold("unavailable"))
 
     def _to_events(self, body, reply):
@@ -383,8 +391,10 @@
             reply(self._overfull(body))
 
     def _look(self, body, reply):
-        if (body.subject, body.region) in self.view.pools():
-            post(self._pool(body.subject, body.region), Looked(body, reply))
+        if (body.subject, body.region) not in self.view.pools():
+            reply(messages.PoolAnswer("unknown", body.id))
+            return
+        post(self._pool(body.subject, body.region), Looked(body, reply))
 
     def _no_target(self, body):
         return messages.PoolAnswer(
--- a/lovagepier/node/_permits.py
+++ b/lovagepier/node/_permits.py
@@ -2,6 +2,7 @@
 
 import queue
 import threading
+import time
 import uuid
 from dataclasses import asdict
 
@@ -15,7 +16,9 @@
 CHECK_HOME_S = 0.25
 DEADLINE_GRACE_S = 0.3
 MAX_HOMES = 4
-LOOK_TIMEOUT_S = 1.0
+LOOK_TIMEOUT_S = 1.5
+LOOK_SECONDS = 8.0
+LOOK_PAUSE_S = 0.1
 
 
 class InFlight:
@@ -70,17 +73,15 @@
                 raise self._refused(answer)
             return answer, home
 
-    def look_elsewhere(self, work, subject, regions):
-        """Return (answer, home, region) where another region knows the id.
+    def look_for(self, work, subject, regions):
+        """Return (answer, home, region) where a region knows the id.
 
         Returns None if every region says that it does not. Raise
         `RequestError` if one does not say: the id may run there.
         """
         for region in regions:
-            home = self._node.roster.home(f"pool/{subject}/{region}", region)
-            body = messages.PoolLook(subject, region, work.id, work.fingerprint)
-            answer = self._node.ask(home, body, LOOK_TIMEOUT_S) if home else None
-            if answer is None or answer.verdict == "queued":
+            answer, home = self._look_in(work, subject, region)
+            if answer is None:
                 raise RequestError(
                     ErrorKind.ANSWER_LOST,
                     f"region {region} does not say whether it ran the id",
@@ -91,6 +92,19 @@
                 return answer, home, region
         return None
 
+    def _look_in(self, work, subject, region):
+        """Ask a region's homes, the next where one is silent, for a while."""
+        body = messages.PoolLook(subject, region, work.id, work.fingerprint)
+        until = min(work.deadline, self._node.clock() + LOOK_SECONDS)
+        while self._node.clock() < until:
+            duty = f"pool/{subject}/{region}"
+            for home in self._node.roster.homes(duty, region)[:2]:
+                answer = self._node.ask(home, body, LOOK_TIMEOUT_S)
+                if answer is not None:
+                    return answer, home
+            time.sleep(LOOK_PAUSE_S)
+        return None, None
+
     def _pick_home(self, subject, region, tried):
         roster = self._node.roster
         for name in roster.homes(f"pool/{subject}/{region}", region)[:MAX_HOMES]:
--- a/lovagepier/node/_pool.py
+++ b/lovagepier/node/_pool.py
@@ -250,6 +250,7 @@
             why = "the expected wait is past the deadline"
             message.reply(self._refusal(Refusal(work, ErrorKind.SHED, why, 1.0)))
             return None
+        self._replace_asker(work)
         self._replies[work.id] = (message.reply, work.nonce)
         decisions = self.scheduler.offer(work, now)
         self._carry_out(decisions, now)
@@ -264,9 +265,21 @@
         known = self.scheduler.look(work)
         if known is not None:
             message.reply(self._answer(known))
-        elif not self._waiting_known and not self._unanswered:
+        elif self._waiting_known:
+            self._parked.append(message)
+        elif not self._unanswered:
             message.reply(messages.PoolAnswer("unknown", body.id))
 
+    def _replace_asker(self, work):
+        earlier = self._replies.pop(work.id, None)
+        if earlier is None:
+            return
+        reply, nonce = earlier
+        why = "the same id was sent again and is served there"
+        answer = self._refusal(Refusal(work, ErrorKind.KEY_IN_USE, why))
+        answer.nonce = nonce
+        reply(answer)
+
     def _known_enough(self, work):
         """Return whether a request sent again may be granted as if new."""
         if work.attempt == 0 or not self._unanswered:
@@ -309,7 +322,10 @@
     def _unpark(self):
         parked, self._parked = self._parked, []
         for message in parked:
-            self._offer(message)
+            if isinstance(message, Looked):
+                self.on_looked(message)
+            else:
+                self._offer(message)
 
     def on_withdrawn(self, message):
         """Drop waiting work whose caller went away."""
--- a/lovagepier/web.py
+++ b/lovagepier/web.py
@@ -3,6 +3,8 @@
 import contextlib
 import json
 import socket
+import threading
+import time
 from http import HTTPStatus
 from urllib.parse import parse_qs, unquote
 
@@ -14,7 +16,74 @@
 __all__ = ["Request", "Response", "WebServer", "json_response", "problem_response"]
 
 ACCEPT_BACKLOG = 512
-IDLE_TIMEOUT_S = 30
+IDLE_TIMEOUT_S = 15
+KEPT_CONNECTIONS = 4096
+BODY_TIMEOUT_S = 15.0
+BODY_CHECK_S = 1.0
+MAX_DRAINED_BYTES = 64 * 1024
+_CONNECTION = "lovagepier.connection"
+
+
+class _SlowBodies:
+    """Ends the reading of bodies that take too long, from one thread."""
+
+    def __init__(self):
+        self._due = {}
+        self._lock = threading.Lock()
+        self._thread = None
+
+    @contextlib.contextmanager
+    def watched(self, req):
+        """Watch the connection of `req` while its body is read."""
+        if req is None:
+            yield
+            return
+        key = id(req)
+        with self._lock:
+            self._due[key] = (time.monotonic() + BODY_TIMEOUT_S, req)
+            if self._thread is None:
+                self._thread = threading.Thread(target=self._run, daemon=True)
+                self._thread.start()
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._due.pop(key, None)
+
+    def _run(self):
+        while True:
+            time.sleep(BODY_CHECK_S)
+            now = time.monotonic()
+            with self._lock:
+                late = [req for due, req in self._due.values() if due <= now]
+            for req in late:
+                with contextlib.suppress(OSError):
+                    req.conn.socket.shutdown(socket.SHUT_RD)
+
+
+_slow_bodies = _SlowBodies()
+
+
+class _Gateway(wsgi.Gateway_10):
+    """cheroot's gateway; it lets the application see the connection."""
+
+    def get_environ(self):
+        """Add the request to the environment."""
+        environ = super().get_environ()
+        environ[_CONNECTION] = self.req
+        return environ
+
+
+def _close_if_unread(environ):
+    """Close the connection after the answer if much of the body is unread."""
+    req = environ.get(_CONNECTION)
+    if req is None:
+        return
+    left = getattr(req.rfile, "remaining", 0)
+    if left > MAX_DRAINED_BYTES or req.inheaders.get(b"Expect"):
+        req.close_connection = True
+
+
 SHUTDOWN_TIMEOUT_S = 5
 MAX_HEADER_BYTES = 32 * 1024
 READ_CHUNK = 64 * 1024
@@ -58,6 +127,10 @@
         return self._body
 
     def _read_body(self, limit):
+        with _slow_bodies.watched(self.environ.get(_CONNECTION)):
+            return self._read_framed(limit)
+
+    def _read_framed(self, limit):
         if "chunked" in self.header("Transfer-Encoding").lower():
             return self._read_stream(limit)
         text = self.header("Content-Length", "0") or "0"
@@ -144,6 +217,7 @@
 def _wsgi(handle):
     def app(environ, start_response):
         response = _answer(handle, Request(environ))
+        _close_if_unread(environ)
         body = response.body
         headers = list(response.headers)
         if isinstance(body, bytes):
@@ -187,6 +261,8 @@
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
             server_name="lovagepier",
         )
+        self._server.gateway = _Gateway
+        self._server.keep_alive_conn_limit = KEPT_CONNECTIONS
         self._server.max_request_header_size = MAX_HEADER_BYTES
         if certificate:
             self._server.ssl_adapter = BuiltinSSLAdapter(certificate, private_key)
@@ -208,10 +284,3 @@
         """Stop accepting and end the worker threads."""
         with contextlib.suppress(Exception):
             self._server.stop()
-
-
-def free_port():
-    """Return a port of the loopback address that is free right now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
--- /dev/null
+++ b/test/test_cuts.py
@@ -0,0 +1,83 @@
+"""Nodes that can't reach each other; ledger owners that freeze."""
+
+import signal
+import time
+
+import pytest
+
+from lovagepier.client import Caller
+from lovagepier.decisions.homes import choose_home, shard_of
+from test.faults import Traffic
+from trials.cluster import Cluster, wait_until
+
+
+@pytest.fixture
+def fleet():
+    cluster = Cluster(callers_entry_ttl="1s")
+    cluster.platform()
+    for number, zone in enumerate(("a1", "a2", "b1")):
+        cluster.engine(f"e{number}", zone)
+    cluster.records("r0", "a1")
+    for name, tier in (("high", "urgent"), ("mid", "standard"), ("low", "batch")):
+        cluster.account(name, tier)
+    for number, zone in enumerate(("a1", "a2", "b1")):
+        cluster.node(f"n{number}", zone, relayed=True)
+    cluster.await_members(3)
+    cluster.configure()
+    yield cluster
+    cluster.close()
+
+
+@pytest.mark.parametrize("cut", [["n0"], ["n0", "n1", "n2"]])
+def test_books_agree_when_nodes_are_parted_and_meet_again(fleet, cut):
+    traffic = Traffic(fleet, senders=3, records=2)
+    try:
+        traffic.await_more(20)
+        for name in cut:
+            fleet.relays[name].cut()
+        time.sleep(5)
+        for name in cut:
+            fleet.relays[name].mend()
+        fleet.await_members(3, 20)
+        traffic.await_more(40, 40)
+    finally:
+        traffic.stop()
+    assert traffic.faults() == []
+
+
+def test_a_version_accepted_while_parted_is_in_force_everywhere_after(fleet):
+    for relay in fleet.relays.values():
+        relay.cut()
+    version = fleet.patch([{"op": "add", "path": "/routes/parted", "value": {}}])
+    fleet.await_version(version, 7)
+    for relay in fleet.relays.values():
+        relay.mend()
+    assert fleet.operate("GET", "/v1/config")[1]["version"] == version
+
+
+def test_a_write_is_made_once_when_the_ledger_owner_freezes(fleet):
+    key = "frozen-owner"
+    shard = shard_of(f"mid/ledger/{key}", fleet.shards)
+    owner = choose_home(f"ledger/{shard}", list(fleet.nodes))
+    others = [node.url for name, node in fleet.nodes.items() if name != owner]
+    caller = Caller(others, "key-of-mid", pinned=True)
+    first = caller.record("POST", "/ledger/e", b"{}", key, 8000)
+    assert first.status == 201
+    fleet.nodes[owner].signal(signal.SIGSTOP)
+    try:
+
+        def replayed():
+            reply = caller.record("POST", "/ledger/e", b"{}", key, 5000)
+            return reply if reply.status == 201 else None
+
+        reply = wait_until(replayed, 30, "the stored answer")
+        assert reply.body == first.body
+    finally:
+        fleet.nodes[owner].signal(signal.SIGCONT)
+    woken = Caller([fleet.nodes[owner].url], "key-of-mid", pinned=True)
+    wait_until(
+        lambda: woken.record("POST", "/ledger/e", b"{}", key, 5000).status == 201,
+        20,
+        "the woken node's answer",
+    )
+    assert [entry["key"] for entry in fleet.journal("r0")].count(key) == 1
--- /dev/null
+++ b/test/test_strikes.py
@@ -0,0 +1,55 @@
+"""Requests that crash targets: found, stopped, and nobody else blamed."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lovagepier.decisions.strikes import Strikes
+from test.builders import ended, make_scheduler, make_work
+
+
+def test_a_body_alone_on_two_dying_targets_is_condemned():
+    strikes = Strikes()
+    assert strikes.on_death("e1/1", ["bad", "x"], 1.0) == []
+    assert strikes.on_death("e2/1", ["bad", "y"], 2.0) == ["bad"]
+    assert strikes.is_condemned("bad")
+    assert not strikes.is_condemned("x") and not strikes.is_condemned("y")
+
+
+def test_a_suspect_that_finishes_is_cleared():
+    strikes = Strikes()
+    strikes.on_death("e1/1", ["bad", "x"], 1.0)
+    strikes.on_finish("x")
+    assert not strikes.is_suspect("x")
+    assert strikes.is_suspect("bad")
+
+
+@given(st.lists(st.sets(st.sampled_from("abcdef"), max_size=4), min_size=3, max_size=9))
+def test_a_body_on_three_dying_targets_is_always_stopped(companies):
+    strikes = Strikes(max_deaths=3)
+    for number, company in enumerate(companies):
+        if strikes.is_condemned("bad"):
+            break
+        strikes.on_death(f"e{number}/1", [*company, "bad"], float(number))
+    assert strikes.is_condemned("bad")
+
+
+def test_condemned_work_is_refused_by_the_scheduler():
+    scheduler = make_scheduler(("e1", "e2", "e3"))
+    for number in range(2):
+        work = make_work(f"r{number}", fingerprint="bad")
+        (grant,) = scheduler.offer(work, 1.0)
+        scheduler.finish(ended(work, grant.target, "died"), 1.5)
+    (refusal,) = scheduler.offer(make_work("r9", fingerprint="bad"), 2.0)
+    assert refusal.kind == "suspect-request"
+
+
+def test_two_suspects_never_run_on_one_target():
+    scheduler = make_scheduler(("e1", "e2"), slots=8.0)
+    scheduler.strikes.on_death("e0/1", ["b1", "b2", "b3"], 0.5)
+    granted = []
+    for name in ("b1", "b2", "b3"):
+        granted += scheduler.offer(make_work(name, fingerprint=name), 1.0)
+    assert sorted(grant.target for grant in granted) == ["e1", "e2"]
+    first = granted[0]
+    later = scheduler.finish(ended(first.work, first.target), 2.0)
+    assert [grant.work.id for grant in later] == ["b3"]
--- /dev/null
+++ b/test/test_target_faults.py
@@ -0,0 +1,190 @@
+"""Targets that crash, lie, leave or answer late; requests that kill them."""
+
+import time
+from collections import Counter
+
+import pytest
+
+from lovagepier.client import Caller
+from test.builders import completion
+from test.faults import Traffic, make_fleet
+from trials.cluster import wait_until
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    cluster = make_fleet(nodes=2, engines=5, records=2)
+    yield cluster
+    cluster.close()
+
+
+@pytest.fixture
+def caller(fleet):
+    return Caller(fleet.doors(), "key-of-high", "a1")
+
+
+def _revive(fleet):
+    for name in fleet.engines:
+        if not fleet.processes[name].alive():
+            fleet.processes[name].start().ready()
+
+
+def test_an_engine_that_closes_early_never_gives_a_short_answer(fleet, caller):
+    for name in fleet.engines:
+        fleet.fault(name, close_early=1)
+    reply = caller.complete(completion(tokens=30), 4000)
+    for name in fleet.engines:
+        fleet.fault(name, close_early=None)
+    assert reply.status != 200 or not reply.whole
+    assert reply.run != "no"
+
+
+def test_an_engine_that_fails_is_told_as_maybe_run(fleet, caller):
+    for name in fleet.engines:
+        fleet.fault(name, failing=1)
+    reply = caller.complete(completion(tokens=3), 4000)
+    for name in fleet.engines:
+        fleet.fault(name, failing=None)
+    assert (reply.status, reply.problem(), reply.run) == (502, "target-failed", "maybe")
+    assert sum(fleet.dispatches()[f"high.{reply.id}"] for _ in range(1)) == 1
+    time.sleep(2.5)
+
+
+def test_a_request_that_crashes_targets_is_stopped(fleet, caller):
+    crashed = 0
+    last = None
+    for _ in range(8):
+        last = caller.complete(completion("CRASH-TARGET", 5), 8000)
+        dead = [n for n in fleet.engines if not fleet.processes[n].alive()]
+        crashed += len(dead)
+        _revive(fleet)
+        time.sleep(1.2)
+        if last.problem() == "suspect-request":
+            break
+    assert (last.problem(), last.run) == ("suspect-request", "no")
+    assert crashed <= 3
+    after = caller.complete(completion("harmless", 5), 8000)
+    assert after.status == 200
+
+
+def test_books_agree_when_engines_crash_under_load(fleet):
+    traffic = Traffic(fleet, senders=3, records=0)
+    try:
+        for name in ("e0", "e1"):
+            traffic.await_more(10, 40)
+            fleet.processes[name].kill()
+            # A dead engine's book is gone with it; what it ran counts as maybe.
+            traffic.await_more(10, 40)
+            fleet.processes[name].start().ready()
+    finally:
+        traffic.stop()
+    assert traffic.faults() == []
+    kinds = Counter(kind for *_, kind in traffic.unanswered())
+    assert set(kinds) <= {"target-failed", "answer-lost"}, kinds
+
+
+def test_a_leaving_target_gets_no_new_work_after_a_few_seconds(fleet):
+    traffic = Traffic(fleet, senders=3, records=0, tokens=5)
+    try:
+        traffic.await_more(20)
+        fleet.list_host("e0", "leaving")
+        time.sleep(4)
+        before = sum(fleet.counts("e0")["dispatches"].values())
+        traffic.await_more(40)
+        after = sum(fleet.counts("e0")["dispatches"].values())
+        fleet.list_host("e0", "live", incarnation="2")
+        wait_until(
+            lambda: sum(fleet.counts("e0")["dispatches"].values()) > after,
+            15,
+            "work for the returned target",
+        )
+    finally:
+        traffic.stop()
+    assert after == before
+    assert traffic.faults() == []
+
+
+def test_a_frozen_engine_costs_its_own_requests_only(fleet):
+    fleet.fault("e0", freeze=(1, 4))
+    traffic = Traffic(fleet, senders=3, records=0, deadline_ms=9000)
+    try:
+        traffic.await_more(100, 40)
+    finally:
+        traffic.stop()
+    assert traffic.faults() == []
+
+
+def test_a_write_whose_answer_never_came_is_not_written_again(fleet, caller):
+    for name in fleet.services:
+        fleet.fault(name, silent=1)
+    first = caller.record("POST", "/ledger/e", b"{}", "silent", deadline_ms=3000)
+    for name in fleet.services:
+        fleet.fault(name, silent=None)
+    again = caller.record("POST", "/ledger/e", b"{}", "silent", deadline_ms=3000)
+    assert first.run == again.run == "maybe"
+    journal = [entry["key"] for n in fleet.services for entry in fleet.journal(n)]
+    assert journal.count("silent") == 1
+
+
+def test_a_worker_that_answers_late_writes_once(fleet, caller):
+    for name in fleet.services:
+        fleet.fault(name, slow=(1.5, 2))
+    first = caller.record("POST", "/ledger/e", b"{}", "late", deadline_ms=6000)
+    again = caller.record("POST", "/ledger/e", b"{}", "late", deadline_ms=6000)
+    assert (first.status, again.status) == (201, 201)
+    assert first.body == again.body
+
+
+def test_work_goes_on_when_nothing_listens_at_a_target(fleet, caller):
+    fleet.processes["e2"].kill()
+    replies = [caller.complete(completion(tokens=3), 5000) for _ in range(10)]
+    fleet.processes["e2"].start().ready()
+    assert {reply.status for reply in replies} == {200}
+
+
+def _move(fleet, name, version, seconds):
+    now = time.time()
+    value = {
+        "model": "drafter",
+        "to": version,
+        "start": now,
+        "finish_by": now + seconds,
+    }
+    steps = [[0, 0.05], [0.2, 0.3], [0.5, 1.0]]
+    fleet.patch(
+        [{"op": "add", "path": f"/moves/{name}", "value": {**value, "steps": steps}}]
+    )
+
+
+def _settled(fleet, name):
+    moves = fleet.operate("GET", "/v1/moves")[1]["moves"]
+    move = next(m for m in moves if m["move"] == name)
+    return move if move["settled"] else None
+
+
+def test_a_version_that_fails_late_is_taken_back_everywhere(fleet):
+    fleet.engine("bad", "a2", version="v9", pace=0.005)
+    fleet.ready()
+    path = "/targets/bad"
+    fleet.patch([{"op": "add", "path": path, "value": fleet.engines["bad"]}])
+    traffic = Traffic(fleet, senders=4, records=0, tokens=5)
+    try:
+        _move(fleet, "late-fault", "v9", 12)
+
+        def share():
+            moves = fleet.operate("GET", "/v1/moves")[1]["moves"]
+            return next(m for m in moves if m["move"] == "late-fault")["share"]
+
+        wait_until(lambda: share() >= 0.3, 12, "a share of 30%")
+        fleet.fault("bad", failing=0.9)
+        move = wait_until(lambda: _settled(fleet, "late-fault"), 20, "the outcome")
+        assert (move["state"], move["to"]) == ("taken-back", "v9")
+        time.sleep(2)
+        before = len(fleet.counts("bad")["dispatches"])
+        traffic.await_more(60)
+        assert len(fleet.counts("bad")["dispatches"]) == before
+    finally:
+        traffic.stop()
+    assert traffic.faults() == []
+    document = fleet.operate("GET", "/v1/config")[1]["document"]
+    assert document["models"]["drafter"]["serving"] == "v1"
