A load benchmark, and lengths that refuse nothing before they are learnt

Change: unknown lengths count as nothing towards refusal, and an idle pool runs one doomed request a second so that estimates gone too high are mended.

--- /dev/null
+++ b/lovagepier/bench/load.py
@@ -0,0 +1,164 @@
+"""Open-loop load: arrivals fixed beforehand, times from the intended send."""
+
+import random
+import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+
+from lovagepier.client import Caller, CallerError
+
+__all__ = ["Mix", "Shot", "Sent", "Tier", "drive", "plan"]
+
+MAX_THREADS = 600
+
+
+@dataclass(slots=True, frozen=True)
+class Tier:
+    """One account's part of the load; `part` is its share of arrivals."""
+
+    account: str
+    key: str
+    name: str
+    part: float
+
+
+@dataclass(slots=True, frozen=True)
+class Mix:
+    """Lengths in tokens and deadlines in milliseconds of short and long work.
+
+    `shared_prompts` is how many prompt beginnings are shared; 0 makes every
+    prompt its own.
+    """
+
+    long_part: float = 0.2
+    short_tokens: int = 10
+    long_tokens: int = 100
+    short_prompt: int = 100
+    long_prompt: int = 600
+    short_deadline_ms: int = 2000
+    long_deadline_ms: int = 6000
+    shared_prompts: int = 0
+    shared_length: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Shot:
+    """One planned request: seconds from the start, and what is sent."""
+
+    at: float
+    tier: Tier
+    route: str
+    tokens: int
+    prompt: str
+    deadline_ms: int
+    shared: int
+
+
+@dataclass(slots=True)
+class Sent:
+    """One sent request; times in seconds from its intended send."""
+
+    shot: Shot
+    status: int = 0
+    run: str = "no"
+    kind: str = ""
+    whole: bool = False
+    first: float | None = None
+    total: float = 0.0
+    started: float = 0.0
+    ended: float = 0.0
+    gaps: list = field(default_factory=list)
+    target: str = ""
+
+    @property
+    def good(self):
+        """Whether the answer was whole and in time."""
+        return self.whole and self.total * 1000 <= self.shot.deadline_ms
+
+
+def plan(tiers, mix, rate, seconds, seed, rate_at=None):
+    """Return the shots of an open-loop load.
+
+    `rate` is requests a second; `rate_at(part)` scales it by the part of
+    the time gone. The same seed gives the same shots.
+    """
+    rng = random.Random(seed)
+    shots = []
+    at = 0.0
+    number = 0
+    while True:
+        scale = rate_at(at / seconds) if rate_at else 1.0
+        at += rng.expovariate(rate * max(scale, 1e-6))
+        if at >= seconds:
+            return shots
+        tier = rng.choices(tiers, [t.part for t in tiers])[0]
+        is_long = rng.random() < mix.long_part
+        shots.append(_shot(rng, mix, at, tier, is_long, number))
+        number += 1
+
+
+def _shot(rng, mix, at, tier, is_long, number):
+    tokens = mix.long_tokens if is_long else mix.short_tokens
+    tokens = max(1, int(tokens * rng.uniform(0.7, 1.3)))
+    length = mix.long_prompt if is_long else mix.short_prompt
+    shared = rng.randrange(mix.shared_prompts) if mix.shared_prompts else -1
+    begin = _words(f"shared{shared} ", mix.shared_length) if shared >= 0 else ""
+    prompt = begin + _words(f"own{number}-{rng.random()} ", length)
+    return Shot(
+        at=at,
+        tier=tier,
+        route="report" if is_long else "note",
+        tokens=tokens,
+        prompt=f"{prompt} [[tokens={tokens}]]",
+        deadline_ms=mix.long_deadline_ms if is_long else mix.short_deadline_ms,
+        shared=shared,
+    )
+
+
+def _words(word, tokens):
+    """Return about `tokens` tokens of text made of one word."""
+    length = tokens * 4
+    return (word * (length // len(word) + 1))[:length]
+
+
+def drive(doors, shots, model="drafter", zone=""):
+    """Send all shots at their times; return [`Sent`] in the same order."""
+    callers = {}
+    for shot in shots:
+        if shot.tier.account not in callers:
+            callers[shot.tier.account] = Caller(doors, shot.tier.key, zone)
+            callers[shot.tier.account].entries()
+    sent = [Sent(shot) for shot in shots]
+    began = time.monotonic() + 0.2
+    with ThreadPoolExecutor(MAX_THREADS) as threads:
+        for item in sent:
+            pause = began + item.shot.at - time.monotonic()
+            if pause > 0:
+                time.sleep(pause)
+            caller = callers[item.shot.tier.account]
+            threads.submit(_fire, caller, item, began, model)
+    return sent
+
+
+def _fire(caller, item, began, model):
+    shot = item.shot
+    fields = {"model": model, "prompt": shot.prompt, "stream": True}
+    intended = began + shot.at
+    item.started = time.monotonic() - began
+    try:
+        reply = caller.complete(fields, shot.deadline_ms, route=shot.route)
+    except CallerError:
+        item.kind = "unreachable"
+        item.total = time.monotonic() - intended
+        return
+    late = item.started - shot.at
+    item.status = reply.status
+    item.run = reply.run
+    item.kind = reply.problem() if reply.status != 200 else ""
+    item.whole = reply.status == 200 and reply.whole
+    item.total = time.monotonic() - intended
+    item.ended = time.monotonic() - began
+    if reply.first_seconds is not None and reply.status == 200:
+        item.first = reply.first_seconds + late
+    item.gaps = reply.gaps
+    item.target = reply.headers.get("X-Target", "")
--- a/lovagepier/decisions/estimates.py
+++ b/lovagepier/decisions/estimates.py
@@ -6,6 +6,7 @@
 _SPEED_GAIN = 0.15
 _MAX_KEYS = 20_000
 _MIN_RATE = 1.0
+MIN_SAMPLES = 3
 
 
 class Mean:
@@ -41,12 +42,21 @@
 
     def expect(self, account, route, limit):
         """Return the expected decode tokens, never above `limit` if given."""
+        value = self._learnt(account, route)
+        if value is None:
+            value = self._default
+        return min(value, limit) if limit else value
+
+    def knows(self, account, route, limit):
+        """Return whether `expect` rests on more than a default."""
+        return bool(limit) or self._learnt(account, route) is not None
+
+    def _learnt(self, account, route):
         for key in ((account, route), ("", route)):
             mean = self._means.get(key)
-            if mean is not None and mean.count >= 3:
-                return min(mean.value, limit) if limit else mean.value
-        guess = self._default
-        return min(guess, limit) if limit else guess
+            if mean is not None and mean.count >= MIN_SAMPLES:
+                return mean.value
+        return None
 
     def typical(self):
         """Return the mean decode length in tokens over all requests."""
--- a/lovagepier/decisions/scheduler.py
+++ b/lovagepier/decisions/scheduler.py
@@ -20,6 +20,7 @@
 FINISHED_KEEP_S = 600.0
 MAX_SET_ASIDE = 8
 DEADLINE_MARGIN_S = 0.02
+EXPLORE_PERIOD_S = 1.0
 
 
 class SchedulerOptions:
@@ -86,6 +87,7 @@
         self._sequence = 0
         self._held_tier = None
         self._held_until = float("-inf")
+        self._explored_at = float("-inf")
 
     # Requests
 
@@ -151,15 +153,41 @@
         work.decode_tokens = self.lengths.expect(
             work.account, work.route, work.max_decode_tokens
         )
-        service = self.fleet.best_service(work) or 0.0
-        margin = DEADLINE_MARGIN_S if self._learned() else 0.0
-        work.latest_start = work.deadline - (service if margin else 0.0) - margin
+        work.latest_start = work.deadline - self._least_seconds(work)
+
+    def _least_seconds(self, work):
+        """Return the seconds that `work` is known to need at the least.
+
+        What has not been learnt counts as nothing: a guess that is too long
+        would refuse all work of its kind and so never be put right.
+        """
+        if not self._learned():
+            return 0.0
+        if not self.lengths.knows(work.account, work.route, work.max_decode_tokens):
+            return DEADLINE_MARGIN_S
+        return (self.fleet.best_service(work) or 0.0) + DEADLINE_MARGIN_S
 
     def _learned(self):
         return any(state.speed.known for state in self.fleet)
 
     def _infeasible(self, work, now):
-        return work.latest_start < now
+        if work.latest_start >= now:
+            return False
+        if work.deadline <= now or not self._may_explore(now):
+            return True
+        work.latest_start = work.deadline
+        return False
+
+    def _may_explore(self, now):
+        """Return whether doomed work may run on an idle pool, once a while.
+
+        Estimates that have gone too high are put right by running work.
+        """
+        idle = not self._running and not len(self.waiting)
+        if not idle or now - self._explored_at < EXPLORE_PERIOD_S:
+            return False
+        self._explored_at = now
+        return True
 
     def withdraw(self, request_id, now):
         """Forget waiting work whose caller went away; return whether it waited."""
