Placement waits shortly for a cached prefix; evictions mend lost events

Cause: in the prefix scenario cold requests spread over all engines, each copying the shared beginning, until caches thrashed; lost eviction events left blocks believed for good. Change: work waits up to half a second for a full target that holds its prefix, a prefill counts for those it delays, and an eviction takes with it all that was used before the evicted block.

--- a/lovagepier/bench/scenarios.py
+++ b/lovagepier/bench/scenarios.py
@@ -77,7 +77,7 @@
         EngineSpec("a2", 0.02, 10_000, lag=2.0),
         EngineSpec("a2", 0.02, 10_000, lag=2.0),
     )
-    return Scenario("unlike", engines=engines, rate=100.0)
+    return Scenario("unlike", engines=engines, rate=125.0)
 
 
 @scenario("prefix")
--- a/lovagepier/decisions/policies.py
+++ b/lovagepier/decisions/policies.py
@@ -6,6 +6,10 @@
 
 CONSIDERED = 8
 MAX_AFFINITY_GAIN_S = 0.5
+MIN_AFFINITY_GAIN_S = 0.05
+AFFINITY_PATIENCE = 3.0
+MAX_AFFINITY_WAIT_S = 0.5
+MAX_DELAYED = 4
 ZONE_COST_S = 0.001
 
 
@@ -102,12 +106,19 @@
     sheds = True
 
     def choose(self, fleet, version, work, prefixes, now, rng):
-        """Pick the least expected finish time."""
+        """Pick the least expected finish time, or wait for a cached prefix.
+
+        `work.awaits_cache` tells that a target without a free slot holds so
+        much of the prompt that a short wait costs less than a prefill.
+        """
+        work.awaits_cache = False
         best = None
+        held = 0.0
         for state, hit in self._considered(fleet, version, work, prefixes):
             if state.name in work.exclude or not state.takes_work(now):
                 continue
             if not state.room(extra=1 if work.tier == 0 else 0):
+                held = max(held, hit / state.speed.prefill_rate)
                 continue
             cost = self._cost(state, hit, work)
             if best is None or cost < best[0]:
@@ -115,13 +126,25 @@
         if best is None:
             return None
         cost, state, hit = best
+        saved = held - hit / state.speed.prefill_rate
+        if saved >= MIN_AFFINITY_GAIN_S and self._can_wait(work, saved, now):
+            work.awaits_cache = True
+            return None
         return state, hit, f"finishes in {cost:.3f} s, {hit} tokens cached"
 
+    def _can_wait(self, work, saved, now):
+        if now - work.arrived >= min(saved * AFFINITY_PATIENCE, MAX_AFFINITY_WAIT_S):
+            return False
+        return work.latest_start - now > MAX_AFFINITY_WAIT_S
+
     def _cost(self, state, hit, work):
         saved = hit / state.speed.prefill_rate
         # The cap keeps a popular prefix from making one target hot.
         capped = hit * min(1.0, MAX_AFFINITY_GAIN_S / saved) if saved else 0
         cost = state.finish_seconds(work, capped)
+        # A prefill delays those that wait behind it on the same target.
+        prefill = max(work.prefill_tokens - hit, 0) / state.speed.prefill_rate
+        cost += prefill * min(len(state.running), MAX_DELAYED)
         return cost + (ZONE_COST_S if state.zone != work.zone else 0.0)
 
     def _considered(self, fleet, version, work, prefixes):
--- a/lovagepier/decisions/prefixes.py
+++ b/lovagepier/decisions/prefixes.py
@@ -4,13 +4,38 @@
 
 __all__ = ["PrefixIndex"]
 
+RECENT_PART = 0.5
+
+
+class _Held:
+    """The blocks one target is believed to hold, least recently used first."""
+
+    __slots__ = ("blocks", "clock")
+
+    def __init__(self):
+        self.blocks = OrderedDict()
+        self.clock = 0
+
+    def touch(self, block):
+        self.clock += 1
+        self.blocks[block] = self.clock
+        self.blocks.move_to_end(block)
+
+    def is_recent(self, block):
+        """Return whether a block was used later than most of the others."""
+        oldest = next(iter(self.blocks.values()))
+        edge = oldest + (self.clock - oldest) * RECENT_PART
+        return self.blocks[block] > edge
+
 
 class PrefixIndex:
     """A bounded guess of the prompt blocks each target holds.
 
     A grant counts as a cache entry at once; cache events add and remove.
-    Events come late and with gaps, so every entry also ages out by the
-    bound on blocks per target, oldest first.
+    Events come late and with gaps. Targets evict what was used least
+    recently, so an evicted block takes with it all that was used before it:
+    that mends the gaps. An event about a block used lately is late news and
+    is ignored.
     """
 
     __slots__ = ("_blocks_per_target", "_by_target", "_holders")
@@ -22,14 +47,14 @@
 
     def add(self, target, blocks):
         """Note that `target` holds `blocks`, most recently used last."""
-        held = self._by_target.setdefault(target, OrderedDict())
+        if not blocks:
+            return
+        held = self._by_target.setdefault(target, _Held())
         for block in blocks:
-            held[block] = None
-            held.move_to_end(block)
+            held.touch(block)
             self._holders.setdefault(block, set()).add(target)
-        while len(held) > self._blocks_per_target:
-            oldest, _ = held.popitem(last=False)
-            self._unlink(target, oldest)
+        while len(held.blocks) > self._blocks_per_target:
+            self._drop_oldest(target, held)
 
     def remove(self, target, blocks):
         """Note that `target` evicted `blocks`."""
@@ -37,17 +62,21 @@
         if held is None:
             return
         for block in blocks:
-            if held.pop(block, self) is None:
-                self._unlink(target, block)
+            if block not in held.blocks or held.is_recent(block):
+                continue
+            while self._drop_oldest(target, held) != block:
+                pass
 
     def forget(self, target):
         """Drop all that is known of `target`, after a restart or a gap."""
-        for block in self._by_target.pop(target, ()):
+        held = self._by_target.pop(target, None)
+        for block in held.blocks if held else ():
             self._unlink(target, block)
 
-    def resize(self, blocks_per_target):
-        """Set how many blocks a target is believed to hold."""
-        self._blocks_per_target = blocks_per_target
+    def _drop_oldest(self, target, held):
+        block, _ = held.blocks.popitem(last=False)
+        self._unlink(target, block)
+        return block
 
     def _unlink(self, target, block):
         holders = self._holders.get(block)
--- a/lovagepier/decisions/scheduler.py
+++ b/lovagepier/decisions/scheduler.py
@@ -18,7 +18,7 @@
 
 SHED_HOLD_S = 1.0
 FINISHED_KEEP_S = 600.0
-MAX_SET_ASIDE = 8
+MAX_SET_ASIDE = 4
 DEADLINE_MARGIN_S = 0.02
 EXPLORE_PERIOD_S = 1.0
 
@@ -232,45 +232,30 @@
 
     def _drain(self, now):
         decisions = self._expire(now)
-        aside = 0
-        while True:
-            started, skipped = self._start_next(now, aside)
+        while len(self.waiting):
+            started = self._start_next(now)
             if started is None:
                 break
             decisions.append(started)
-            aside = skipped
         return decisions
 
-    def _start_next(self, now, aside):
-        top = self.waiting.highest_waiting_tier()
-        for work in self.waiting.candidates():
-            if self._held(work, now):
-                return None, aside
-            # Lower work may pass higher work only where constraints, not
-            # room, keep the higher work from starting.
-            if work.tier != top and not self._constrained_top(top):
-                return None, aside
+    def _start_next(self, now):
+        for number, work in enumerate(self.waiting.candidates()):
+            if number >= MAX_SET_ASIDE or self._held(work, now):
+                return None
             grant = self._place(work, now)
             if grant is not None:
                 self.waiting.take(work, self._cost(work, grant))
-                return grant, aside
-            aside += 1
-            if aside >= MAX_SET_ASIDE:
-                return None, aside
-            if not self._constrained(work):
-                return None, aside
-        return None, aside
-
-    def _constrained(self, work):
-        return bool(work.exclude) or self.strikes.is_suspect(work.fingerprint)
-
-    def _constrained_top(self, top):
-        for work in self.waiting.candidates():
-            if work.tier != top:
-                return True
-            if not self._constrained(work):
-                return False
-        return True
+                return grant
+            # Others may pass only work that something but room holds back.
+            if not self._may_be_passed(work):
+                return None
+        return None
+
+    def _may_be_passed(self, work):
+        if work.exclude or work.awaits_cache:
+            return True
+        return self.strikes.is_suspect(work.fingerprint)
 
     def _cost(self, work, grant):
         state = self.fleet.get(grant.target)
@@ -290,6 +275,8 @@
             chosen = self.policy.choose(
                 self.fleet, version, work, self.prefixes, now, self._rng
             )
+            if work.awaits_cache:
+                return None
             if chosen is not None:
                 state, hit, why = chosen
                 return self._start(work, state, hit, why, now)
--- a/lovagepier/decisions/waiting.py
+++ b/lovagepier/decisions/waiting.py
@@ -112,10 +112,19 @@
             del tier.accounts[account.name]
 
     def candidates(self):
-        """Yield waiting work in service order without taking it out."""
+        """Yield waiting work in service order without taking it out.
+
+        First the head of each account, then each second one, and so on: all
+        of a tier before any of the next.
+        """
         for tier in self._tiers:
-            for _, name in tier.order:
-                yield tier.accounts[name].works[0]
+            accounts = [tier.accounts[name] for _, name in tier.order]
+            depth = 0
+            while accounts:
+                for account in accounts:
+                    yield account.works[depth]
+                depth += 1
+                accounts = [a for a in accounts if len(a.works) > depth]
 
     def take(self, work, cost):
         """Take out `work` for service and charge its account `cost` seconds."""
--- a/lovagepier/decisions/work.py
+++ b/lovagepier/decisions/work.py
@@ -35,6 +35,7 @@
     decode_tokens: float = 0.0
     latest_start: float = 0.0
     sequence: int = 0
+    awaits_cache: bool = False
 
 
 @dataclass(slots=True)
--- a/test/test_small_decisions.py
+++ b/test/test_small_decisions.py
@@ -70,16 +70,45 @@
     assert index.hits(wanted).get("e1", 0) == depth
 
 
-def test_evicted_and_forgotten_blocks_are_no_hits():
+def test_blocks_past_the_bound_and_forgotten_ones_are_no_hits():
     index = PrefixIndex(blocks_per_target=3)
     index.add("e1", [1, 2, 3, 4])
     assert index.hits([1]) == {}
-    index.remove("e1", [2])
-    assert index.hits([2]) == {}
+    assert index.hits([2, 3, 4]) == {"e1": 3}
     index.forget("e1")
     assert index.hits([3]) == {}
 
 
+def test_an_eviction_takes_what_was_used_before_it():
+    index = PrefixIndex()
+    index.add("e1", range(10))
+    index.remove("e1", [3])
+    assert all(index.hits([block]) == {} for block in range(4))
+    assert index.hits([4]) == {"e1": 1}
+
+
+def test_late_news_of_a_block_used_since_is_ignored():
+    index = PrefixIndex()
+    index.add("e1", range(10))
+    index.add("e1", [0])
+    index.remove("e1", [0])
+    assert index.hits([0]) == {"e1": 1}
+
+
+@given(
+    st.lists(
+        st.tuples(st.booleans(), st.lists(st.integers(0, 12), max_size=6)), max_size=30
+    )
+)
+def test_holders_and_held_blocks_agree(steps):
+    index = PrefixIndex(blocks_per_target=8)
+    for adds, blocks in steps:
+        (index.add if adds else index.remove)("e1", blocks)
+    held = index._by_target["e1"].blocks if "e1" in index._by_target else {}
+    assert set(held) == set(index._holders)
+    assert len(held) <= 8
+
+
 @given(st.integers(0, 500), st.integers(0, 500))
 def test_retries_stay_a_share_of_first_tries(firsts, wanted):
     budget = RetryBudget(ratio=0.1, floor_rate=0.0, most=50.0)
