Cheaper placement decisions

Cause: profile of offers: a scan of all targets for learnt speeds, a list of all accounts and 16 cost evaluations a decision. Change: learnt state is kept, heads are walked lazily, 4 likeliest and 8 holders are weighed.

--- a/lovagepier/decisions/estimates.py
+++ b/lovagepier/decisions/estimates.py
@@ -7,6 +7,7 @@
 _MAX_KEYS = 20_000
 _MIN_RATE = 1.0
 MIN_SAMPLES = 3
+MIN_PREFILL_TOKENS = 32
 
 
 class Mean:
@@ -78,43 +79,35 @@
     """Prefill rate and decode pace of one target.
 
     `prefill_rate` is tokens a second with the target otherwise idle;
-    `token_seconds` is the pace of one stream at its usual batch.
+    `token_seconds` is the pace of one stream at its usual batch; `known`
+    tells whether at least one whole outcome has been folded in.
     """
 
-    __slots__ = ("_pace", "_rate")
+    __slots__ = ("_pace", "_rate", "known", "prefill_rate", "token_seconds")
 
     def __init__(self, prefill_rate=4000.0, token_seconds=0.02):
         self._rate = Mean(prefill_rate, _SPEED_GAIN)
         self._pace = Mean(token_seconds, _SPEED_GAIN)
-
-    @property
-    def prefill_rate(self):
-        """Prefill tokens a second."""
-        return max(self._rate.value, _MIN_RATE)
-
-    @property
-    def token_seconds(self):
-        """Seconds between two tokens of one stream."""
-        return self._pace.value
-
-    @property
-    def known(self):
-        """Whether at least one whole outcome has been folded in."""
-        return self._pace.count > 0
+        self.prefill_rate = prefill_rate
+        self.token_seconds = token_seconds
+        self.known = False
 
     def learn_prefill(self, tokens, seconds):
         """Fold in a prefill of `tokens` that took `seconds`."""
-        if tokens >= 32 and seconds > 0:
+        if tokens >= MIN_PREFILL_TOKENS and seconds > 0:
             self._rate.add(tokens / seconds)
+            self.prefill_rate = max(self._rate.value, _MIN_RATE)
 
     def learn_decode(self, tokens, seconds):
         """Fold in `tokens` decoded over `seconds`."""
         if tokens >= 2 and seconds >= 0:
-            self._pace.add(seconds / (tokens - 1))
+            self.learn_whole(seconds / (tokens - 1))
 
     def learn_whole(self, seconds):
         """Fold in a call that counts as one token, such as a look-up."""
         self._pace.add(seconds)
+        self.token_seconds = self._pace.value
+        self.known = True
 
     def service_seconds(self, prefill_tokens, decode_tokens):
         """Return the expected seconds of one request on a free slot."""
--- a/lovagepier/decisions/fleet.py
+++ b/lovagepier/decisions/fleet.py
@@ -82,9 +82,8 @@
 
     def finish_seconds(self, work, hit_tokens):
         """Return the expected seconds until `work` would be whole."""
-        prefill = max(work.prefill_tokens - hit_tokens, 0)
-        service = self.speed.service_seconds(prefill, work.decode_tokens)
-        return self.wait_seconds() + service
+        prefill = self.queued_prefill + work.prefill_tokens - hit_tokens
+        return self.speed.service_seconds(prefill, work.decode_tokens)
 
     def start(self, work, hit_tokens):
         """Count `work` as running here."""
--- a/lovagepier/decisions/policies.py
+++ b/lovagepier/decisions/policies.py
@@ -4,7 +4,7 @@
 
 POLICIES = {}
 
-CONSIDERED = 8
+CONSIDERED = 4
 MAX_AFFINITY_GAIN_S = 0.5
 MIN_AFFINITY_GAIN_S = 0.05
 AFFINITY_PATIENCE = 3.0
@@ -138,28 +138,27 @@
         return work.latest_start - now > MAX_AFFINITY_WAIT_S
 
     def _cost(self, state, hit, work):
-        saved = hit / state.speed.prefill_rate
+        rate = state.speed.prefill_rate
         # The cap keeps a popular prefix from making one target hot.
-        capped = hit * min(1.0, MAX_AFFINITY_GAIN_S / saved) if saved else 0
+        capped = min(hit, MAX_AFFINITY_GAIN_S * rate)
         cost = state.finish_seconds(work, capped)
         # A prefill delays those that wait behind it on the same target.
-        prefill = max(work.prefill_tokens - hit, 0) / state.speed.prefill_rate
-        cost += prefill * min(len(state.running), MAX_DELAYED)
-        return cost + (ZONE_COST_S if state.zone != work.zone else 0.0)
+        delayed = min(len(state.running), MAX_DELAYED)
+        cost += (work.prefill_tokens - hit) / rate * delayed
+        return cost if state.zone == work.zone else cost + ZONE_COST_S
 
     def _considered(self, fleet, version, work, prefixes):
-        seen = set()
-        hits = prefixes.hits(work.blocks) if work.blocks else {}
-        per_block = work.prefill_tokens / len(work.blocks) if work.blocks else 0
-        longest = sorted(hits, key=lambda name: -hits[name])[:CONSIDERED]
-        for name in longest:
-            state = fleet.get(name)
-            if state is not None and state.version == version:
-                seen.add(name)
-                yield state, int(hits[name] * per_block)
+        """Yield (target, hit tokens): cache holders, then the likeliest."""
+        hits = prefixes.hits(work.blocks)
+        if hits:
+            per_block = work.prefill_tokens / len(work.blocks)
+            for name, depth in hits.items():
+                state = fleet.get(name)
+                if state is not None and state.version == version:
+                    yield state, int(depth * per_block)
         for state in fleet.likeliest(version, CONSIDERED):
-            if state.name not in seen:
-                yield state, int(hits.get(state.name, 0) * per_block)
+            if state.name not in hits:
+                yield state, 0
 
 
 @policy("random-queued")
--- a/lovagepier/decisions/prefixes.py
+++ b/lovagepier/decisions/prefixes.py
@@ -1,10 +1,12 @@
 """Where prompt prefixes are probably cached, from grants and late events."""
 
 from collections import OrderedDict
+from itertools import islice
 
 __all__ = ["PrefixIndex"]
 
 RECENT_PART = 0.5
+MAX_HOLDERS = 8
 
 
 class _Held:
@@ -87,16 +89,23 @@
             del self._holders[block]
 
     def hits(self, blocks):
-        """Return {target: leading blocks held} for targets with any.
+        """Return {target: leading blocks held} for some targets with any.
 
-        Work is bounded by the length of the longest match.
+        At most MAX_HOLDERS targets that hold the first block are looked at,
+        so the work does not grow with the pool.
         """
+        if not blocks:
+            return {}
+        first = self._holders.get(blocks[0])
+        if not first:
+            return {}
         found = {}
-        for depth, block in enumerate(blocks, start=1):
-            holders = self._holders.get(block)
-            if not holders:
-                break
-            for target in holders:
-                if found.get(target, 0) == depth - 1:
-                    found[target] = depth
+        for target in islice(first, MAX_HOLDERS):
+            held = self._by_target[target].blocks
+            depth = 1
+            for block in islice(blocks, 1, None):
+                if block not in held:
+                    break
+                depth += 1
+            found[target] = depth
         return found
--- a/lovagepier/decisions/scheduler.py
+++ b/lovagepier/decisions/scheduler.py
@@ -88,6 +88,7 @@
         self._held_tier = None
         self._held_until = float("-inf")
         self._explored_at = float("-inf")
+        self._has_learnt = False
 
     # Requests
 
@@ -161,15 +162,12 @@
         What has not been learnt counts as nothing: a guess that is too long
         would refuse all work of its kind and so never be put right.
         """
-        if not self._learned():
+        if not self._has_learnt:
             return 0.0
         if not self.lengths.knows(work.account, work.route, work.max_decode_tokens):
             return DEADLINE_MARGIN_S
         return (self.fleet.best_service(work) or 0.0) + DEADLINE_MARGIN_S
 
-    def _learned(self):
-        return any(state.speed.known for state in self.fleet)
-
     def _infeasible(self, work, now):
         if work.latest_start >= now:
             return False
@@ -387,6 +385,7 @@
     def _learn_lengths(self, state, work, outcome):
         if outcome.first_seconds is None or outcome.total_seconds is None:
             return
+        self._has_learnt = True
         if work.max_decode_tokens == 1:
             state.speed.learn_whole(outcome.total_seconds)
             return
--- a/lovagepier/decisions/waiting.py
+++ b/lovagepier/decisions/waiting.py
@@ -118,13 +118,17 @@
         of a tier before any of the next.
         """
         for tier in self._tiers:
-            accounts = [tier.accounts[name] for _, name in tier.order]
-            depth = 0
-            while accounts:
-                for account in accounts:
+            deeper = []
+            for _, name in tier.order:
+                account = tier.accounts[name]
+                yield account.works[0]
+                deeper.append(account)
+            depth = 1
+            while deeper:
+                deeper = [a for a in deeper if len(a.works) > depth]
+                for account in deeper:
                     yield account.works[depth]
                 depth += 1
-                accounts = [a for a in accounts if len(a.works) > depth]
 
     def take(self, work, cost):
         """Take out `work` for service and charge its account `cost` seconds."""
