In-flight limits grow by one a first byte until the first queueing

Cause: with 50 streams open an engine of 400 slots was held at a limit that grew by 1/limit a first byte; requests waited at the home. Change: growth by one until the first sign of queueing, as in slow start.

--- a/lovagepier/decisions/limits.py
+++ b/lovagepier/decisions/limits.py
@@ -14,13 +14,15 @@
     Engines admit in arrival order, so a request that waits inside an engine
     can't be overtaken. The limit grows while first bytes come as fast as the
     prefill alone explains, and shrinks, at most once a queueing delay, when
-    they come later.
+    they come later. Until the first sign of queueing it grows by one with
+    each first byte, so that a large target is in full use soon.
     """
 
-    __slots__ = ("_hold_until", "value")
+    __slots__ = ("_hold_until", "_slow_start", "value")
 
     def __init__(self, start=8.0):
         self.value = start
+        self._slow_start = True
         self._hold_until = float("-inf")
 
     def room(self, in_flight, reserve=0):
@@ -31,8 +33,10 @@
         """Fold in `waited` seconds in the target's queue before prefill."""
         if waited <= _QUEUE_TOLERANCE_S:
             if in_flight >= self.value - 1:
-                self.value = min(self.value + 1.0 / self.value, _MAX_LIMIT)
+                step = 1.0 if self._slow_start else 1.0 / self.value
+                self.value = min(self.value + step, _MAX_LIMIT)
             return
+        self._slow_start = False
         if now < self._hold_until:
             return
         self.value = max(self.value * _BACKOFF, _MIN_LIMIT)
@@ -41,6 +45,7 @@
     def on_report(self, running, waiting, now):
         """Fold in a load report: a target that queues runs at its capacity."""
         if waiting > 0 and running > 0 and running < self.value:
+            self._slow_start = False
             ceiling = running + 1.0
             self.value = max(min(self.value, ceiling), _MIN_LIMIT)
             self._hold_until = max(self._hold_until, now)
--- /dev/null
+++ b/trials/overhead.py
@@ -0,0 +1,102 @@
+"""What a node adds to the first byte, and whether its memory stays flat."""
+
+import argparse
+import json
+import sys
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+from lovagepier.client import Caller
+from trials.cluster import Cluster
+
+__all__ = ["main"]
+
+OPEN_STREAMS = 50
+RATE = 100.0
+PAGE_KB = 4
+
+
+def _fields(tokens):
+    return {"model": "drafter", "prompt": f"x [[tokens={tokens}]]", "stream": True}
+
+
+def _resident_kb(process):
+    pages = int(Path(f"/proc/{process.pid}/statm").read_text().split()[1])
+    return pages * PAGE_KB
+
+
+def _shoot(caller, count, rate):
+    """Send `count` short requests at `rate`; return sorted first-byte times."""
+    times = []
+    began = time.monotonic() + 0.1
+
+    def one(number):
+        intended = began + number / rate
+        time.sleep(max(0.0, intended - time.monotonic()))
+        late = time.monotonic() - intended
+        reply = caller.complete(_fields(3), 20_000)
+        if reply.status == 200:
+            times.append(reply.first_seconds + late)
+
+    with ThreadPoolExecutor(32) as threads:
+        list(threads.map(one, range(count)))
+    return sorted(times)
+
+
+def _hold_streams(caller, count, seconds, pace):
+    tokens = int(seconds / pace)
+    for _ in range(count):
+        threading.Thread(
+            target=caller.complete, args=(_fields(tokens), 110_000), daemon=True
+        ).start()
+
+
+def _quantiles(times):
+    return {
+        name: round(times[int(len(times) * part)] * 1000, 2)
+        for name, part in (("p50_ms", 0.5), ("p95_ms", 0.95), ("p99_ms", 0.99))
+    }
+
+
+def main(argv=None):
+    """Print the first byte direct and through a node, and memory over time."""
+    parser = argparse.ArgumentParser(prog="scripts/overhead", description=__doc__)
+    parser.add_argument("--count", type=int, default=1000, help="requests a run")
+    parser.add_argument("--flat", type=int, default=0, help="requests to check memory")
+    args = parser.parse_args(argv)
+    pace = 0.05
+    with Cluster(zones={"a1": "west"}, callers_threads=300) as cluster:
+        cluster.platform()
+        cluster.engine("e0", "a1", slots=400, prefill=1e6, pace=pace / 5, threads=400)
+        key = cluster.account("blue", "urgent")
+        node = cluster.node("n0", "a1")
+        cluster.await_members(1)
+        cluster.configure()
+        through = Caller([node.url], key, pinned=True)
+        direct = Caller([cluster.processes["e0"].url], key, pinned=True)
+        _shoot(through, 100, 50)
+        found = {}
+        seconds = 2 * args.count / RATE + 10
+        _hold_streams(through, OPEN_STREAMS, seconds, pace)
+        time.sleep(1)
+        for name, caller in (("direct", direct), ("node", through)):
+            found[name] = _quantiles(_shoot(caller, args.count, RATE))
+        found["added_p50_ms"] = round(
+            found["node"]["p50_ms"] - found["direct"]["p50_ms"], 2
+        )
+        found["added_p99_ms"] = round(
+            found["node"]["p99_ms"] - found["direct"]["p99_ms"], 2
+        )
+        if args.flat:
+            found["memory_kb"] = [_resident_kb(node)]
+            for _ in range(4):
+                _shoot(through, args.flat // 4, 200.0)
+                found["memory_kb"].append(_resident_kb(node))
+        print(json.dumps(found, indent=2))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
