--- /dev/null
+++ b/lovagepier/commands/_bench.py
@@ -0,0 +1,69 @@
+"""`bench`: send an open-loop load to a running fleet and measure it."""
+
+from lovagepier.bench.load import Tier, drive, plan
+from lovagepier.bench.measures import measures
+from lovagepier.bench.scenarios import SCENARIOS
+from lovagepier.client import CallerError
+from lovagepier.commands._client import print_json
+from lovagepier.commands._registry import Command, command
+from lovagepier.errors import UserError
+
+__all__ = ["BenchCommand"]
+
+
+@command("bench")
+class BenchCommand(Command):
+    """Drive a running fleet with a scenario's load."""
+
+    help = "Send a scenario's load to a running fleet and print what came of it."
+    examples = (
+        "examples:\n"
+        "  lovagepier bench steady --door URL \\\n"
+        "      --account urgent=KEY --account batch=KEY --model drafter\n\n"
+        "scripts/bench starts a fleet of its own and compares policies."
+    )
+
+    def add_options(self, parser):
+        """Add the scenario, the fleet and the accounts."""
+        add = parser.add_argument
+        add("scenario", choices=sorted(SCENARIOS))
+        add("--door", action="append", required=True, help="URL of an entry host")
+        add(
+            "--account",
+            action="append",
+            required=True,
+            metavar="TIER=KEY",
+            help="a caller's key and the tier it is counted under",
+        )
+        add("--model", required=True)
+        add("--rate", type=float, help="requests a second; default: the scenario's")
+        add("--seconds", type=float, default=20.0)
+        add("--seed", type=int, default=1)
+        add("--json", action="store_true", help="print JSON")
+
+    def run(self, args):
+        """Drive and print; return 0 whatever the figures are."""
+        made = SCENARIOS[args.scenario]()
+        tiers = [self._tier(text, len(args.account)) for text in args.account]
+        rate = args.rate or made.rate
+        shots = plan(tiers, made.mix, rate, args.seconds, args.seed, made.rate_at)
+        try:
+            sent = drive(args.door, shots, args.model)
+        except CallerError as exc:
+            raise UserError(str(exc))
+        found = measures(sent, [])
+        if args.json:
+            print_json(found)
+            return 0
+        print(f"goodput {found['goodput']:.3f} of {found['sent']} requests")
+        for name, value in found["goodput_by_tier"].items():
+            print(f"  {name}: {value:.3f}")
+        print(f"first token p95 {found['first_token_s']['p95']:.3f} s")
+        print(f"not good: {found['not_good']}")
+        return 0
+
+    def _tier(self, text, count):
+        name, found, key = text.partition("=")
+        if not found or not key:
+            raise UserError(f"--account {text!r} is not TIER=KEY")
+        return Tier(f"{name}-{key[:4]}", key, name, 1.0 / count)
--- a/lovagepier/commands/_main.py
+++ b/lovagepier/commands/_main.py
@@ -5,6 +5,7 @@
 
 from lovagepier import __version__
 from lovagepier.commands import (  # noqa: F401  each registers itself
+    _bench,
     _config,
     _move,
     _node,
--- a/lovagepier/node/_node.py
+++ b/lovagepier/node/_node.py
@@ -18,6 +18,7 @@
 from lovagepier.node._members import Leave, MembersActor, PeerMessage
 from lovagepier.node._metrics import Metrics
 from lovagepier.node._moves import MovesActor, Observed
+from lovagepier.node._orders import Orders
 from lovagepier.node._permits import Permits
 from lovagepier.node._pool import (
     Asked,
@@ -83,6 +84,7 @@
         self.links = Links(cfg, self._on_peer_message)
         self.targets = TargetReader(self)
         self.settlements = Settlements(self)
+        self.orders = Orders(self)
         self._watcher = ConfigWatcher(self)
         self._log = part_log("node")
         self._epochs = itertools.count(1)
@@ -117,6 +119,7 @@
         self._watcher.start()
         self.targets.start()
         self.settlements.start()
+        self.orders.start()
         threading.Thread(target=self._tick, name="ticks", daemon=True).start()
         self.timeline.add("node", "started", boot=self.boot)
         self._log.info("the node runs", node=self.cfg.node_name, boot=self.boot)
--- a/lovagepier/standins/_engine.py
+++ b/lovagepier/standins/_engine.py
@@ -40,8 +40,10 @@
         self._sequences = OrderedDict()
         self._dispatches = {}
         self._fence = 0
-        self._loaded = {options.version}
+        self._loaded = set() if options.unloaded else {options.version}
         self._orders = []
+        self._ordering = 0
+        self._overlapped = 0
         self._reports = deque(maxlen=256)
         self._lock = threading.Lock()
         threading.Thread(target=self._batch.run, daemon=True).start()
@@ -82,6 +84,8 @@
             self._crash()
         fields = request.json(MAX_BODY_BYTES)
         request_id = request.header("X-Request-Id") or uuid.uuid4().hex
+        if not self._loaded:
+            return json_response({"error": {"message": "no weights"}}, status=503)
         with self._lock:
             self._dispatches[request_id] = self._dispatches.get(request_id, 0) + 1
         if self._fails(request.header("X-Route")):
@@ -150,6 +154,15 @@
                 return json_response({"error": {"message": "old fence"}}, status=409)
             self._fence = max(self._fence, fence)
             self._orders.append({**order, "at": time.time()})
+            self._ordering += 1
+            self._overlapped = max(self._overlapped, self._ordering)
+        try:
+            return self._carry_out(order)
+        finally:
+            with self._lock:
+                self._ordering -= 1
+
+    def _carry_out(self, order):
         if order.get("order") == "load" and self.options.weights:
             model, version = order["model"], order["version"]
             url = f"{self.options.weights}/weights/{model}/{version}"
@@ -185,6 +198,7 @@
         return {
             "dispatches": dispatches,
             "orders": orders,
+            "orders_at_once": self._overlapped,
             "version": self.options.version,
             **self._batch.counts(),
         }
@@ -200,5 +214,6 @@
         add("--cache-blocks", type=int, default=2000, help="prefix blocks kept")
         add("--lag", type=float, default=1.0, help="seconds the load report lags")
         add("--fenced", action="store_true", help="refuse old fencing numbers")
+        add("--unloaded", action="store_true", help="start without its weights")
         add("--weights", default="", help="URL of the weight store")
         add("--seed", type=int, default=1, help="seed of its randomness")
--- a/test/test_kills.py
+++ b/test/test_kills.py
@@ -68,6 +68,8 @@
 
 
 def test_a_rolling_replacement_cuts_nothing(fleet):
+    # Longer than callers keep entries and than the server's own patience.
+    long_streams = streams(fleet, 3, tokens=800)
     traffic = Traffic(fleet, senders=2, tokens=100)
     try:
         traffic.await_more(10)
@@ -86,3 +88,6 @@
     assert traffic.unanswered() == []
     # No connection was cut: nothing had to be sent a second time.
     assert {reply.attempts for _, reply in traffic.replies} == {1}
+    for fut in long_streams:
+        reply = fut.result(60)
+        assert (reply.status, reply.whole, reply.attempts) == (200, True, 1)
--- a/trials/cluster.py
+++ b/trials/cluster.py
@@ -165,11 +165,11 @@
                 args += [flag, str(value)]
         return self._add(name, args, port)
 
-    def platform(self, **kv_options):
+    def platform(self, weights=(), rate=1e9, **kv_options):
         """Start the platform's stand-ins."""
         self.standin("kv", **kv_options)
         self.standin("hosts", lag=1.0)
-        self.standin("weights")
+        self.standin("weights", rate=rate, weights=list(weights))
         self.ready()
 
     def ready(self):
