--- a/lovagepier/bench/capacity.py
+++ b/lovagepier/bench/capacity.py
@@ -6,7 +6,7 @@
 import time
 import tracemalloc
 import zlib
-from dataclasses import asdict, dataclass
+from dataclasses import astuple, dataclass
 
 from lovagepier.config import ConfigRecord, ConfigView, check_document, empty_document
 from lovagepier.decisions.claims import Shard
@@ -22,7 +22,7 @@
 from lovagepier.decisions.prefixes import PrefixIndex
 from lovagepier.decisions.scheduler import PoolScheduler, SchedulerOptions
 from lovagepier.decisions.work import Outcome, Work
-from lovagepier.node._pool import work_fields
+from lovagepier.node._pool_messages import work_fields
 from lovagepier.peers import encode, messages
 
 __all__ = ["Size", "main", "measure", "work_out"]
@@ -169,11 +169,21 @@
     held, full = _memory(lambda: _fill(_scheduler(targets), works))
     extra = iter([_work(200_000 + number) for number in range(6000)])
     full_seconds = _timed(lambda _: full.offer(next(extra), 1.0), 1000)
-    ask = messages.PoolAsk("drafter", "west", 2.0, True, False, work_fields(works[0]))
+    ask = messages.PoolAsk(
+        "drafter",
+        "west",
+        works[0].id,
+        works[0].tier,
+        works[0].nonce,
+        2.0,
+        True,
+        False,
+        work_fields(works[0]),
+    )
     answer = messages.PoolAnswer(
         "grant", works[0].id, works[0].nonce, "e1", "v1", "n1/abcdef/1"
     )
-    outcome = asdict(Outcome(works[0].id, "e1", "ok", 0.1, 0.5, 50))
+    outcome = list(astuple(Outcome(works[0].id, "e1", "ok", 0.1, 0.5, 50)))
     finished = messages.PoolFinished("drafter", "west", works[0].nonce, outcome)
     first = messages.PoolFirstByte("drafter", "west", works[0].id, 0.1)
     total = sum(len(encode(body)) for body in (ask, answer, finished, first))
--- a/lovagepier/callers/_models.py
+++ b/lovagepier/callers/_models.py
@@ -3,6 +3,7 @@
 import json
 
 from lovagepier.callers._admission import admit, make_work
+from lovagepier.config import DEFAULT_LINK_BURST_BYTES, DEFAULT_LINK_BYTES_PER_S
 from lovagepier.decisions.linkbudget import LinkBudget
 from lovagepier.errors import ErrorKind, RequestError, Run
 from lovagepier.node._exchange import Exchange, Relay
@@ -29,11 +30,8 @@
 
     def __init__(self, node):
         self._node = node
-        limits = node.view.limits
-        self._link = LinkBudget(
-            limits.get("link_bytes_per_second", 1_000_000),
-            limits.get("link_burst_bytes", 2_000_000),
-        )
+        self._link = None
+        self._link_terms = None
 
     def handle(self, request, route):
         """Return the answer to one request."""
@@ -130,13 +128,25 @@
         tokens = work.max_decode_tokens or 200
         return work.body_bytes + tokens * CROSS_ANSWER_BYTES_A_TOKEN
 
+    def _budget(self):
+        """Return this node's part of the region's byte budget for the link."""
+        limits = self._node.view.limits
+        nodes = len(self._node.roster.in_region(self._node.cfg.node_region)) or 1
+        rate = limits.get("link_bytes_per_second", DEFAULT_LINK_BYTES_PER_S)
+        burst = limits.get("link_burst_bytes", DEFAULT_LINK_BURST_BYTES)
+        terms = (rate / nodes, burst / nodes)
+        if terms != self._link_terms:
+            self._link_terms = terms
+            self._link = LinkBudget(*terms)
+        return self._link
+
     def _affordable(self, work):
-        return self._cross_bytes(work) < self._node.view.limits.get(
-            "link_burst_bytes", 2_000_000
-        )
+        self._budget()
+        return self._cross_bytes(work) < self._link_terms[1]
 
     def _spend_link(self, work):
-        return self._link.allow(self._cross_bytes(work), work.tier, self._node.clock())
+        size = self._cross_bytes(work)
+        return self._budget().allow(size, work.tier, self._node.clock())
 
     def _note_cross(self, work, region, refused):
         self._node.metrics.count("cross_region", work.tier)
--- a/lovagepier/config/__init__.py
+++ b/lovagepier/config/__init__.py
@@ -2,9 +2,18 @@
 
 from lovagepier.config._schema import check_document, empty_document
 from lovagepier.config._store import ConfigRecord, ConfigStore, PatchError
-from lovagepier.config._view import Account, ConfigView, Model, Target
+from lovagepier.config._view import (
+    DEFAULT_LINK_BURST_BYTES,
+    DEFAULT_LINK_BYTES_PER_S,
+    Account,
+    ConfigView,
+    Model,
+    Target,
+)
 
 __all__ = [
+    "DEFAULT_LINK_BURST_BYTES",
+    "DEFAULT_LINK_BYTES_PER_S",
     "Account",
     "ConfigRecord",
     "ConfigStore",
--- a/lovagepier/config/_view.py
+++ b/lovagepier/config/_view.py
@@ -4,7 +4,14 @@
 
 from lovagepier.decisions.shares import Move
 
-__all__ = ["Account", "ConfigView", "Model", "Target"]
+__all__ = [
+    "DEFAULT_LINK_BURST_BYTES",
+    "DEFAULT_LINK_BYTES_PER_S",
+    "Account",
+    "ConfigView",
+    "Model",
+    "Target",
+]
 
 DEFAULT_LINK_BYTES_PER_S = 1_000_000
 DEFAULT_LINK_BURST_BYTES = 2_000_000
--- /dev/null
+++ b/lovagepier/decisions/dispatched.py
@@ -0,0 +1,80 @@
+"""The ids a home has granted: those that run, and for a while those that ran."""
+
+from lovagepier.decisions.work import Join, Refusal
+from lovagepier.errors import ErrorKind
+
+__all__ = ["Dispatched", "Running"]
+
+
+class Running:
+    """One granted request that has not been reported back."""
+
+    __slots__ = ("granted_at", "target", "version", "work")
+
+    def __init__(self, work, target, version, granted_at):
+        self.work = work
+        self.target = target
+        self.version = version
+        self.granted_at = granted_at
+
+
+class Dispatched:
+    """Remembers ids so that none is granted twice.
+
+    Finished ids are kept for `keep_seconds`.
+    """
+
+    __slots__ = ("_finished", "_keep_seconds", "_running")
+
+    def __init__(self, keep_seconds):
+        self._keep_seconds = keep_seconds
+        self._running = {}
+        self._finished = {}
+
+    def __contains__(self, request_id):
+        return request_id in self._running or request_id in self._finished
+
+    def __len__(self):
+        return len(self._running)
+
+    def values(self):
+        """Return all `Running` entries."""
+        return self._running.values()
+
+    def get(self, request_id):
+        """Return the `Running` entry of an id, or None."""
+        return self._running.get(request_id)
+
+    def begin(self, work, target, version, now):
+        """Remember a grant."""
+        self._running[work.id] = Running(work, target, version, now)
+
+    def end(self, request_id):
+        """Take out and return the `Running` entry of an id, or None."""
+        return self._running.pop(request_id, None)
+
+    def remember(self, request_id, target, fingerprint, now):
+        """Remember an id that has run, and drop those kept long enough."""
+        self._finished[request_id] = (now, target, fingerprint)
+        oldest = next(iter(self._finished))
+        while now - self._finished[oldest][0] > self._keep_seconds:
+            del self._finished[oldest]
+            oldest = next(iter(self._finished))
+
+    def find(self, work):
+        """Return the `Join` or `Refusal` that a known id gets, or None."""
+        running = self._running.get(work.id)
+        if running is not None:
+            return _join(work, running.work.fingerprint, running.target, False)
+        finished = self._finished.get(work.id)
+        if finished is not None:
+            _, target, fingerprint = finished
+            return _join(work, fingerprint, target, True)
+        return None
+
+
+def _join(work, fingerprint, target, finished):
+    if fingerprint and work.fingerprint and fingerprint != work.fingerprint:
+        why = "the id came before with another body"
+        return Refusal(work, ErrorKind.KEY_REUSED, why, retry_after=0)
+    return Join(work, target, finished)
--- a/lovagepier/decisions/fleet.py
+++ b/lovagepier/decisions/fleet.py
@@ -34,6 +34,7 @@
         "running",
         "speed",
         "tried_at",
+        "vanished",
         "version",
         "zone",
     )
@@ -57,6 +58,7 @@
         self.reported = 0
         self.reported_at = float("-inf")
         self.tried_at = float("-inf")
+        self.vanished = []
         self.key = None
 
     @property
--- a/lovagepier/decisions/scheduler.py
+++ b/lovagepier/decisions/scheduler.py
@@ -1,5 +1,6 @@
 """The decisions of one pool: what starts where, what waits, what is refused."""
 
+from lovagepier.decisions.dispatched import Dispatched
 from lovagepier.decisions.estimates import LengthEstimates
 from lovagepier.decisions.fleet import (
     SLOW_START_LIMIT,
@@ -9,9 +10,10 @@
 from lovagepier.decisions.policies import POLICIES
 from lovagepier.decisions.prefixes import PrefixIndex
 from lovagepier.decisions.retries import RetryBudget
+from lovagepier.decisions.shedding import ShedPause
 from lovagepier.decisions.strikes import Strikes
 from lovagepier.decisions.waiting import WaitingRequests
-from lovagepier.decisions.work import Grant, Join, Refusal
+from lovagepier.decisions.work import Grant, Outcome, Refusal
 from lovagepier.errors import ErrorKind
 
 __all__ = ["PoolScheduler", "SchedulerOptions"]
@@ -22,6 +24,9 @@
 DEADLINE_MARGIN_S = 0.02
 EXPLORE_PERIOD_S = 1.0
 UNTRIED_S = 2.0
+MAX_VANISHED = 64
+VANISHED_S = 5.0
+LOST_AFTER_S = 90.0
 
 
 class SchedulerOptions:
@@ -53,16 +58,6 @@
         self.finished_keep = finished_keep
 
 
-class _Running:
-    __slots__ = ("granted_at", "target", "version", "work")
-
-    def __init__(self, work, target, version, granted_at):
-        self.work = work
-        self.target = target
-        self.version = version
-        self.granted_at = granted_at
-
-
 class PoolScheduler:
     """Waiting requests, targets and running work of one pool.
 
@@ -83,11 +78,9 @@
         self.share = {}
         self.old_version = None
         self._rng = rng
-        self._running = {}
-        self._finished = {}
+        self._dispatched = Dispatched(options.finished_keep)
+        self._pause = ShedPause(options.shed_hold)
         self._sequence = 0
-        self._held_tier = None
-        self._held_until = float("-inf")
         self._explored_at = float("-inf")
         self._has_learnt = False
 
@@ -95,7 +88,7 @@
 
     def offer(self, work, now):
         """Take in one request; return the decisions that follow."""
-        known = self._known(work)
+        known = self._dispatched.find(work)
         if known is not None:
             return [known]
         # Sent again while it waits: the entry node that asked last serves it.
@@ -120,22 +113,6 @@
             decisions.append(self._shed(victim, now, ErrorKind.SHED, "queue full"))
         return decisions + self._drain(now)
 
-    def _known(self, work):
-        running = self._running.get(work.id)
-        if running is not None:
-            return self._join(work, running.work.fingerprint, running.target, False)
-        finished = self._finished.get(work.id)
-        if finished is not None:
-            _, target, fingerprint = finished
-            return self._join(work, fingerprint, target, True)
-        return None
-
-    def _join(self, work, fingerprint, target, finished):
-        if fingerprint and work.fingerprint and fingerprint != work.fingerprint:
-            why = "the id came before with another body"
-            return Refusal(work, ErrorKind.KEY_REUSED, why, retry_after=0)
-        return Join(work, target, finished)
-
     def _refuse_at_once(self, work, now):
         if self.strikes.is_condemned(work.fingerprint):
             why = "targets died each time this body ran"
@@ -182,7 +159,7 @@
 
         Estimates that have gone too high are put right by running work.
         """
-        idle = not self._running and not len(self.waiting)
+        idle = not len(self._dispatched) and not len(self.waiting)
         if not idle or now - self._explored_at < EXPLORE_PERIOD_S:
             return False
         self._explored_at = now
@@ -194,7 +171,7 @@
 
     def look(self, work):
         """Return the `Join` or `Refusal` of an id that is known, or None."""
-        return self._known(work)
+        return self._dispatched.find(work)
 
     # Service
 
@@ -217,18 +194,9 @@
         return decisions
 
     def _shed(self, work, now, kind, why):
-        # Lower tiers pause after a higher one lost work to lack of room.
-        if self._held_tier is None or now >= self._held_until:
-            self._held_tier = work.tier
-        self._held_tier = min(self._held_tier, work.tier)
-        self._held_until = now + self.options.shed_hold
+        self._pause.on_shed(work.tier, now)
         return Refusal(work, kind, why)
 
-    def _held(self, work, now):
-        if self._held_tier is None or now >= self._held_until:
-            return False
-        return work.tier > self._held_tier
-
     def _drain(self, now):
         decisions = self._expire(now)
         while len(self.waiting):
@@ -240,7 +208,7 @@
 
     def _start_next(self, now):
         for number, work in enumerate(self.waiting.candidates()):
-            if number >= MAX_SET_ASIDE or self._held(work, now):
+            if number >= MAX_SET_ASIDE or self._pause.holds(work.tier, now):
                 return None
             grant = self._place(work, now)
             if grant is not None:
@@ -285,7 +253,7 @@
         # Two suspects on one target could not be told apart if it dies.
         return {
             item.target
-            for item in self._running.values()
+            for item in self._dispatched.values()
             if self.strikes.is_suspect(item.work.fingerprint)
         }
 
@@ -321,7 +289,7 @@
         state.start(work, hit)
         state.tried_at = now
         self.fleet.reindex(state)
-        self._running[work.id] = _Running(work, state.name, state.version, now)
+        self._dispatched.begin(work, state.name, state.version, now)
         if work.blocks:
             self.prefixes.add(state.name, work.blocks)
         return Grant(work, state.name, state.version, hit, why)
@@ -330,7 +298,7 @@
 
     def first_byte(self, request_id, seconds, now):
         """Fold in that the first byte came `seconds` after dispatch."""
-        running = self._running.get(request_id)
+        running = self._dispatched.get(request_id)
         if running is None:
             return
         state = self.fleet.get(running.target)
@@ -351,10 +319,12 @@
 
     def finish(self, outcome, now):
         """Fold in one outcome; return the decisions that follow."""
-        running = self._running.pop(outcome.id, None)
+        running = self._dispatched.end(outcome.id)
         if running is None:
             return []
-        self._remember(outcome, running, now)
+        if outcome.status not in ("not-run", "returned"):
+            fingerprint = running.work.fingerprint
+            self._dispatched.remember(outcome.id, running.target, fingerprint, now)
         state = self.fleet.get(running.target)
         if outcome.status == "died" and state is not None and not state.down:
             death_id = f"{state.name}/{state.incarnation}"
@@ -367,25 +337,19 @@
             self.fleet.reindex(state)
         return self._drain(now)
 
-    def _remember(self, outcome, running, now):
-        if outcome.status in ("not-run", "returned"):
-            return
-        self._finished[outcome.id] = (now, running.target, running.work.fingerprint)
-        oldest = next(iter(self._finished))
-        while now - self._finished[oldest][0] > self.options.finished_keep:
-            del self._finished[oldest]
-            oldest = next(iter(self._finished))
-
     def _learn_outcome(self, state, work, outcome, now):
         if outcome.status == "ok":
             state.on_success()
             self.strikes.on_finish(work.fingerprint)
             self._learn_lengths(state, work, outcome)
-        elif outcome.status in ("failed", "not-run"):
+        elif outcome.status in ("failed", "not-run", "vanished"):
             state.on_failure(now)
+        if outcome.status == "vanished":
+            state.vanished = state.vanished[-MAX_VANISHED:]
+            state.vanished.append((work.fingerprint, now))
 
     def _learn_lengths(self, state, work, outcome):
-        if outcome.first_seconds is None or outcome.total_seconds is None:
+        if outcome.total_seconds is None:
             return
         self._has_learnt = True
         if work.max_decode_tokens == 1:
@@ -393,17 +357,20 @@
             return
         if outcome.decode_tokens:
             self.lengths.learn(work.account, work.route, outcome.decode_tokens)
-        decoding = outcome.total_seconds - outcome.first_seconds
+        before = outcome.first_seconds
+        if before is None:
+            before = work.prefill_tokens / state.speed.prefill_rate
+        decoding = max(outcome.total_seconds - before, 0.0)
         state.speed.learn_decode(outcome.decode_tokens, decoding)
 
     def adopt_running(self, work, target, now):
         """Register work another home granted; it is never granted again."""
-        if work.id in self._running or work.id in self._finished:
+        if work.id in self._dispatched:
             return
         self.waiting.remove(work.id)
         state = self.fleet.get(target)
         version = state.version if state else ""
-        self._running[work.id] = _Running(work, target, version, now)
+        self._dispatched.begin(work, target, version, now)
         if state is not None:
             state.start(work, 0)
             self.fleet.reindex(state)
@@ -413,29 +380,38 @@
 
         A request sent again under its id joins the running stream.
         """
-        gone = [w for w in self._all_waiting() if w.entry == entry]
+        gone = [work for work in self.waiting.works() if work.entry == entry]
         for work in gone:
             self.waiting.remove(work.id)
         return len(gone)
 
-    def _all_waiting(self):
-        return list(self.waiting.works())
+    def release_lost(self, dead, now):
+        """Free the slots of work whose outcome can't come any more.
 
-    def running_of(self, entry):
-        """Return the ids granted to an entry node and not reported back."""
-        return [r.work.id for r in self._running.values() if r.work.entry == entry]
+        That is work past its deadline whose entry node is in `dead`, and
+        work so long past it that its outcome must have got lost. The ids
+        stay known, so they are never granted again. Returns the decisions
+        that follow.
+        """
+        decisions = []
+        for item in list(self._dispatched.values()):
+            patience = 0.0 if item.work.entry in dead else LOST_AFTER_S
+            if now >= item.work.deadline + patience:
+                outcome = Outcome(item.work.id, item.target, "lost")
+                decisions += self.finish(outcome, now)
+        return decisions
 
     def find_running(self, request_id):
         """Return (work, target, version) of a running id, or None."""
-        running = self._running.get(request_id)
+        running = self._dispatched.get(request_id)
         if running is None:
             return None
         return running.work, running.target, running.version
 
     def note_dispatched(self, request_id, target, now):
         """Remember that a target was given an id before this home began."""
-        if request_id not in self._running and request_id not in self._finished:
-            self._finished[request_id] = (now, target, "")
+        if request_id not in self._dispatched:
+            self._dispatched.remember(request_id, target, "", now)
 
     def expected_wait(self, tier):
         """Return the expected seconds before new work of a tier starts."""
@@ -452,7 +428,7 @@
 
     def running(self):
         """Return (work, target, version) of all running work."""
-        return [(r.work, r.target, r.version) for r in self._running.values()]
+        return [(r.work, r.target, r.version) for r in self._dispatched.values()]
 
     # Targets
 
@@ -460,7 +436,7 @@
         """Put a target in service or adopt its new version or incarnation."""
         state = self.fleet.get(name)
         if state is None:
-            state = TargetState(name, zone, version, incarnation, self._first_slots())
+            state = TargetState(name, zone, version, incarnation, self.options.slots)
             self.fleet.add(state)
             return self._drain(now)
         if state.incarnation != incarnation and incarnation:
@@ -471,15 +447,21 @@
         self.fleet.reindex(state)
         return self._drain(now)
 
-    def _first_slots(self):
-        return self.options.slots
-
     def _restart(self, state, incarnation):
         state.incarnation = incarnation
         state.leaving = False
         state.limit.value = min(state.limit.value, SLOW_START_LIMIT)
         self.prefixes.forget(state.name)
 
+    def _count_restart(self, state, now):
+        """Count a death that was over before anybody found nothing listening."""
+        lost = [name for name, at in state.vanished if now - at <= VANISHED_S]
+        state.vanished = []
+        if lost and not state.down:
+            running = [work.fingerprint for work in state.running.values()]
+            death_id = f"{state.name}/{state.incarnation}"
+            self.strikes.on_death(death_id, [*lost, *running], now)
+
     def target_leaving(self, name, leaving):
         """Stop or resume new work to a target."""
         state = self.fleet.get(name)
@@ -510,6 +492,7 @@
         if state is None:
             return
         if incarnation and state.incarnation != incarnation:
+            self._count_restart(state, now)
             self._restart(state, incarnation)
         state.down = False
         state.reported = running + waiting
--- a/lovagepier/decisions/slowness.py
+++ b/lovagepier/decisions/slowness.py
@@ -33,19 +33,24 @@
 
 
 class SlownessJudge:
-    """Per route and hardware generation, the old version's usual times."""
+    """Per route, the old version's usual times."""
 
-    __slots__ = ("_first", "_pace")
+    __slots__ = ("_first", "_pace", "_whole")
 
     def __init__(self):
         self._first = {}
         self._pace = {}
+        self._whole = {}
 
     def judge(self, key, is_old, work, outcome):
         """Return whether the outcome is slow; learn from it if old."""
-        first, pace = _normal(work, outcome)
+        first, pace, whole = _normal(work, outcome)
         slow = False
-        for table, value in ((self._first, first), (self._pace, pace)):
+        for table, value in (
+            (self._first, first),
+            (self._pace, pace),
+            (self._whole, whole),
+        ):
             if value is None:
                 continue
             quantile = table.setdefault(key, _Quantile())
@@ -57,11 +62,21 @@
 
 
 def _normal(work, outcome):
-    """Return first-byte time per prefill size and seconds per token."""
+    """Return first-byte time per prefill size, seconds per token, and both.
+
+    The last is for answers that were not streamed; what does not apply is
+    None.
+    """
     if outcome.first_seconds is None:
-        return None, None
+        return None, None, _whole_pace(outcome)
     first = outcome.first_seconds / (1.0 + work.prefill_tokens / _PREFILL_UNIT)
     if outcome.total_seconds is None or outcome.decode_tokens < 2:
-        return first, None
+        return first, None, None
     decoding = outcome.total_seconds - outcome.first_seconds
-    return first, decoding / (outcome.decode_tokens - 1)
+    return first, decoding / (outcome.decode_tokens - 1), None
+
+
+def _whole_pace(outcome):
+    if outcome.total_seconds is None:
+        return None
+    return outcome.total_seconds / max(outcome.decode_tokens, 1)
--- a/lovagepier/decisions/work.py
+++ b/lovagepier/decisions/work.py
@@ -1,6 +1,6 @@
 """What the scheduler knows of one request; the body stays at its entry node."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 __all__ = ["Grant", "Join", "Outcome", "Refusal", "Work"]
 
@@ -72,10 +72,12 @@
 class Outcome:
     """What became of a granted request, as its entry node saw it.
 
-    `first_seconds` is dispatch to first byte, `total_seconds` dispatch to
-    end; both are None where that point was not reached. `status` is one of
-    ok, failed, refused, late, cancelled, died, not-run (the target could not
-    be connected to) and returned (the grant was not used).
+    `first_seconds` is dispatch to first byte of a streamed answer,
+    `total_seconds` dispatch to end; None where that point was not reached.
+    `status` is one of ok, failed, refused, late, cancelled, died (nothing
+    listens there any more), vanished (the target does not know the id),
+    not-run (the target could not be connected to), returned (the grant was
+    not used) and lost (no outcome will come).
     """
 
     id: str
@@ -85,4 +87,3 @@
     total_seconds: float | None = None
     decode_tokens: int = 0
     in_time: bool = True
-    notes: dict = field(default_factory=dict)
--- a/lovagepier/node/_exchange.py
+++ b/lovagepier/node/_exchange.py
@@ -1,20 +1,27 @@
 """Dispatch of one request to one target, at most once, and its relay."""
 
+import re
 import time
 from dataclasses import dataclass, field
 
 from lovagepier.decisions.work import Outcome
 from lovagepier.errors import ErrorKind, RequestError
-from lovagepier.targets import NotDispatched, TargetBroken, TargetGone
+from lovagepier.targets import (
+    NotDispatched,
+    TargetBroken,
+    TargetForgot,
+    TargetGone,
+)
 
 __all__ = ["Exchange", "Relay"]
 
-TAIL_BYTES = 64
+TAIL_BYTES = 256
 MAX_RESUMES = 3
 RESUME_PAUSE_S = 0.1
 MIN_TIMEOUT_S = 0.5
 PAST_DEADLINE_S = 60.0
 EVENT_END = b"\n\n"
+_COMPLETION_TOKENS = re.compile(rb'"completion_tokens"\s*:\s*(\d{1,9})')
 
 
 @dataclass(slots=True)
@@ -107,7 +114,8 @@
 
     def _on_first(self, chunk):
         self._first = time.monotonic() - self._began
-        if self._own and self.status < 400:
+        # The first byte of a whole answer comes after its last token.
+        if self._own and self._exchange.streamed and self.status < 400:
             self._node.permits.first_byte(self._item, self._first)
         self._count(chunk)
         return chunk
@@ -152,17 +160,24 @@
 
         Gives up after a few resumes in a row that brought no byte.
         """
-        while self._resumes < MAX_RESUMES and not self._past_deadline():
+        while self._may_resume():
             self._resumes += 1
             try:
                 return self._resume_once()
             except TargetGone as exc:
-                self._died(exc)
+                self._end_without("died", f"the target died: {exc}")
+            except TargetForgot as exc:
+                self._end_without("vanished", str(exc))
             except TargetBroken as exc:
                 cause = exc
                 time.sleep(RESUME_PAUSE_S)
         return self._give_up(cause)
 
+    def _may_resume(self):
+        if not self._adapter.resumes or self._past_deadline():
+            return False
+        return self._resumes < MAX_RESUMES
+
     def _past_deadline(self):
         return self._node.clock() > self._item.work.deadline + PAST_DEADLINE_S
 
@@ -186,9 +201,9 @@
     def _past_first_deadline(self):
         return self._first is None and self._node.clock() > self._item.work.deadline
 
-    def _died(self, exc):
-        self._finish("died")
-        raise RequestError(ErrorKind.TARGET_FAILED, f"the target died: {exc}")
+    def _end_without(self, status, detail):
+        self._finish(status)
+        raise RequestError(ErrorKind.TARGET_FAILED, detail)
 
     def _give_up(self, cause):
         self._adapter.cancel(self.request_id)
@@ -218,19 +233,29 @@
         total = time.monotonic() - self._began
         in_time = self._node.clock() <= self._item.work.deadline
         if self._own:
-            outcome = Outcome(
-                self.request_id,
-                self._item.target,
-                status,
-                self._first if status == "ok" else None,
-                total if status == "ok" else None,
-                max(self._events - 1, 0),
-                in_time,
-            )
-            self._node.permits.finish(self._item, outcome)
+            self._node.permits.finish(self._item, self._outcome(status, total, in_time))
         self._node.metrics.finished(self._item, status, self._first, total, in_time)
         self._note(f"ended: {status}", total_ms=round(total * 1000, 1))
 
+    def _outcome(self, status, total, in_time):
+        is_ok = status == "ok"
+        return Outcome(
+            self.request_id,
+            self._item.target,
+            status,
+            self._first if is_ok and self._exchange.streamed else None,
+            total if is_ok else None,
+            self._decoded(),
+            in_time,
+        )
+
+    def _decoded(self):
+        """Return the tokens of the answer: its events, or what it says."""
+        if self._exchange.streamed:
+            return max(self._events - 1, 0)
+        found = _COMPLETION_TOKENS.search(self._tail)
+        return int(found[1]) if found else 0
+
     def _finish_quietly(self):
         self._over = True
 
--- a/lovagepier/node/_moves.py
+++ b/lovagepier/node/_moves.py
@@ -18,6 +18,7 @@
 FULL_PUSH_PERIOD_S = 2.0
 RECORD_PERIOD_S = 1.0
 SHOWN_STEPS = 10
+FAILED = ("failed", "died", "vanished")
 
 
 @dataclass(slots=True, frozen=True)
@@ -74,7 +75,7 @@
         entry = self._entry(message.model)
         old = entry.move.old if entry else message.version
         outcome = message.outcome
-        if outcome.status not in ("ok", "failed", "died", "late"):
+        if outcome.status not in ("ok", "late", *FAILED):
             return
         key = (message.model, message.work.route)
         is_old = message.version == old
@@ -83,7 +84,7 @@
         )
         if entry is None or message.version not in (old, entry.move.new):
             return
-        failed = outcome.status in ("failed", "died")
+        failed = outcome.status in FAILED
         row = Key(
             self._evidence_id(entry),
             message.version,
--- a/lovagepier/node/_node.py
+++ b/lovagepier/node/_node.py
@@ -6,13 +6,14 @@
 import threading
 import time
 import uuid
+from collections import deque
 
 import pykka
 
 from lovagepier.config import ConfigStore, ConfigView, empty_document
 from lovagepier.errors import UserError
 from lovagepier.logs import part_log
-from lovagepier.node._actors import Tick, mailbox_fill, post
+from lovagepier.node._actors import Tick, post
 from lovagepier.node._config import Adopt, ConfigActor, ConfigWatcher
 from lovagepier.node._ledger import Claimed, LedgerActor, Released, Settled
 from lovagepier.node._members import Leave, MembersActor, PeerMessage
@@ -20,16 +21,7 @@
 from lovagepier.node._moves import MovesActor, Observed
 from lovagepier.node._orders import Orders
 from lovagepier.node._permits import Permits
-from lovagepier.node._pool import (
-    Asked,
-    Finished,
-    FirstByte,
-    Looked,
-    PoolActor,
-    Registered,
-    Retire,
-    Withdrawn,
-)
+from lovagepier.node._pools import Pools
 from lovagepier.node._roster import Roster
 from lovagepier.node._settlements import Settlements
 from lovagepier.node._targets import TargetReader
@@ -49,8 +41,8 @@
 DRAIN_CHECK_S = 0.1
 MAX_CONDEMNED = 1000
 ADOPT_WAIT_S = 1.0
+LATE_ANSWER_S = 60.0
 ADOPT_POLL_S = 0.002
-SHED_FILL_STEP = 0.15
 
 
 class Node:
@@ -88,13 +80,11 @@
         self._watcher = ConfigWatcher(self)
         self._log = part_log("node")
         self._epochs = itertools.count(1)
-        self._pools = {}
-        self._pools_lock = threading.Lock()
+        self.pools = Pools(self)
         self._peer_versions = {}
         self._host_seeds = []
-        self._local = itertools.count(1)
+        self._expiring = deque()
         self._refs = {}
-        self._dead_told = frozenset()
 
     # Life
 
@@ -171,6 +161,7 @@
             if self.stopped.wait(TICK_S):
                 return
             post(self._refs["ledger"], Tick())
+            self._expire()
             if number % MEMBERS_EVERY == 0:
                 post(self._refs["members"], Tick())
             if number % MOVES_EVERY == 0:
@@ -178,7 +169,7 @@
             if number % CONFIG_EVERY == 0:
                 post(self._refs["config"], Tick())
             if number % POOL_EVERY == 0:
-                for _, ref in self.pool_refs():
+                for _, ref in self.pools.refs():
                     post(ref, Tick())
 
     def next_epoch(self):
@@ -191,17 +182,7 @@
         """Take in a new roster; duties may have moved."""
         self.roster = roster
         self.permits.on_roster(roster)
-        for (subject, region), ref in self.pool_refs():
-            home = roster.home(f"pool/{subject}/{region}", region)
-            if home is not None and home != self.cfg.node_name:
-                self._retire(subject, region, ref, home)
-
-    def _retire(self, subject, region, ref, home):
-        # A node that others can't reach would give its pools to itself; a
-        # home that was asked in place of another gives way to the first.
-        with self._pools_lock:
-            self._pools.pop((subject, region), None)
-        post(ref, Retire(home))
+        self.pools.on_roster(roster)
 
     def set_view(self, view):
         """Take in a new version of the configuration."""
@@ -325,9 +306,13 @@
     def expire_later(self, handle):
         """Stop waiting for late answers of a handle after a while."""
         if handle:
-            timer = threading.Timer(60.0, self.links.forget, [handle])
-            timer.daemon = True
-            timer.start()
+            self._expiring.append((self.clock() + LATE_ANSWER_S, handle))
+
+    def _expire(self):
+        now = self.clock()
+        while self._expiring and self._expiring[0][0] <= now:
+            _, handle = self._expiring.popleft()
+            self.links.forget(handle)
 
     def _on_peer_message(self, body, reply):
         route = _ROUTES.get(type(body))
@@ -363,81 +348,7 @@
     def _to_status(self, body, reply):
         reply(messages.StatusTold(self.status()))
 
-    # Pools
-
-    def pool_refs(self):
-        """Return [((subject, region), actor)] of the pools homed here."""
-        with self._pools_lock:
-            return list(self._pools.items())
-
-    def _pool(self, subject, region):
-        with self._pools_lock:
-            ref = self._pools.get((subject, region))
-            if ref is None or not ref.is_alive():
-                ref = PoolActor.start(self, subject, region)
-                self._pools[(subject, region)] = ref
-            return ref
-
-    def _ask_pool(self, body, reply):
-        if self.stopping.is_set() and len(self.roster.live) > 0:
-            home = self.roster.home(f"pool/{body.subject}/{body.region}", body.region)
-            if home != self.cfg.node_name:
-                reply(messages.PoolAnswer("moved", body.work["id"], why=home))
-                return
-        if (body.subject, body.region) not in self.view.pools():
-            reply(self._no_target(body))
-            return
-        ref = self._pool(body.subject, body.region)
-        # A filling mailbox turns lower tiers away first.
-        room = 1.0 - SHED_FILL_STEP * min(body.work["tier"], 5)
-        if mailbox_fill(ref) >= room * 0.95 or not post(ref, Asked(body, reply)):
-            reply(self._overfull(body))
-
-    def _look(self, body, reply):
-        if (body.subject, body.region) not in self.view.pools():
-            reply(messages.PoolAnswer("unknown", body.id))
-            return
-        post(self._pool(body.subject, body.region), Looked(body, reply))
-
-    def _no_target(self, body):
-        return messages.PoolAnswer(
-            "refuse",
-            body.work["id"],
-            kind="no-target",
-            why="the region has no target for it",
-            retry_after=1.0,
-        )
-
-    def _overfull(self, body):
-        return messages.PoolAnswer(
-            "refuse",
-            body.work["id"],
-            kind="shed",
-            why="the home's mailbox is full",
-            retry_after=1.0,
-        )
-
-    def _tell_pool(self, wrap):
-        def route(body):
-            with self._pools_lock:
-                ref = self._pools.get((body.subject, body.region))
-            if ref is not None:
-                post(ref, wrap(body))
-
-        return route
-
-    def _first_byte(self, body, reply):
-        self._tell_pool(FirstByte)(body)
-
-    def _finished(self, body, reply):
-        self._tell_pool(Finished)(body)
-
-    def _withdraw(self, body, reply):
-        self._tell_pool(lambda item: Withdrawn(item.id))(body)
-
-    def _register(self, body, reply):
-        if (body.subject, body.region) in self.view.pools():
-            post(self._pool(body.subject, body.region), Registered(body.running))
+    # Targets
 
     def fetch_known_ids(self, ref, target):
         """Have a target asked for the ids it was given."""
@@ -447,10 +358,6 @@
 
     def status(self):
         """Return this node's status as plain data."""
-        pools = []
-        for (subject, region), ref in self.pool_refs():
-            actor = ref._actor_weakref() if hasattr(ref, "_actor_weakref") else None
-            pools.append(_pool_status(subject, region, actor))
         return {
             "node": self.cfg.node_name,
             "zone": self.cfg.node_zone,
@@ -462,7 +369,7 @@
             "store_calls": self.store.calls,
             "running": self.permits.count(),
             "live": list(self.roster.live),
-            "pools": pools,
+            "pools": self.pools.statuses(),
             "moves": dict(self.move_states),
             "peer_bytes_sent": self.links.bytes_sent,
             "peer_bytes_received": self.links.bytes_received,
@@ -471,28 +378,11 @@
         }
 
 
-def _pool_status(subject, region, actor):
-    status = {"subject": subject, "region": region}
-    if actor is None:
-        return status
-    scheduler = actor.scheduler
-    status["epoch"] = actor.epoch
-    status["waiting"] = scheduler.waiting.sizes()
-    status["counts"] = dict(actor.stats)
-    status["targets"] = [
-        {
-            "name": state.name,
-            "version": state.version,
-            "in_flight": state.in_flight,
-            "limit": round(state.limit.value, 1),
-            "leaving": state.leaving,
-            "down": state.down,
-            "ms_a_token": round(state.speed.token_seconds * 1000, 2),
-            "prefill_rate": round(state.speed.prefill_rate),
-        }
-        for state in list(scheduler.fleet)
-    ]
-    return status
+def _to_pools(name):
+    def route(node, body, reply):
+        getattr(node.pools, name)(body, reply)
+
+    return route
 
 
 _ROUTES = {
@@ -501,12 +391,12 @@
     messages.ConfigNews: Node._to_config,
     messages.ConfigPull: Node._to_config,
     messages.ConfigTold: Node._to_config,
-    messages.PoolAsk: Node._ask_pool,
-    messages.PoolLook: Node._look,
-    messages.PoolFirstByte: Node._first_byte,
-    messages.PoolFinished: Node._finished,
-    messages.PoolWithdraw: Node._withdraw,
-    messages.PoolRegister: Node._register,
+    messages.PoolAsk: _to_pools("ask"),
+    messages.PoolLook: _to_pools("look"),
+    messages.PoolFirstByte: _to_pools("first_byte"),
+    messages.PoolFinished: _to_pools("finished"),
+    messages.PoolWithdraw: _to_pools("withdraw"),
+    messages.PoolRegister: _to_pools("register"),
     messages.ClaimAsk: Node._to_ledger,
     messages.ClaimSettle: Node._to_ledger,
     messages.ClaimRelease: Node._to_ledger,
--- a/lovagepier/node/_permits.py
+++ b/lovagepier/node/_permits.py
@@ -4,11 +4,11 @@
 import threading
 import time
 import uuid
-from dataclasses import asdict
+from dataclasses import astuple
 
 from lovagepier.decisions.work import Outcome
 from lovagepier.errors import ErrorKind, RequestError, Run
-from lovagepier.node._pool import work_fields
+from lovagepier.node._pool_messages import work_fields
 from lovagepier.peers import messages
 
 __all__ = ["InFlight", "Permits"]
@@ -136,6 +136,9 @@
         body = messages.PoolAsk(
             subject,
             region,
+            work.id,
+            work.tier,
+            nonce,
             work.deadline - self._node.clock(),
             fresh,
             may_cross,
@@ -204,7 +207,7 @@
         if answer.verdict != "grant":
             return
         outcome = Outcome(answer.id, answer.target, "returned")
-        body = messages.PoolFinished(subject, region, nonce, asdict(outcome))
+        body = messages.PoolFinished(subject, region, nonce, list(astuple(outcome)))
         self._node.tell(home, body)
         self._node.timeline.add(
             "pool",
@@ -237,7 +240,7 @@
         with self._lock:
             self._running.pop(item.work.id, None)
         body = messages.PoolFinished(
-            item.subject, item.region, item.nonce, asdict(outcome)
+            item.subject, item.region, item.nonce, list(astuple(outcome))
         )
         self._node.tell(item.home, body)
 
@@ -256,7 +259,7 @@
                     continue
                 item.home = home
                 rows = moved.setdefault((home, item.subject, item.region), [])
-                rows.append([work_fields(item.work), item.target])
+                rows.append(_row_of(item))
         for (home, subject, region), rows in moved.items():
             self._node.tell(home, messages.PoolRegister(subject, region, rows))
 
@@ -264,3 +267,8 @@
         """Return the number of requests this node runs."""
         with self._lock:
             return len(self._running)
+
+
+def _row_of(item):
+    work = item.work
+    return [work.id, work.tier, work.nonce, work_fields(work), item.target]
--- a/lovagepier/node/_pool.py
+++ b/lovagepier/node/_pool.py
@@ -1,134 +1,31 @@
 """The pool actor: one pool's scheduler at its home node."""
 
 import random
-from dataclasses import dataclass
 
 from lovagepier.decisions.scheduler import PoolScheduler, SchedulerOptions
 from lovagepier.decisions.work import Grant, Join, Outcome, Refusal, Work
 from lovagepier.errors import ErrorKind
 from lovagepier.node._actors import NodeActor, Tick
-from lovagepier.peers import messages
-
-__all__ = [
-    "Asked",
-    "Finished",
-    "FirstByte",
-    "KnownIds",
-    "Looked",
-    "PoolActor",
-    "Registered",
-    "Reported",
-    "Retire",
-    "TargetsLeaving",
-    "Withdrawn",
-    "work_fields",
-]
-
-_WORK_FIELDS = (
-    "id",
-    "entry",
-    "account",
-    "tier",
-    "weight",
-    "route",
-    "prefill_tokens",
-    "max_decode_tokens",
-    "blocks",
-    "draw",
-    "fingerprint",
-    "zone",
-    "body_bytes",
-    "attempt",
-    "nonce",
+from lovagepier.node._pool_messages import (
+    Asked,
+    Finished,
+    FirstByte,
+    KnownIds,
+    Looked,
+    Registered,
+    Reported,
+    Retire,
+    TargetsLeaving,
+    Withdrawn,
+    work_of,
 )
-ALL_KNOWN_WAIT_S = 1.0
-
-
-def work_fields(work):
-    """Return the fields of a `Work` that travel to a home."""
-    fields = {name: getattr(work, name) for name in _WORK_FIELDS}
-    fields["exclude"] = sorted(work.exclude)
-    return fields
-
-
-def _work_of(fields, deadline):
-    known = {name: fields[name] for name in _WORK_FIELDS if name in fields}
-    known["blocks"] = tuple(known.get("blocks", ()))
-    return Work(deadline=deadline, exclude=frozenset(fields["exclude"]), **known)
-
-
-@dataclass(slots=True, frozen=True)
-class Asked:
-    """A request for a permit; `reply` takes `PoolAnswer`s."""
-
-    body: messages.PoolAsk
-    reply: object
-
-
-@dataclass(slots=True, frozen=True)
-class Looked:
-    """A question whether an id is known here."""
-
-    body: messages.PoolLook
-    reply: object
-
-
-@dataclass(slots=True, frozen=True)
-class FirstByte:
-    """A granted request's first byte came."""
-
-    body: messages.PoolFirstByte
-
-
-@dataclass(slots=True, frozen=True)
-class Finished:
-    """A granted request is over."""
-
-    body: messages.PoolFinished
-
-
-@dataclass(slots=True, frozen=True)
-class Withdrawn:
-    """A waiting request's caller went away."""
-
-    id: str
-
-
-@dataclass(slots=True, frozen=True)
-class Registered:
-    """Running work of an entry node that another home granted."""
-
-    running: list
-
-
-@dataclass(slots=True, frozen=True)
-class Reported:
-    """A target's load report."""
-
-    target: str
-    report: object
-
-
-@dataclass(slots=True, frozen=True)
-class KnownIds:
-    """The ids that a target says it was given; None if it did not say."""
-
-    target: str
-    ids: list | None
-
-
-@dataclass(slots=True, frozen=True)
-class TargetsLeaving:
-    """Names of targets that take no new work."""
-
-    names: frozenset
-
+from lovagepier.peers import messages
 
-@dataclass(slots=True, frozen=True)
-class Retire:
-    """Another node is this pool's home from now on."""
+__all__ = ["PoolActor"]
 
-    home: str
+ALL_KNOWN_WAIT_S = 1.0
+RELEASE_PERIOD_S = 2.0
+PUBLISH_PERIOD_S = 0.5
 
 
 class PoolActor(NodeActor):
@@ -172,6 +69,10 @@
         self._unanswered = set()
         self._leaving = frozenset()
         self._retired = None
+        self._condemned = frozenset()
+        self._dead = frozenset()
+        self._released_at = self.began
+        self._published_at = float("-inf")
         self.stats = {"granted": 0, "refused": 0, "joined": 0}
 
     def on_start(self):
@@ -224,16 +125,12 @@
         """Grant, queue, join or refuse one request."""
         body = message.body
         if self._retired is not None:
-            message.reply(self._moved(body.work))
+            message.reply(self._moved(body))
             return
         if not body.fresh and self._waiting_known:
             if self.node.clock() - self.began < ALL_KNOWN_WAIT_S:
                 self._parked.append(message)
-                message.reply(
-                    messages.PoolAnswer(
-                        "queued", body.work["id"], body.work.get("nonce", "")
-                    )
-                )
+                message.reply(messages.PoolAnswer("queued", body.id, body.nonce))
                 return
             self._give_up_known()
         self._offer(message)
@@ -242,11 +139,13 @@
         now = self.node.clock()
         self._adopt_view()
         self._adopt_shares()
-        work = _work_of(message.body.work, now + message.body.remaining)
+        body = message.body
+        head = (body.id, body.tier, body.nonce)
+        work = work_of(head, body.work, now + body.remaining)
         work.tier = min(work.tier, self.scheduler.options.tiers - 1)
         if not self._known_enough(work):
             return self._refuse_unknown(work, message.reply)
-        if message.body.may_cross and self._better_elsewhere(work, now):
+        if body.may_cross and self._better_elsewhere(work, now):
             why = "the expected wait is past the deadline"
             message.reply(self._refusal(Refusal(work, ErrorKind.SHED, why, 1.0)))
             return None
@@ -295,10 +194,8 @@
     def _better_elsewhere(self, work, now):
         return self.scheduler.expected_wait(work.tier) > work.deadline - now
 
-    def _moved(self, fields):
-        return messages.PoolAnswer(
-            "moved", fields["id"], fields.get("nonce", ""), why=self._retired
-        )
+    def _moved(self, body):
+        return messages.PoolAnswer("moved", body.id, body.nonce, why=self._retired)
 
     def on_known_ids(self, message):
         """Take in what a target was given before this home began."""
@@ -402,7 +299,7 @@
     def on_finished(self, message):
         """Learn from an outcome and start what waits."""
         now = self.node.clock()
-        outcome = Outcome(**message.body.outcome)
+        outcome = Outcome(*message.body.outcome)
         running = self.scheduler.find_running(outcome.id)
         condemned_before = set(self.scheduler.strikes.condemned())
         decisions = self.scheduler.finish(outcome, now)
@@ -424,8 +321,8 @@
     def on_registered(self, message):
         """Adopt running work that another home granted."""
         now = self.node.clock()
-        for fields, target in message.running:
-            work = _work_of(fields, now)
+        for *head, fields, target in message.running:
+            work = work_of(head, fields, now)
             self.scheduler.adopt_running(work, target, now)
 
     # Targets
@@ -473,11 +370,37 @@
             self._give_up_known()
         self._adopt_view()
         self._adopt_shares()
-        for name in self.node.condemned:
+        self._adopt_condemned(now)
+        self._forget_dead(now)
+        self._carry_out(self.scheduler.tick(now), now)
+        self._publish(now)
+
+    def _publish(self, now):
+        if now - self._published_at < PUBLISH_PERIOD_S:
+            return
+        self._published_at = now
+        status = {
+            "epoch": self.epoch,
+            "waiting": self.scheduler.waiting.sizes(),
+            "counts": dict(self.stats),
+            "targets": [_target_status(state) for state in self.scheduler.fleet],
+        }
+        self.node.pools.publish(self.subject, self.region, status)
+
+    def _adopt_condemned(self, now):
+        condemned = self.node.condemned
+        for name in condemned - self._condemned:
             self.scheduler.strikes.adopt(name, (), True, now)
-        for entry in self.node.roster.dead:
+        self._condemned = condemned
+
+    def _forget_dead(self, now):
+        dead = self.node.roster.dead
+        for entry in dead - self._dead:
             self.scheduler.forget_entry(entry, now)
-        self._carry_out(self.scheduler.tick(now), now)
+        self._dead = dead
+        if now - self._released_at >= RELEASE_PERIOD_S:
+            self._released_at = now
+            self._carry_out(self.scheduler.release_lost(dead, now), now)
 
     def on_retire(self, message):
         """Send waiting work to the new home; running work is told to it."""
@@ -496,3 +419,16 @@
             pool=f"{self.subject}/{self.region}",
         )
         self.stop()
+
+
+def _target_status(state):
+    return {
+        "name": state.name,
+        "version": state.version,
+        "in_flight": state.in_flight,
+        "limit": round(state.limit.value, 1),
+        "leaving": state.leaving,
+        "down": state.down,
+        "ms_a_token": round(state.speed.token_seconds * 1000, 2),
+        "prefill_rate": round(state.speed.prefill_rate),
+    }
--- /dev/null
+++ b/lovagepier/node/_pool_messages.py
@@ -0,0 +1,135 @@
+"""What the pool actor is told, and the fields of work that travel."""
+
+from dataclasses import dataclass
+
+from lovagepier.decisions.work import Work
+from lovagepier.peers import messages
+
+__all__ = [
+    "Asked",
+    "Finished",
+    "FirstByte",
+    "KnownIds",
+    "Looked",
+    "Registered",
+    "Reported",
+    "Retire",
+    "TargetsLeaving",
+    "Withdrawn",
+    "work_fields",
+    "work_of",
+]
+
+_WORK_FIELDS = (
+    "entry",
+    "account",
+    "weight",
+    "route",
+    "prefill_tokens",
+    "max_decode_tokens",
+    "blocks",
+    "draw",
+    "fingerprint",
+    "zone",
+    "body_bytes",
+    "attempt",
+)
+
+
+def work_fields(work):
+    """Return the rest of a `Work` as a list: what `PoolAsk` does not name."""
+    values = [getattr(work, name) for name in _WORK_FIELDS]
+    return [*values, sorted(work.exclude)]
+
+
+def work_of(head, values, deadline):
+    """Return the `Work` of travelled fields; `head` is (id, tier, nonce).
+
+    `deadline` is seconds on this node's clock.
+    """
+    *known, exclude = values
+    fields = dict(zip(_WORK_FIELDS, known, strict=True))
+    fields["blocks"] = tuple(fields["blocks"])
+    request_id, tier, nonce = head
+    return Work(
+        id=request_id,
+        tier=tier,
+        nonce=nonce,
+        deadline=deadline,
+        exclude=frozenset(exclude),
+        **fields,
+    )
+
+
+@dataclass(slots=True, frozen=True)
+class Asked:
+    """A request for a permit; `reply` takes `PoolAnswer`s."""
+
+    body: messages.PoolAsk
+    reply: object
+
+
+@dataclass(slots=True, frozen=True)
+class Looked:
+    """A question whether an id is known here."""
+
+    body: messages.PoolLook
+    reply: object
+
+
+@dataclass(slots=True, frozen=True)
+class FirstByte:
+    """A granted request's first byte came."""
+
+    body: messages.PoolFirstByte
+
+
+@dataclass(slots=True, frozen=True)
+class Finished:
+    """A granted request is over."""
+
+    body: messages.PoolFinished
+
+
+@dataclass(slots=True, frozen=True)
+class Withdrawn:
+    """A waiting request's caller went away."""
+
+    id: str
+
+
+@dataclass(slots=True, frozen=True)
+class Registered:
+    """Running work of an entry node that another home granted."""
+
+    running: list
+
+
+@dataclass(slots=True, frozen=True)
+class Reported:
+    """A target's load report."""
+
+    target: str
+    report: object
+
+
+@dataclass(slots=True, frozen=True)
+class KnownIds:
+    """The ids that a target says it was given; None if it did not say."""
+
+    target: str
+    ids: list | None
+
+
+@dataclass(slots=True, frozen=True)
+class TargetsLeaving:
+    """Names of targets that take no new work."""
+
+    names: frozenset
+
+
+@dataclass(slots=True, frozen=True)
+class Retire:
+    """Another node is this pool's home from now on."""
+
+    home: str
--- a/lovagepier/node/_settlements.py
+++ b/lovagepier/node/_settlements.py
@@ -22,6 +22,7 @@
     def __init__(self, node):
         self._node = node
         self._open = OrderedDict()
+        self._handles = {}
         self._lock = threading.Lock()
         self._log = part_log("ledger")
 
@@ -51,9 +52,14 @@
         def confirmed(_):
             with self._lock:
                 self._open.pop(body.nonce, None)
+                self._handles.pop(body.nonce, None)
             return True
 
-        self._node.converse(owner, body, confirmed, lambda _: None)
+        self._node.links.forget(self._handles.pop(body.nonce, 0))
+        handle = self._node.converse(owner, body, confirmed, lambda _: None)
+        with self._lock:
+            if body.nonce in self._open:
+                self._handles[body.nonce] = handle
 
     def _run(self):
         while not self._node.stopped.wait(RESEND_S):
--- a/lovagepier/node/_targets.py
+++ b/lovagepier/node/_targets.py
@@ -5,7 +5,7 @@
 
 from lovagepier.logs import part_log
 from lovagepier.node._actors import post
-from lovagepier.node._pool import KnownIds, Reported, TargetsLeaving
+from lovagepier.node._pool_messages import KnownIds, Reported, TargetsLeaving
 from lovagepier.platform import StoreError
 from lovagepier.targets import NotDispatched, TargetBroken, open_target
 
@@ -69,7 +69,7 @@
 
     def _reports(self):
         while not self._stopped.wait(self._node.cfg.pools_report_period):
-            for (subject, region), ref in self._node.pool_refs():
+            for (subject, region), ref in self._node.pools.refs():
                 pool = self._node.view.pools().get((subject, region), [])
                 for target in pool:
                     self._poll(ref, target)
@@ -97,5 +97,5 @@
                 continue
             self._node.note_hosts(records)
             leaving = frozenset(r.name for r in records if r.state == "leaving")
-            for _, ref in self._node.pool_refs():
+            for _, ref in self._node.pools.refs():
                 post(ref, TargetsLeaving(leaving))
--- a/lovagepier/peers/messages.py
+++ b/lovagepier/peers/messages.py
@@ -109,7 +109,7 @@
 @message("ask")
 @dataclass(slots=True)
 class PoolAsk:
-    """Ask a pool's home for a permit; `work` holds the fields of `Work`.
+    """Ask a pool's home for a permit; `work` holds the rest of `Work`'s fields.
 
     `remaining` is the seconds to the deadline, so that clocks need not
     agree. `fresh` says that the id was made by the entry node and can't be
@@ -118,17 +118,20 @@
 
     subject: str
     region: str
+    id: str
+    tier: int
+    nonce: str
     remaining: float
     fresh: bool
     may_cross: bool
-    work: dict
+    work: list
 
     def check(self):
         """Raise if a field is of the wrong kind."""
         float(self.remaining)
-        if not isinstance(self.work["id"], str) or not isinstance(self.subject, str):
-            raise TypeError
-        if not isinstance(self.work["tier"], int) or self.work["tier"] < 0:
+        row = [self.subject, self.region, self.id, self.tier, self.nonce, self.work]
+        _check_rows([row], (str, str, str, int, str, list))
+        if self.tier < 0:
             raise ValueError
 
 
@@ -174,12 +177,12 @@
 @message("end")
 @dataclass(slots=True)
 class PoolFinished:
-    """The outcome of a granted id; fields as in `Outcome`."""
+    """The outcome of a granted id: the values of `Outcome` in their order."""
 
     subject: str
     region: str
     nonce: str
-    outcome: dict
+    outcome: list
 
 
 @message("gone")
@@ -195,7 +198,10 @@
 @message("reg")
 @dataclass(slots=True)
 class PoolRegister:
-    """Running work of an entry node, told to a new home: [[work, target]]."""
+    """Running work of an entry node, told to a new home.
+
+    `running` is [[id, tier, nonce, the rest of the work, target]].
+    """
 
     subject: str
     region: str
--- a/lovagepier/targets/__init__.py
+++ b/lovagepier/targets/__init__.py
@@ -8,6 +8,7 @@
     Stream,
     TargetAdapter,
     TargetBroken,
+    TargetForgot,
     TargetGone,
     open_target,
 )
@@ -19,6 +20,7 @@
     "Stream",
     "TargetAdapter",
     "TargetBroken",
+    "TargetForgot",
     "TargetGone",
     "open_target",
 ]
--- a/lovagepier/targets/_openai.py
+++ b/lovagepier/targets/_openai.py
@@ -9,6 +9,7 @@
     LoadReport,
     NotDispatched,
     TargetBroken,
+    TargetForgot,
     TargetGone,
     adapter,
 )
@@ -23,6 +24,8 @@
 class OpenAiAdapter(HttpAdapter):
     """Completions, resume and cancel by id, load reports and orders."""
 
+    resumes = True
+
     def resume(self, request_id, offset, timeout):
         """Return a `Stream` of a known id from a byte offset."""
         path = f"/v1/streams/{quote(request_id, safe='')}?offset={offset}"
@@ -32,7 +35,7 @@
             raise TargetGone(str(exc))
         if stream.status == 404:
             stream.close()
-            raise TargetGone(f"{self.target.name} does not know the id")
+            raise TargetForgot(f"{self.target.name} does not know the id")
         return stream
 
     def cancel(self, request_id):
--- a/lovagepier/targets/_port.py
+++ b/lovagepier/targets/_port.py
@@ -9,6 +9,7 @@
     "Stream",
     "TargetAdapter",
     "TargetBroken",
+    "TargetForgot",
     "TargetGone",
     "adapter",
     "open_target",
@@ -26,7 +27,11 @@
 
 
 class TargetGone(TargetBroken):
-    """The target died or restarted: it no longer knows the request."""
+    """Nothing listens at the target any more: it has died."""
+
+
+class TargetForgot(TargetBroken):
+    """The target answers and does not know the request."""
 
 
 @dataclass(slots=True)
@@ -55,7 +60,12 @@
 
 
 class TargetAdapter:
-    """One wire format towards targets. Times are seconds."""
+    """One wire format towards targets. Times are seconds.
+
+    `resumes` tells whether a broken answer can be taken up again by id.
+    """
+
+    resumes = False
 
     def __init__(self, target):
         self.target = target
@@ -71,7 +81,8 @@
     def resume(self, request_id, offset, timeout):
         """Return a `Stream` of a known id from a byte offset.
 
-        Raise `TargetGone` where the target does not know the id.
+        Raise `TargetForgot` where the target does not know the id, and
+        `TargetGone` where nothing listens there.
         """
         raise NotImplementedError
 
--- a/test/test_inputs.py
+++ b/test/test_inputs.py
@@ -167,8 +167,12 @@
         sock.settimeout(5)
         sock.sendall(head)
         sock.shutdown(socket.SHUT_WR)
-        answer = sock.recv(65536)
-    body = json.loads(answer.partition(b"\r\n\r\n")[2])
+        with sock.makefile("rb") as answer:
+            while line := answer.readline().strip():
+                name, _, value = line.partition(b":")
+                if name.lower() == b"content-length":
+                    length = int(value)
+            body = json.loads(answer.read(length))
     assert (body["type"], body["run"]) == ("urn:lovagepier:error:bad-request", "no")
 
 
--- a/test/test_scheduler.py
+++ b/test/test_scheduler.py
@@ -165,6 +165,39 @@
     assert grant.target == "e1"
 
 
+def test_slots_of_a_dead_entry_are_freed_after_the_deadline():
+    scheduler = make_scheduler(slots=1.0)
+    scheduler.offer(make_work("r1", entry="gone", deadline=5.0), 1.0)
+    scheduler.offer(make_work("r2", entry="n2"), 1.0)
+    assert scheduler.release_lost({"gone"}, 4.0) == []
+    assert _granted(scheduler.release_lost({"gone"}, 5.5)) == ["r2"]
+    (join,) = scheduler.offer(make_work("r1"), 6.0)
+    assert isinstance(join, Join)
+
+
+def test_slots_of_lost_outcomes_are_freed_in_the_end():
+    scheduler = make_scheduler(slots=1.0)
+    scheduler.offer(make_work("r1", deadline=5.0), 1.0)
+    assert scheduler.release_lost(set(), 90.0) == []
+    assert scheduler.fleet.get("e1").in_flight == 1
+    scheduler.release_lost(set(), 96.0)
+    assert scheduler.fleet.get("e1").in_flight == 0
+
+
+def test_a_whole_answer_teaches_no_prefill_and_shrinks_no_limit():
+    scheduler = make_scheduler(slots=4.0)
+    state = scheduler.fleet.get("e1")
+    rate = state.speed.prefill_rate
+    for number in range(20):
+        work = make_work(f"r{number}")
+        scheduler.offer(work, 1.0)
+        outcome = ended(work, first_seconds=None, total_seconds=2.0)
+        scheduler.finish(outcome, 3.0)
+    assert state.speed.prefill_rate == rate
+    assert state.limit.value == 4.0
+    assert 0.08 < state.speed.token_seconds < 0.12
+
+
 def test_ids_given_to_targets_before_this_home_are_joined():
     scheduler = make_scheduler()
     scheduler.note_dispatched("r1", "e1", 1.0)
--- a/test/test_strikes.py
+++ b/test/test_strikes.py
@@ -43,6 +43,26 @@
     assert refusal.kind == "suspect-request"
 
 
+def test_a_target_that_is_back_before_anyone_looks_has_died_all_the_same():
+    scheduler = make_scheduler(("e1", "e2"))
+    for number, name in enumerate(("e1", "e2")):
+        work = make_work(f"r{number}", fingerprint="bad", exclude=frozenset())
+        (grant,) = scheduler.offer(work, 1.0)
+        scheduler.finish(ended(work, grant.target, "vanished"), 1.5)
+        scheduler.report(grant.target, 0, 0, 2.0, f"after-{name}")
+    (refusal,) = scheduler.offer(make_work("r9", fingerprint="bad"), 2.5)
+    assert refusal.kind == "suspect-request"
+
+
+def test_an_id_a_living_target_does_not_know_blames_nobody():
+    scheduler = make_scheduler()
+    work = make_work("r1", fingerprint="fine")
+    scheduler.offer(work, 1.0)
+    scheduler.finish(ended(work, status="vanished"), 1.5)
+    scheduler.report("e1", 0, 0, 2.0, "i1")
+    assert not scheduler.strikes.is_suspect("fine")
+
+
 def test_two_suspects_never_run_on_one_target():
     scheduler = make_scheduler(("e1", "e2"), slots=8.0)
     scheduler.strikes.on_death("e0/1", ["b1", "b2", "b3"], 0.5)
--- a/test/test_target_faults.py
+++ b/test/test_target_faults.py
@@ -156,6 +156,7 @@
         fleet.fault(name, silent=None)
     again = caller.record("POST", "/ledger/e", b"{}", "silent", deadline_ms=3000)
     assert first.run == again.run == "maybe"
+    assert first.problem() == again.problem() == "answer-lost"
     journal = [entry["key"] for n in fleet.services for entry in fleet.journal(n)]
     assert journal.count("silent") == 1
 
