--- a/lovagepier/decisions/claims.py
+++ b/lovagepier/decisions/claims.py
@@ -235,6 +235,11 @@
                 break
             del self._claims[key]
 
+    @property
+    def has_pending(self):
+        """Whether something is to be written or awaits its answer."""
+        return bool(self._pending) or self._outstanding is not None
+
     @property
     def sequence(self):
         """The sequence of the next batch."""
--- a/lovagepier/node/_ledger.py
+++ b/lovagepier/node/_ledger.py
@@ -121,12 +121,15 @@
 
     def on_tick(self, _):
         """Write what is pending; let go of shards that moved elsewhere."""
+        self.node.ledger_pending.clear()
         for number in list(self._owned):
             if self.node.roster.is_mine(f"ledger/{number}"):
                 self._write(number)
             else:
                 self._write(number)
                 self._let_go(number, "another node is preferred now")
+        if any(owned.shard.has_pending for owned in self._owned.values()):
+            self.node.ledger_pending.set()
         self._clean()
 
     def _let_go(self, number, why):
@@ -151,6 +154,8 @@
     # Ownership
 
     def _own(self, number):
+        # Whatever is asked of a shard may leave it something to write.
+        self.node.ledger_pending.set()
         owned = self._owned.get(number)
         if owned is not None:
             return owned
--- a/lovagepier/node/_node.py
+++ b/lovagepier/node/_node.py
@@ -31,11 +31,12 @@
 
 __all__ = ["Node"]
 
-TICK_S = 0.02
-MEMBERS_EVERY = 5
-CONFIG_EVERY = 10
-MOVES_EVERY = 5
+TICK_S = 0.025
+MEMBERS_EVERY = 4
+CONFIG_EVERY = 16
+MOVES_EVERY = 4
 POOL_EVERY = 2
+SLOW_EVERY = 40
 SETTLE_S = 0.3
 MAX_SETTLE_S = 15.0
 DRAIN_CHECK_S = 0.1
@@ -69,6 +70,7 @@
         self.move_states = {}
         self.condemned = frozenset()
         self.store_ok = True
+        self.ledger_pending = threading.Event()
         self.stopping = threading.Event()
         self.stopped = threading.Event()
         self.began = time.time()
@@ -84,6 +86,7 @@
         self._peer_versions = {}
         self._host_seeds = []
         self._expiring = deque()
+        self._moving = False
         self._refs = {}
 
     # Life
@@ -160,11 +163,13 @@
         for number in itertools.count():
             if self.stopped.wait(TICK_S):
                 return
-            post(self._refs["ledger"], Tick())
             self._expire()
+            slow = number % SLOW_EVERY == 0
+            if slow or self.ledger_pending.is_set():
+                post(self._refs["ledger"], Tick())
             if number % MEMBERS_EVERY == 0:
                 post(self._refs["members"], Tick())
-            if number % MOVES_EVERY == 0:
+            if slow or (self._moving and number % MOVES_EVERY == 0):
                 post(self._refs["moves"], Tick())
             if number % CONFIG_EVERY == 0:
                 post(self._refs["config"], Tick())
@@ -187,6 +192,7 @@
     def set_view(self, view):
         """Take in a new version of the configuration."""
         self.view = view
+        self._moving = any(view.move_state(name) == "open" for name in view.moves)
 
     def set_shares(self, shares):
         """Take in {model: (old version, {new version: share})}."""
--- a/lovagepier/operators/_app.py
+++ b/lovagepier/operators/_app.py
@@ -17,6 +17,7 @@
 ASK_TIMEOUT_S = 2.0
 MAX_PATCH_BYTES = 1 << 20
 MAX_PATCH_ID = 100
+_SETTLED_SHARES = {"done": 1.0, "taken-back": 0.0}
 
 
 class OperatorsApp:
@@ -191,7 +192,7 @@
                     if settled != "open"
                     else live.get("state", "open"),
                     "settled": settled != "open",
-                    "share": live.get("share", 0.0),
+                    "share": _SETTLED_SHARES.get(settled, live.get("share", 0.0)),
                     "cause": raw.get("cause") or live.get("cause") or "",
                 }
             )
--- a/trials/overhead.py
+++ b/trials/overhead.py
@@ -60,12 +60,53 @@
     }
 
 
+def _idle(nodes, seconds):
+    """Return what each of `nodes` idle nodes costs for control."""
+    with Cluster(zones={"a1": "west"}) as cluster:
+        cluster.platform()
+        cluster.engine("e0", "a1")
+        cluster.account("blue", "urgent")
+        for number in range(nodes):
+            cluster.node(f"n{number}", "a1")
+        cluster.await_members(nodes)
+        cluster.configure()
+        time.sleep(2)
+        before = _statuses(cluster)
+        time.sleep(seconds)
+        after = _statuses(cluster)
+        rows = []
+        for name, late in after.items():
+            early = before[name]
+            took = late["uptime"] - early["uptime"]
+            sent = late["peer_bytes_sent"] - early["peer_bytes_sent"]
+            rows.append(
+                {
+                    "node": name,
+                    "core_percent": round(
+                        (late["cpu_seconds"] - early["cpu_seconds"]) / took * 100, 2
+                    ),
+                    "bytes_a_second": round(sent / took),
+                    "resident_mb": round(_resident_kb(cluster.nodes[name]) / 1000, 1),
+                }
+            )
+        return rows
+
+
+def _statuses(cluster):
+    return {n["node"]: n for n in cluster.operate("GET", "/v1/status")[1]["nodes"]}
+
+
 def main(argv=None):
     """Print the first byte direct and through a node, and memory over time."""
     parser = argparse.ArgumentParser(prog="scripts/overhead", description=__doc__)
     parser.add_argument("--count", type=int, default=1000, help="requests a run")
     parser.add_argument("--flat", type=int, default=0, help="requests to check memory")
+    parser.add_argument("--idle", type=float, default=0.0, help="seconds; nothing else")
+    parser.add_argument("--nodes", type=int, default=3, help="nodes with --idle")
     args = parser.parse_args(argv)
+    if args.idle:
+        print(json.dumps(_idle(args.nodes, args.idle), indent=2))
+        return 0
     pace = 0.05
     with Cluster(zones={"a1": "west"}, callers_threads=300) as cluster:
         cluster.platform()
