--- a/lovagepier/bench/capacity.py
+++ b/lovagepier/bench/capacity.py
@@ -22,7 +22,7 @@
 from lovagepier.decisions.prefixes import PrefixIndex
 from lovagepier.decisions.scheduler import PoolScheduler, SchedulerOptions
 from lovagepier.decisions.work import Outcome, Work
-from lovagepier.node._pool_messages import work_fields
+from lovagepier.node import work_fields
 from lovagepier.peers import encode, messages
 
 __all__ = ["Size", "main", "measure", "work_out"]
--- a/lovagepier/bench/load.py
+++ b/lovagepier/bench/load.py
@@ -7,7 +7,7 @@
 
 from lovagepier.client import Caller, CallerError
 
-__all__ = ["Mix", "Shot", "Sent", "Tier", "drive", "plan"]
+__all__ = ["Mix", "Arrival", "Sent", "Tier", "drive", "plan"]
 
 MAX_THREADS = 600
 
@@ -42,7 +42,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Shot:
+class Arrival:
     """One planned request: seconds from the start, and what is sent."""
 
     at: float
@@ -58,7 +58,7 @@
 class Sent:
     """One sent request; times in seconds from its intended send."""
 
-    shot: Shot
+    arrival: Arrival
     status: int = 0
     run: str = "no"
     kind: str = ""
@@ -73,38 +73,38 @@
     @property
     def good(self):
         """Whether the answer was whole and in time."""
-        return self.whole and self.total * 1000 <= self.shot.deadline_ms
+        return self.whole and self.total * 1000 <= self.arrival.deadline_ms
 
 
 def plan(tiers, mix, rate, seconds, seed, rate_at=None):
-    """Return the shots of an open-loop load.
+    """Return the arrivals of an open-loop load.
 
     `rate` is requests a second; `rate_at(part)` scales it by the part of
-    the time gone. The same seed gives the same shots.
+    the time gone. The same seed gives the same arrivals.
     """
     rng = random.Random(seed)
-    shots = []
+    arrivals = []
     at = 0.0
     number = 0
     while True:
         scale = rate_at(at / seconds) if rate_at else 1.0
         at += rng.expovariate(rate * max(scale, 1e-6))
         if at >= seconds:
-            return shots
+            return arrivals
         tier = rng.choices(tiers, [t.part for t in tiers])[0]
         is_long = rng.random() < mix.long_part
-        shots.append(_shot(rng, mix, at, tier, is_long, number))
+        arrivals.append(_arrival(rng, mix, at, tier, is_long, number))
         number += 1
 
 
-def _shot(rng, mix, at, tier, is_long, number):
+def _arrival(rng, mix, at, tier, is_long, number):
     tokens = mix.long_tokens if is_long else mix.short_tokens
     tokens = max(1, int(tokens * rng.uniform(0.7, 1.3)))
     length = mix.long_prompt if is_long else mix.short_prompt
     shared = rng.randrange(mix.shared_prompts) if mix.shared_prompts else -1
     begin = _words(f"shared{shared} ", mix.shared_length) if shared >= 0 else ""
     prompt = begin + _words(f"own{number}-{rng.random()} ", length)
-    return Shot(
+    return Arrival(
         at=at,
         tier=tier,
         route="report" if is_long else "note",
@@ -121,37 +121,37 @@
     return (word * (length // len(word) + 1))[:length]
 
 
-def drive(doors, shots, model="drafter", zone=""):
-    """Send all shots at their times; return [`Sent`] in the same order."""
+def drive(addresses, arrivals, model="drafter", zone=""):
+    """Send all arrivals at their times; return [`Sent`] in the same order."""
     callers = {}
-    for shot in shots:
-        if shot.tier.account not in callers:
-            callers[shot.tier.account] = Caller(doors, shot.tier.key, zone)
-            callers[shot.tier.account].entries()
-    sent = [Sent(shot) for shot in shots]
+    for arrival in arrivals:
+        if arrival.tier.account not in callers:
+            callers[arrival.tier.account] = Caller(addresses, arrival.tier.key, zone)
+            callers[arrival.tier.account].entries()
+    sent = [Sent(arrival) for arrival in arrivals]
     began = time.monotonic() + 0.2
     with ThreadPoolExecutor(MAX_THREADS) as threads:
         for item in sent:
-            pause = began + item.shot.at - time.monotonic()
+            pause = began + item.arrival.at - time.monotonic()
             if pause > 0:
                 time.sleep(pause)
-            caller = callers[item.shot.tier.account]
+            caller = callers[item.arrival.tier.account]
             threads.submit(_fire, caller, item, began, model)
     return sent
 
 
 def _fire(caller, item, began, model):
-    shot = item.shot
-    fields = {"model": model, "prompt": shot.prompt, "stream": True}
-    intended = began + shot.at
+    arrival = item.arrival
+    fields = {"model": model, "prompt": arrival.prompt, "stream": True}
+    intended = began + arrival.at
     item.started = time.monotonic() - began
     try:
-        reply = caller.complete(fields, shot.deadline_ms, route=shot.route)
+        reply = caller.complete(fields, arrival.deadline_ms, route=arrival.route)
     except CallerError:
         item.kind = "unreachable"
         item.total = time.monotonic() - intended
         return
-    late = item.started - shot.at
+    late = item.started - arrival.at
     item.status = reply.status
     item.run = reply.run
     item.kind = reply.problem() if reply.status != 200 else ""
--- a/lovagepier/bench/measures.py
+++ b/lovagepier/bench/measures.py
@@ -29,7 +29,7 @@
     """
     tiers = {}
     for item in sent:
-        row = tiers.setdefault(item.shot.tier.name, [0, 0])
+        row = tiers.setdefault(item.arrival.tier.name, [0, 0])
         row[0] += 1
         row[1] += item.good
     good = [item for item in sent if item.good]
@@ -58,12 +58,12 @@
     total = 0
     seen = set()
     for item in good:
-        tokens = len(item.shot.prompt) // 4
-        if item.shot.shared >= 0:
-            own = item.shot.prompt.find("own") // 4
-            if item.shot.shared in seen:
+        tokens = len(item.arrival.prompt) // 4
+        if item.arrival.shared >= 0:
+            own = item.arrival.prompt.find("own") // 4
+            if item.arrival.shared in seen:
                 tokens -= own
-            seen.add(item.shot.shared)
+            seen.add(item.arrival.shared)
         total += tokens
     return total
 
@@ -76,7 +76,7 @@
     caller sees, so starts shortly before the refusal may be counted too.
     """
     starts = sorted(
-        (item.shot.at + item.first, _RANK.get(item.shot.tier.name, 0))
+        (item.arrival.at + item.first, _RANK.get(item.arrival.tier.name, 0))
         for item in sent
         if item.first is not None
     )
@@ -84,7 +84,7 @@
 
 
 def _followed(item, starts):
-    rank = _RANK.get(item.shot.tier.name, 0)
+    rank = _RANK.get(item.arrival.tier.name, 0)
     return any(
         item.ended < at <= item.ended + WINDOW_S and lower > rank
         for at, lower in starts
--- a/lovagepier/callers/__init__.py
+++ b/lovagepier/callers/__init__.py
@@ -1,5 +1,6 @@
 """The HTTP side towards callers."""
 
 from lovagepier.callers._app import CallersApp
+from lovagepier.callers._entries import entries_response
 
-__all__ = ["CallersApp"]
+__all__ = ["CallersApp", "entries_response"]
--- a/lovagepier/callers/_models.py
+++ b/lovagepier/callers/_models.py
@@ -6,8 +6,7 @@
 from lovagepier.config import DEFAULT_LINK_BURST_BYTES, DEFAULT_LINK_BYTES_PER_S
 from lovagepier.decisions.linkbudget import LinkBudget
 from lovagepier.errors import ErrorKind, RequestError, Run
-from lovagepier.node._exchange import Exchange, Relay
-from lovagepier.node._permits import InFlight
+from lovagepier.node import Exchange, InFlight, Relay
 from lovagepier.prompts import block_hashes, prompt_text, prompt_tokens
 from lovagepier.targets import NotDispatched
 from lovagepier.web import Response
@@ -192,7 +191,7 @@
         headers = [
             ("X-Run", str(Run.YES)),
             ("X-Request-Id", relay.request_id.partition(".")[2]),
-            ("X-Target", relay._item.target),
+            ("X-Target", relay.target),
         ]
         content_type = relay.headers.get("Content-Type", "application/json")
         if exchange.streamed and relay.status == 200:
--- a/lovagepier/callers/_records.py
+++ b/lovagepier/callers/_records.py
@@ -10,7 +10,7 @@
 from lovagepier.decisions.claims import Verdict
 from lovagepier.decisions.homes import shard_of
 from lovagepier.errors import ErrorKind, RequestError, Run
-from lovagepier.node._exchange import Exchange, Relay
+from lovagepier.node import Exchange, Relay
 from lovagepier.peers import messages
 from lovagepier.targets import NotDispatched
 from lovagepier.web import Response
--- a/lovagepier/client/_caller.py
+++ b/lovagepier/client/_caller.py
@@ -57,8 +57,8 @@
     asking which to use.
     """
 
-    def __init__(self, doors, key, zone="", pinned=False):
-        self._doors = list(doors)
+    def __init__(self, addresses, key, zone="", pinned=False):
+        self._addresses = list(addresses)
         self._pinned = pinned
         self._key = key
         self._zone = zone
@@ -71,10 +71,10 @@
     def entries(self):
         """Return the addresses to use, asked anew after their time to live."""
         if self._pinned:
-            return self._doors
+            return self._addresses
         if time.monotonic() < self._until and self._entries:
             return self._entries
-        for door in [*self._entries, *self._doors]:
+        for door in [*self._entries, *self._addresses]:
             try:
                 resp = self._http.request(
                     "GET",
--- a/lovagepier/commands/_bench.py
+++ b/lovagepier/commands/_bench.py
@@ -18,7 +18,7 @@
     help = "Send a scenario's load to a running fleet and print what came of it."
     examples = (
         "examples:\n"
-        "  lovagepier bench steady --door URL \\\n"
+        "  lovagepier bench steady --entry URL \\\n"
         "      --account urgent=KEY --account batch=KEY --model drafter\n\n"
         "scripts/bench starts a fleet of its own and compares policies."
     )
@@ -27,7 +27,7 @@
         """Add the scenario, the fleet and the accounts."""
         add = parser.add_argument
         add("scenario", choices=sorted(SCENARIOS))
-        add("--door", action="append", required=True, help="URL of an entry host")
+        add("--entry", action="append", required=True, help="URL of an entry host")
         add(
             "--account",
             action="append",
@@ -46,9 +46,9 @@
         made = SCENARIOS[args.scenario]()
         tiers = [self._tier(text, len(args.account)) for text in args.account]
         rate = args.rate or made.rate
-        shots = plan(tiers, made.mix, rate, args.seconds, args.seed, made.rate_at)
+        arrivals = plan(tiers, made.mix, rate, args.seconds, args.seed, made.rate_at)
         try:
-            sent = drive(args.door, shots, args.model)
+            sent = drive(args.entry, arrivals, args.model)
         except CallerError as exc:
             raise UserError(str(exc))
         found = measures(sent, [])
--- a/lovagepier/commands/_send.py
+++ b/lovagepier/commands/_send.py
@@ -19,15 +19,15 @@
     help = "Send one request through the entry hosts."
     examples = (
         "examples:\n"
-        "  lovagepier send --door http://127.0.0.1:8080 --model drafter 'Hello'\n"
-        "  lovagepier send --door http://127.0.0.1:8080 --record POST "
+        "  lovagepier send --entry http://127.0.0.1:8080 --model drafter 'Hello'\n"
+        "  lovagepier send --entry http://127.0.0.1:8080 --record POST "
         "/pledges/new '{}' --idempotency-key K1"
     )
 
     def add_options(self, parser):
         """Add what describes the request."""
         add = parser.add_argument
-        add("--door", action="append", required=True, help="URL of any entry host")
+        add("--entry", action="append", required=True, help="URL of any entry host")
         add("--key", default=os.environ.get("LOVAGEPIER_CALLER_KEY", ""))
         add("--zone", default="", help="the caller's availability zone")
         add("--model", default="", help="model of a model request")
@@ -44,7 +44,7 @@
 
     def run(self, args):
         """Send and print; 3 if the answer is not a success."""
-        caller = Caller(args.door, args.key, args.zone)
+        caller = Caller(args.entry, args.key, args.zone)
         try:
             reply = self._send(caller, args)
         except CallerError as exc:
--- a/lovagepier/decisions/claims.py
+++ b/lovagepier/decisions/claims.py
@@ -149,7 +149,7 @@
             self._pending[key] = Claim(key, held.body, nonce, held.at, None, True)
 
     def is_over(self, key, nonce):
-        """Return whether the attempt `nonce` has its last word in the store.
+        """Return whether the attempt `nonce` has its final state in the store.
 
         True as well where the key is unknown or held by another attempt:
         there is nothing to settle or release any more.
--- a/lovagepier/node/_exchange.py
+++ b/lovagepier/node/_exchange.py
@@ -65,6 +65,11 @@
         """The id that the target knows the request by."""
         return self._item.work.id
 
+    @property
+    def target(self):
+        """The name of the target that answers."""
+        return self._item.target
+
     def _timeout(self):
         left = self._item.work.deadline - self._node.clock()
         return max(left, MIN_TIMEOUT_S)
--- a/lovagepier/node/_settlements.py
+++ b/lovagepier/node/_settlements.py
@@ -1,4 +1,4 @@
-"""Last words of claims, told to the ledger until they are in the store."""
+"""Final states of claims, sent to the ledger until they are in the store."""
 
 import threading
 from collections import OrderedDict
@@ -36,7 +36,9 @@
             self._open[body.nonce] = body
             if len(self._open) > MAX_OPEN:
                 _, dropped = self._open.popitem(last=False)
-                self._log.error("a claim's last word was dropped", shard=dropped.shard)
+                self._log.error(
+                    "a claim's final state was dropped", shard=dropped.shard
+                )
         self._tell(body)
 
     def count(self):
--- a/lovagepier/operators/_app.py
+++ b/lovagepier/operators/_app.py
@@ -3,11 +3,11 @@
 import uuid
 
 from lovagepier import keys
-from lovagepier.callers._entries import entries_response
+from lovagepier.callers import entries_response
 from lovagepier.config import PatchError
 from lovagepier.errors import ErrorKind, RequestError
 from lovagepier.logs import part_log
-from lovagepier.node._timeline import merge_events
+from lovagepier.node import merge_events
 from lovagepier.peers import messages
 from lovagepier.platform import StoreError
 from lovagepier.web import Response, json_response, problem_response
--- a/lovagepier/peers/_links.py
+++ b/lovagepier/peers/_links.py
@@ -121,7 +121,7 @@
                 self.bytes_received += len(data)
                 self._take(data, connection)
         except CodecError as exc:
-            self._log.warning("closed a link that sent rubbish", why=str(exc))
+            self._log.warning("closed a link that sent a malformed frame", why=str(exc))
             await connection.close(1003, "malformed frame")
         except ConnectionClosed:
             pass
--- a/test/conftest.py
+++ b/test/conftest.py
@@ -46,4 +46,4 @@
 @pytest.fixture
 def caller(cluster):
     """A caller of account blue."""
-    return Caller(cluster.doors(), "key-of-blue", "a1")
+    return Caller(cluster.addresses(), "key-of-blue", "a1")
--- a/test/faults.py
+++ b/test/faults.py
@@ -60,8 +60,8 @@
         self._threads.append(thread)
 
     def _caller(self, account, number):
-        doors = self.cluster.doors()
-        turned = doors[number % len(doors) :] + doors
+        addresses = self.cluster.addresses()
+        turned = addresses[number % len(addresses) :] + addresses
         return Caller(turned, f"key-of-{account}", ("a1", "b1")[number % 2])
 
     def _models(self, account, number):
@@ -156,9 +156,11 @@
     threads = ThreadPoolExecutor(count)
 
     def one(number):
-        doors = cluster.doors()
-        turn = number % len(doors)
-        caller = Caller(doors[turn:] + doors[:turn], f"key-of-{account}", pinned=True)
+        addresses = cluster.addresses()
+        turn = number % len(addresses)
+        caller = Caller(
+            addresses[turn:] + addresses[:turn], f"key-of-{account}", pinned=True
+        )
         return caller.complete(completion(f"s{number}", tokens), 60_000)
 
     return [threads.submit(one, number) for number in range(count)]
--- a/test/test_inputs.py
+++ b/test/test_inputs.py
@@ -78,7 +78,7 @@
 
 
 @given(st.binary(max_size=200))
-def test_rubbish_on_the_peer_port_is_a_codec_error(data):
+def test_malformed_bytes_on_the_peer_port_is_a_codec_error(data):
     with pytest.raises(CodecError):
         decode(data)
 
--- a/test/test_path.py
+++ b/test/test_path.py
@@ -20,7 +20,7 @@
 def test_each_caller_gets_its_own_whole_answer(cluster, stream):
     def one(number):
         name = "blue" if number % 2 else "piece"
-        caller = Caller(cluster.doors(), f"key-of-{name}", "a1")
+        caller = Caller(cluster.addresses(), f"key-of-{name}", "a1")
         reply = caller.complete(completion(f"n{number}", 5 + number, stream))
         return name, 5 + number, reply
 
@@ -43,7 +43,7 @@
 
 def test_an_id_sent_again_joins_the_first_run(cluster, caller):
     first = caller.complete(completion(tokens=12), request_id="same-id")
-    other = Caller(list(reversed(cluster.doors())), "key-of-blue", "b1")
+    other = Caller(list(reversed(cluster.addresses())), "key-of-blue", "b1")
     again = other.complete(completion(tokens=12), request_id="same-id", attempts=1)
     assert again.body == first.body
     assert cluster.dispatches()["blue.same-id"] == 1
@@ -57,7 +57,7 @@
 
 def test_a_record_is_written_once_however_often_it_is_sent(cluster, caller):
     def send(_):
-        each = Caller(cluster.doors(), "key-of-blue", "a1")
+        each = Caller(cluster.addresses(), "key-of-blue", "a1")
         return each.record(
             "POST", "/ledger/entries", b"{}", key="once", deadline_ms=9000
         )
@@ -83,7 +83,7 @@
 
 def _post(cluster, body, **headers):
     sent = {"Authorization": "Bearer key-of-blue", **headers}
-    url = f"{cluster.doors()[0]}/v1/chat/completions"
+    url = f"{cluster.addresses()[0]}/v1/chat/completions"
     return http_json("POST", url, body, sent)
 
 
--- a/test/test_platform_faults.py
+++ b/test/test_platform_faults.py
@@ -30,7 +30,7 @@
 
 def test_work_goes_on_through_an_outage(fleet):
     fleet.fault("kv", down=1)
-    caller = Caller(fleet.doors(), "key-of-high")
+    caller = Caller(fleet.addresses(), "key-of-high")
     for number in range(10):
         assert caller.complete(completion(f"o{number}"), 5000).status == 200
     read = caller.record("GET", "/ledger/entries", deadline_ms=4000)
@@ -38,7 +38,7 @@
 
 
 def test_a_write_in_an_outage_is_told_not_run_and_can_be_sent_again(fleet):
-    caller = Caller(fleet.doors(), "key-of-high")
+    caller = Caller(fleet.addresses(), "key-of-high")
     fleet.fault("kv", down=1)
     first = caller.record("POST", "/ledger/e", b"{}", "outage", deadline_ms=2000)
     assert (first.status, first.run) == (503, "no")
--- a/test/test_target_faults.py
+++ b/test/test_target_faults.py
@@ -22,7 +22,7 @@
 
 @pytest.fixture
 def caller(fleet):
-    return Caller(fleet.doors(), "key-of-high", "a1")
+    return Caller(fleet.addresses(), "key-of-high", "a1")
 
 
 def _revive(fleet):
@@ -47,7 +47,7 @@
     try:
         resp = urllib3.request(
             "POST",
-            f"{fleet.doors()[0]}/v1/chat/completions",
+            f"{fleet.addresses()[0]}/v1/chat/completions",
             body=json.dumps(completion(tokens=30)),
             headers={"Authorization": "Bearer key-of-high", "X-Deadline-Ms": "4000"},
             preload_content=False,
--- a/trials/bench.py
+++ b/trials/bench.py
@@ -91,13 +91,13 @@
     made = SCENARIOS[name]()
     with _fleet(made, policy) as cluster:
         warm = plan(TIERS, made.mix, made.rate * WARM_PART, WARM_SECONDS, seed + 1)
-        drive(cluster.doors(), warm)
+        drive(cluster.addresses(), warm)
         before = {e: cluster.counts(e) for e in cluster.engines}
         status = _statuses(cluster)
-        shots = plan(TIERS, made.mix, made.rate, seconds, seed, made.rate_at)
+        arrivals = plan(TIERS, made.mix, made.rate, seconds, seed, made.rate_at)
         _start_events(cluster, made, seconds)
         began = time.monotonic()
-        sent = drive(cluster.doors()[:2], shots, zone="a1")
+        sent = drive(cluster.addresses()[:2], arrivals, zone="a1")
         took = time.monotonic() - began
         engines = [_difference(before[e], cluster.counts(e)) for e in cluster.engines]
         found = measures(sent, engines)
--- a/trials/cluster.py
+++ b/trials/cluster.py
@@ -385,6 +385,6 @@
                     total[request_id] = total.get(request_id, 0) + times
         return total
 
-    def doors(self):
+    def addresses(self):
         """Return the callers' URLs of running nodes."""
         return [node.url for node in self.nodes.values() if node.alive()]
--- a/trials/demo.py
+++ b/trials/demo.py
@@ -50,7 +50,7 @@
 
 
 def _send_models(cluster, books, account, stop):
-    caller = Caller(cluster.doors(), f"key-of-{account}", "a1")
+    caller = Caller(cluster.addresses(), f"key-of-{account}", "a1")
     number = 0
     while not stop.is_set():
         number += 1
@@ -69,7 +69,7 @@
 
 
 def _send_records(cluster, books, account, stop):
-    caller = Caller(cluster.doors(), f"key-of-{account}", "b1")
+    caller = Caller(cluster.addresses(), f"key-of-{account}", "b1")
     while not stop.is_set():
         key = uuid.uuid4().hex
         try:
