--- a/lovagepier/decisions/scheduler.py
+++ b/lovagepier/decisions/scheduler.py
@@ -80,6 +80,7 @@
         self._rng = rng
         self._dispatched = Dispatched(options.finished_keep)
         self._pause = ShedPause(options.shed_hold)
+        self.last_shed = None
         self._sequence = 0
         self._explored_at = float("-inf")
         self._has_learnt = False
@@ -195,8 +196,13 @@
 
     def _shed(self, work, now, kind, why):
         self._pause.on_shed(work.tier, now)
+        self.last_shed = (work.tier, now)
         return Refusal(work, kind, why)
 
+    def pause_below(self, tier, now):
+        """Pause lower tiers because another pool of the model shed `tier`."""
+        self._pause.on_shed(tier, now)
+
     def _drain(self, now):
         decisions = self._expire(now)
         while len(self.waiting):
--- a/lovagepier/node/_node.py
+++ b/lovagepier/node/_node.py
@@ -401,6 +401,7 @@
     messages.PoolLook: _to_pools("look"),
     messages.PoolFirstByte: _to_pools("first_byte"),
     messages.PoolFinished: _to_pools("finished"),
+    messages.PoolPause: _to_pools("pause"),
     messages.PoolWithdraw: _to_pools("withdraw"),
     messages.PoolRegister: _to_pools("register"),
     messages.ClaimAsk: Node._to_ledger,
--- a/lovagepier/node/_pool.py
+++ b/lovagepier/node/_pool.py
@@ -12,6 +12,7 @@
     FirstByte,
     KnownIds,
     Looked,
+    Paused,
     Registered,
     Reported,
     Retire,
@@ -26,6 +27,7 @@
 ALL_KNOWN_WAIT_S = 1.0
 RELEASE_PERIOD_S = 2.0
 PUBLISH_PERIOD_S = 0.5
+PAUSE_PERIOD_S = 0.1
 
 
 class PoolActor(NodeActor):
@@ -38,6 +40,7 @@
         FirstByte: "on_first_byte",
         Finished: "on_finished",
         Withdrawn: "on_withdrawn",
+        Paused: "on_paused",
         Registered: "on_registered",
         Reported: "on_reported",
         KnownIds: "on_known_ids",
@@ -73,6 +76,8 @@
         self._dead = frozenset()
         self._released_at = self.began
         self._published_at = float("-inf")
+        self._shed_told = None
+        self._pause_sent_at = float("-inf")
         self.stats = {"granted": 0, "refused": 0, "joined": 0}
 
     def on_start(self):
@@ -229,7 +234,24 @@
         if self.scheduler.withdraw(message.id, self.node.clock()):
             self._replies.pop(message.id, None)
 
+    def on_paused(self, message):
+        """Start no lower work while another region sheds higher work."""
+        self.scheduler.pause_below(message.tier, self.node.clock())
+
+    def _spread_pause(self, now):
+        shed = self.scheduler.last_shed
+        if shed == self._shed_told or now - self._pause_sent_at < PAUSE_PERIOD_S:
+            return
+        self._shed_told = shed
+        self._pause_sent_at = now
+        for subject, region in self.node.view.pools():
+            if subject == self.subject and region != self.region:
+                home = self.node.roster.home(f"pool/{subject}/{region}", region)
+                if home is not None:
+                    self.node.tell(home, messages.PoolPause(subject, region, shed[0]))
+
     def _carry_out(self, decisions, now):
+        self._spread_pause(now)
         for decision in decisions:
             entry = self._replies.pop(decision.work.id, None)
             answer = self._answer(decision)
--- a/lovagepier/node/_pool_messages.py
+++ b/lovagepier/node/_pool_messages.py
@@ -11,6 +11,7 @@
     "FirstByte",
     "KnownIds",
     "Looked",
+    "Paused",
     "Registered",
     "Reported",
     "Retire",
@@ -98,6 +99,13 @@
     id: str
 
 
+@dataclass(slots=True, frozen=True)
+class Paused:
+    """Another region's pool lost work of a tier for lack of room."""
+
+    tier: int
+
+
 @dataclass(slots=True, frozen=True)
 class Registered:
     """Running work of an entry node that another home granted."""
--- a/lovagepier/node/_pools.py
+++ b/lovagepier/node/_pools.py
@@ -9,6 +9,7 @@
     Finished,
     FirstByte,
     Looked,
+    Paused,
     Registered,
     Retire,
     Withdrawn,
@@ -95,6 +96,10 @@
             return
         post(self._actor(body), Looked(body, reply))
 
+    def pause(self, body, reply):
+        """Tell that another region's pool lost work of a tier."""
+        self._tell(body, Paused(body.tier))
+
     def register(self, body, reply):
         """Tell of running work that another home granted."""
         if self._exists(body):
--- a/lovagepier/peers/messages.py
+++ b/lovagepier/peers/messages.py
@@ -21,6 +21,7 @@
     "PoolFinished",
     "PoolFirstByte",
     "PoolLook",
+    "PoolPause",
     "PoolRegister",
     "PoolWithdraw",
     "ProbeAck",
@@ -28,7 +29,6 @@
     "StatusAsk",
     "StatusTold",
     "StrikesTold",
-    "TargetsTold",
 ]
 
 
@@ -208,12 +208,14 @@
     running: list
 
 
-@message("tgt")
+@message("pause")
 @dataclass(slots=True)
-class TargetsTold:
-    """Targets that are leaving, as [name, incarnation] rows."""
+class PoolPause:
+    """Another region's pool of the subject lost work of `tier` for lack of room."""
 
-    leaving: list
+    subject: str
+    region: str
+    tier: int
 
 
 @message("clm?")
--- a/test/test_scheduler.py
+++ b/test/test_scheduler.py
@@ -68,6 +68,15 @@
         scheduler.finish(ended(work, decode_tokens=100, total_seconds=10.0), 10.0)
 
 
+def test_lower_work_pauses_while_another_pool_sheds_higher_work():
+    scheduler = make_scheduler()
+    scheduler.pause_below(1, 1.0)
+    assert scheduler.offer(make_work("low", tier=2), 1.5) == []
+    assert _granted(scheduler.offer(make_work("same", tier=1), 1.5)) == ["same"]
+    assert scheduler.last_shed is None
+    assert _granted(scheduler.tick(2.1)) == ["low"]
+
+
 def test_work_of_unknown_length_is_not_refused_on_a_guess():
     scheduler = make_scheduler()
     _teach(scheduler)
--- a/trials/bench.py
+++ b/trials/bench.py
@@ -144,8 +144,10 @@
 
 
 def _plot(rows, path):
-    import matplotlib
-
+    try:
+        import matplotlib
+    except ImportError:
+        raise SystemExit("--plot needs matplotlib: pip install -e '.[plot]'")
     matplotlib.use("svg")
     from matplotlib import pyplot
 
