Trials end what they started, also when they are told to stop

Cause: after trials ended by a time limit, 17 stand-ins and a node of theirs were still running; a fixture that failed half-way left its processes too. Change: the cluster leaves through its own exit on SIGTERM and SIGHUP, and fixtures close what they have begun.

--- a/test/faults.py
+++ b/test/faults.py
@@ -17,6 +17,15 @@
     """Return a started `Cluster` with accounts of the first three tiers."""
     settings.setdefault("callers_entry_ttl", "1s")
     cluster = Cluster(**settings)
+    try:
+        _populate(cluster, nodes, engines, records, pace)
+    except BaseException:
+        cluster.close()
+        raise
+    return cluster
+
+
+def _populate(cluster, nodes, engines, records, pace):
     zones = ("a1", "a2", "b1", "a1", "a2", "b1")
     cluster.platform()
     for number in range(engines):
@@ -29,7 +38,6 @@
         cluster.node(f"n{number}", zones[number])
     cluster.await_members(nodes)
     cluster.configure()
-    return cluster
 
 
 class Traffic:
--- a/test/test_cuts.py
+++ b/test/test_cuts.py
@@ -13,19 +13,18 @@
 
 @pytest.fixture
 def fleet():
-    cluster = Cluster(callers_entry_ttl="1s")
-    cluster.platform()
-    for number, zone in enumerate(("a1", "a2", "b1")):
-        cluster.engine(f"e{number}", zone)
-    cluster.records("r0", "a1")
-    for name, tier in (("high", "urgent"), ("mid", "standard"), ("low", "batch")):
-        cluster.account(name, tier)
-    for number, zone in enumerate(("a1", "a2", "b1")):
-        cluster.node(f"n{number}", zone, relayed=True)
-    cluster.await_members(3)
-    cluster.configure()
-    yield cluster
-    cluster.close()
+    with Cluster(callers_entry_ttl="1s") as cluster:
+        cluster.platform()
+        for number, zone in enumerate(("a1", "a2", "b1")):
+            cluster.engine(f"e{number}", zone)
+        cluster.records("r0", "a1")
+        for name, tier in (("high", "urgent"), ("mid", "standard"), ("low", "batch")):
+            cluster.account(name, tier)
+        for number, zone in enumerate(("a1", "a2", "b1")):
+            cluster.node(f"n{number}", zone, relayed=True)
+        cluster.await_members(3)
+        cluster.configure()
+        yield cluster
 
 
 @pytest.mark.parametrize("cut", [["n0"], ["n0", "n1", "n2"]])
--- a/test/test_platform_faults.py
+++ b/test/test_platform_faults.py
@@ -210,11 +210,7 @@
         traffic.stop()
     fleet.fault("kv", down=None)
 
-    def settled():
-        moves = fleet.operate("GET", "/v1/moves")[1]["moves"]
-        return next(m for m in moves if m["move"] == "m1")["settled"]
-
-    wait_until(settled, 20, "the outcome in the configuration")
+    wait_until(lambda: fleet.settled_move("m1"), 20, "the outcome in the configuration")
     assert fleet.operate("GET", "/v1/config")[1]["document"]["models"]["drafter"] == {
         "serving": "v2"
     }
--- a/test/test_target_faults.py
+++ b/test/test_target_faults.py
@@ -191,12 +191,6 @@
     )
 
 
-def _settled(fleet, name):
-    moves = fleet.operate("GET", "/v1/moves")[1]["moves"]
-    move = next(m for m in moves if m["move"] == name)
-    return move if move["settled"] else None
-
-
 def test_a_version_that_fails_late_is_taken_back_everywhere(fleet):
     fleet.engine("bad", "a2", version="v9", pace=0.005)
     fleet.ready()
@@ -212,7 +206,7 @@
 
         wait_until(lambda: share() >= 0.3, 12, "a share of 30%")
         fleet.fault("bad", failing=0.9)
-        move = wait_until(lambda: _settled(fleet, "late-fault"), 20, "the outcome")
+        move = wait_until(lambda: fleet.settled_move("late-fault"), 20, "the outcome")
         assert (move["state"], move["to"]) == ("taken-back", "v9")
         time.sleep(2)
         before = len(fleet.counts("bad")["dispatches"])
--- a/trials/cluster.py
+++ b/trials/cluster.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 from pathlib import Path
 
@@ -49,6 +50,10 @@
     raise AssertionError(f"{what} did not come within {seconds:g} s")
 
 
+def _leave(number, _):
+    raise SystemExit(128 + number)
+
+
 class Process:
     """One process of a trial."""
 
@@ -132,6 +137,10 @@
         self.relays = {}
 
     def __enter__(self):
+        # A trial that is told to stop still ends what it started.
+        if threading.current_thread() is threading.main_thread():
+            for number in (signal.SIGTERM, signal.SIGHUP):
+                signal.signal(number, _leave)
         return self
 
     def __exit__(self, *_):
@@ -354,6 +363,12 @@
                     lambda node=node: seen(node), seconds, f"{count} at {node.name}"
                 )
 
+    def settled_move(self, name, node=None):
+        """Return a move once its outcome is in the configuration, else None."""
+        moves = self.operate("GET", "/v1/moves", node=node)[1]["moves"]
+        move = next(m for m in moves if m["move"] == name)
+        return move if move["settled"] else None
+
     # Books
 
     def counts(self, name):
--- a/trials/demo.py
+++ b/trials/demo.py
@@ -111,12 +111,8 @@
 
 
 def _await_move(cluster, name, seconds):
-    def settled():
-        moves = cluster.operate("GET", "/v1/moves")[1]["moves"]
-        move = next(m for m in moves if m["move"] == name)
-        return move["state"] if move["settled"] else None
-
-    return wait_until(settled, seconds, f"the end of move {name}")
+    what = f"the end of move {name}"
+    return wait_until(lambda: cluster.settled_move(name), seconds, what)["state"]
 
 
 def _traffic(cluster, books, stop):
