--- a/test/test_path.py
+++ b/test/test_path.py
@@ -1,6 +1,8 @@
 """The whole path over real processes: callers, nodes, engines, records."""
 
+import json
 import re
+import socket
 import uuid
 from concurrent.futures import ThreadPoolExecutor
 
@@ -8,7 +10,7 @@
 
 from lovagepier.client import Caller
 from test.builders import completion
-from trials.cluster import http_json
+from trials.cluster import http_json, wait_until
 
 
 def _tokens(reply):
@@ -124,3 +126,24 @@
     words = [event["event"] for event in events]
     assert words.index("granted") < words.index("dispatched")
     assert words[-1] == "ended: ok"
+
+
+def test_work_is_cancelled_when_its_caller_goes_away(cluster):
+    body = json.dumps(completion(tokens=4000)).encode()
+    head = (
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+        "Authorization: Bearer key-of-blue\r\nX-Request-Id: gone-away\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    with socket.create_connection(("127.0.0.1", cluster.nodes["n1"].port), 5) as sock:
+        sock.sendall(head.encode() + body)
+        assert b" 200 " in sock.recv(4096)
+
+    def ended():
+        path = "/v1/events?request=blue.gone-away"
+        events = cluster.operate("GET", path)[1]["events"]
+        return any(event["event"] == "ended: cancelled" for event in events)
+
+    wait_until(ended, 10, "the end of the work")
+    wasted = sum(cluster.counts(name)["wasted_prefill"] for name in cluster.engines)
+    assert wasted > 0
