One path for the final states of claims, one name for a target's life

Cause: a last reading found the same steps written twice: settling and releasing a claim, and naming a target's incarnation for the strikes; a set of all running ids was built to look up one; two methods had no caller. Change: each stands once, the look-up asks for the id, the unused went. Behaviour is as before; no test was touched.

--- a/lovagepier/decisions/fleet.py
+++ b/lovagepier/decisions/fleet.py
@@ -66,6 +66,11 @@
         """Requests granted to this target and not reported back."""
         return len(self.running)
 
+    @property
+    def life(self):
+        """A name for this target's present incarnation."""
+        return f"{self.name}/{self.incarnation}"
+
     def takes_work(self, now):
         """Return whether new work may go here at all."""
         if self.leaving or self.down:
--- a/lovagepier/decisions/scheduler.py
+++ b/lovagepier/decisions/scheduler.py
@@ -333,8 +333,7 @@
             self._dispatched.remember(outcome.id, running.target, fingerprint, now)
         state = self.fleet.get(running.target)
         if outcome.status == "died" and state is not None and not state.down:
-            death_id = f"{state.name}/{state.incarnation}"
-            self.target_died(state.name, death_id, now)
+            self.target_died(state.name, state.life, now)
         if state is not None:
             if outcome.first_seconds is not None:
                 self._learn_first(state, outcome.id, outcome.first_seconds, now)
@@ -432,10 +431,6 @@
         )
         return ahead / rate if rate else float("inf")
 
-    def running(self):
-        """Return (work, target, version) of all running work."""
-        return [(r.work, r.target, r.version) for r in self._dispatched.values()]
-
     # Targets
 
     def set_target(self, name, zone, version, incarnation, now):
@@ -465,8 +460,7 @@
         state.vanished = []
         if lost and not state.down:
             running = [work.fingerprint for work in state.running.values()]
-            death_id = f"{state.name}/{state.incarnation}"
-            self.strikes.on_death(death_id, [*lost, *running], now)
+            self.strikes.on_death(state.life, [*lost, *running], now)
 
     def target_leaving(self, name, leaving):
         """Stop or resume new work to a target."""
--- a/lovagepier/node/_ledger.py
+++ b/lovagepier/node/_ledger.py
@@ -98,24 +98,27 @@
     def on_settled(self, message):
         """Store the first answer of a claim."""
         body = message.body
-        owned = self._own(body.shard)
-        if owned is None:
-            return
-        if owned.shard.is_over(body.key, body.nonce):
-            message.reply(messages.ClaimTold(Verdict.DONE))
-            return
-        owned.shard.settle(body.key, body.nonce, body.outcome)
+        shard = self._unless_over(message)
+        if shard is not None:
+            shard.settle(body.key, body.nonce, body.outcome)
 
     def on_released(self, message):
         """Give a claim back."""
         body = message.body
+        shard = self._unless_over(message)
+        if shard is not None:
+            shard.release(body.key, body.nonce)
+
+    def _unless_over(self, message):
+        """Return the claim's shard, or None after confirming its final state."""
+        body = message.body
         owned = self._own(body.shard)
         if owned is None:
-            return
+            return None
         if owned.shard.is_over(body.key, body.nonce):
             message.reply(messages.ClaimTold(Verdict.DONE))
-            return
-        owned.shard.release(body.key, body.nonce)
+            return None
+        return owned.shard
 
     # Time
 
@@ -285,10 +288,6 @@
             except StoreError:
                 return
 
-    def sizes(self):
-        """Return {shard: claims remembered}."""
-        return {number: owned.shard.size for number, owned in self._owned.items()}
-
 
 def _claim_fields(claim):
     fields = asdict(claim)
--- a/lovagepier/node/_pool.py
+++ b/lovagepier/node/_pool.py
@@ -189,8 +189,7 @@
         if work.attempt == 0 or not self._unanswered:
             return True
         young = self.node.clock() - self.began < self.node.cfg.callers_longest_deadline
-        known = work.id in {item.id for item, _, _ in self.scheduler.running()}
-        return known or not young
+        return not young or self.scheduler.find_running(work.id) is not None
 
     def _refuse_unknown(self, work, reply):
         why = "a target that may have run it does not say"
