Quotas: the slack is spread over the window, debts have a bound

Now 0.55 of the slack is a rate, 0.1 a burst, 0.25 the most debt; what was refused without a run is given back; the fair bucket starts full after a change of the home, since it only ranks. A home cut off from others gives out exactly the part of the hosts that it serves; hosts that lapsed lately count as parted. Ruled out: a sliding window of the whole bound (serves in pulses).

--- a/lovagepier/decisions/quotas.py
+++ b/lovagepier/decisions/quotas.py
@@ -23,21 +23,33 @@
 class Quotas:
     """Admit what lies within each account's rate and burst.
 
-    `overage` widens rate and burst (0.05 is 5%), `extra` the burst in the
-    quota's unit: a refusal within the quota costs its caller, a little too
-    much costs nobody. `share` is the part of every quota that this place may
+    A refusal within the quota costs its caller, a little too much costs
+    nobody, so rate and burst are widened: both by `overage` (0.05 is 5%), the
+    burst by `extra` and the rate by `extra_rate`, in the quota's unit. In any
+    span T an account gets (rate x T + burst) of these at the most, and
+    `most_debt` beyond. `share` is the part of every quota that this place may
     give out while others may be giving out the rest. After `take_over` a
     bucket starts with `FIRST_FILL` of its burst, since another place may have
     spent the rest just now.
     """
 
-    FIRST_FILL = 0.1
+    FIRST_FILL = 0.05
 
-    __slots__ = ("_buckets", "_extra", "_overage", "_taken_over", "share")
+    __slots__ = (
+        "_buckets",
+        "_extra",
+        "_extra_rate",
+        "_most_debt",
+        "_overage",
+        "_taken_over",
+        "share",
+    )
 
-    def __init__(self, overage=0.0, extra=0.0):
+    def __init__(self, overage=0.0, extra=0.0, extra_rate=0.0, most_debt=float("inf")):
         self._overage = overage
         self._extra = extra
+        self._extra_rate = extra_rate
+        self._most_debt = most_debt
         self._taken_over = float("-inf")
         self._buckets = {}
         self.share = 1.0
@@ -52,7 +64,7 @@
         return min(burst * self.FIRST_FILL + earned, burst)
 
     def _bucket(self, name, rate, burst, now):
-        rate = rate * (1.0 + self._overage) * self.share
+        rate = (rate * (1.0 + self._overage) + self._extra_rate) * self.share
         burst = (burst * (1.0 + self._overage) + self._extra) * self.share
         bucket = self._buckets.get(name)
         if bucket is None:
@@ -68,15 +80,22 @@
     def spend(self, name, rate, burst, cost, now):
         """Return 0 if a request is within the quota, else seconds to come back in.
 
-        A request passes while anything is left, whatever its size, and may
-        leave a debt: else a spent quota would serve small requests only. Those
-        refused are told to come back one after the other.
+        A request passes while anything is left and may leave a bounded debt:
+        else a spent quota would serve small requests only. Those refused are
+        told to come back one after the other.
         """
         if not rate or not cost:
             return 0.0
         bucket = self._bucket(name, rate, burst, now)
-        if bucket.level > 0:
+        least = min(cost - self._most_debt, bucket.burst)
+        if bucket.level > 0 and bucket.level >= least:
             bucket.level -= cost
             return 0.0
         bucket.promised += cost
         return (bucket.promised - bucket.level) / max(bucket.rate, 1e-9)
+
+    def refund(self, name, cost):
+        """Give back what a request cost that was not run after all."""
+        bucket = self._buckets.get(name)
+        if bucket is not None:
+            bucket.level = min(bucket.level + cost, bucket.burst)
--- a/lovagepier/decisions/work.py
+++ b/lovagepier/decisions/work.py
@@ -16,7 +16,8 @@
     where nothing is said, and `on_time_until` the latest start for it.
     `decode_tokens` is learnt unless given. `retry_reserve` is the part of the
     retry budget that a repeat of this work leaves to others; `overbooks` that
-    it may wait at a full target for the next slot, as the top tier does.
+    it may wait at a full target for the next slot, as the top tier does. `cost`
+    is what was counted against its account's quota.
     """
 
     id: str
@@ -46,6 +47,7 @@
     on_time_until: float = float("inf")
     retry_reserve: float = 0.0
     overbooks: bool = False
+    cost: float = 0.0
 
     def hit_tokens(self, depth):
         """Return the prompt tokens in the first `depth` blocks."""
--- a/lovagepier/entry/_desk.py
+++ b/lovagepier/entry/_desk.py
@@ -45,6 +45,9 @@
 # Part of the live hosts from which on a home uses all targets: fewer mean that
 # another home may be using them as well.
 WHOLE_PART = 0.6
+# A host whose registration lapsed counts so long as one that serves by itself: a
+# longer cut than most; a host that was killed is back before that.
+PARTED_S = 20.0
 
 _log = part_log("members")
 
@@ -85,6 +88,7 @@
         self._condemned = set()
         self._home_age = 0.0
         self._rounds = 0
+        self._seen_at = {}
         self._began = self._loop.time()
         self.current = None
 
@@ -397,10 +401,26 @@
                 link.close()
 
     def _adjust_share(self):
-        live = len(self._view.members()) or 1
+        now = self._loop.time()
         served = self.served.asking()
         served += self._serves_itself()
-        part = served / live
-        if not served or part >= WHOLE_PART:
+        if not served:
+            self._home.set_share(1.0, 1.0, now)
+            return
+        part = served / max(len(self._view.members()), 1)
+        quota_part = served / max(self._lately_live(now), 1)
+        if part >= WHOLE_PART:
             part = 1.0
-        self._home.set_share(part, self._loop.time())
+        self._home.set_share(part, min(quota_part, 1.0), now)
+
+    def _lately_live(self, now):
+        """Return how many hosts may be giving out parts of the quotas.
+
+        A host whose registration lapsed may be cut off from the store only.
+        """
+        for name in self._view.members():
+            self._seen_at[name] = now
+        for name, at in list(self._seen_at.items()):
+            if now - at >= PARTED_S:
+                del self._seen_at[name]
+        return len(self._seen_at)
--- a/lovagepier/entry/_home.py
+++ b/lovagepier/entry/_home.py
@@ -35,10 +35,12 @@
 RETRY_RESERVE = 0.05
 # Retries that a quiet pool earns a second, whatever its load.
 RETRY_FLOOR_PER_S = 0.5
-# Part of the quota's slack that is given out beyond rate and burst: callers
-# lose what is refused within the bound; the rest is for a change of the home and
-# for the debt that one large request may leave.
-QUOTA_EXTRA_PART = 0.55
+# Parts of the quota's slack that are given out beyond rate and burst, where nobody
+# else wants the room: spread over the window, at once, and as a debt that one large
+# request may leave. What is left is for a change of the home in mid-window.
+QUOTA_RATE_PART = 0.55
+QUOTA_BURST_PART = 0.1
+QUOTA_DEBT_PART = 0.25
 # Part of the bound's overage that is used.
 QUOTA_OVERAGE_PART = 0.8
 # Finished requests are remembered for outcomes that come late.
@@ -78,9 +80,12 @@
         self._pools = {}
         self._share = 1.0
         self.strikes = Strikes()
+        slack = cfg.budgets_quota_slack
         self.quotas = Quotas(
             overage=cfg.budgets_quota_overage * QUOTA_OVERAGE_PART,
-            extra=cfg.budgets_quota_slack * QUOTA_EXTRA_PART,
+            extra=slack * QUOTA_BURST_PART,
+            extra_rate=slack * QUOTA_RATE_PART / cfg.budgets_quota_window,
+            most_debt=slack * QUOTA_DEBT_PART,
         )
         self.fair_quotas = Quotas()
         self.moves = Moves(cfg, view, write_state)
@@ -156,13 +161,17 @@
         pool.scheduler.old_version = None if share is None else "old"
         pool.scheduler.share = {} if share is None else {"new": share}
 
-    def set_share(self, share, now):
-        """Take the part of all targets that this home may use."""
+    def set_share(self, share, quota_share, now):
+        """Take the parts of all targets and of the quotas that this home gives out."""
+        self.quotas.share = quota_share
         if share == self._share:
             return
-        _log.info("part of the targets that this home uses", share=share)
+        _log.info(
+            "part of the targets that this home uses",
+            share=round(share, 3),
+            quotas=round(quota_share, 3),
+        )
         self._share = share
-        self.quotas.share = share
         for pool in self._pools.values():
             for state in pool.scheduler.fleet:
                 target = self._view.target(state.name)
@@ -173,7 +182,6 @@
     def take_over(self, now):
         """Begin to decide for hosts that asked another home until now."""
         self.quotas.take_over(now)
-        self.fair_quotas.take_over(now)
 
     # What entry hosts say
 
@@ -244,6 +252,7 @@
             attempt=ask.attempt,
             retry_reserve=RETRY_RESERVE * (ask.tier % ROUTE_TIERS),
             overbooks=ask.tier % ROUTE_TIERS == 0,
+            cost=ask.cost,
         )
 
     def on_first(self, entry, first, now):
@@ -352,6 +361,7 @@
         )
 
     def _refuse(self, work, request_id, refusal):
+        self.quotas.refund(work.account, work.cost)
         wait = min(
             max(refusal.retry_after or 0.0, RETRY_AFTER_LEAST_S), RETRY_AFTER_MOST_S
         )
--- a/lovagepier/entry/_settings.py
+++ b/lovagepier/entry/_settings.py
@@ -79,6 +79,7 @@
         "retry_slack": _quantity("50"),
         "quota_overage": _share("0.1"),
         "quota_slack": _quantity("0"),
+        "quota_window": _timed("8s"),
     },
     "moves": {
         "exposure_share": _share("0.1"),
--- a/test/test_quotas.py
+++ b/test/test_quotas.py
@@ -74,6 +74,62 @@
     assert spent[1] <= BURST * Quotas.FIRST_FILL
 
 
+@given(
+    st.lists(st.tuples(st.floats(0, 1), st.floats(1, 900), st.booleans()), max_size=80),
+    st.lists(st.integers(0, 79), max_size=2),
+)
+def test_no_window_holds_more_than_its_bound_whoever_gives_out(rows, changes):
+    """The bound: (rate x window + burst) x 1.1 + slack, over changes of the home."""
+    window, slack = 8.0, 1000.0
+    parts = {"overage": 0.08, "extra": 0.1 * slack, "extra_rate": 0.55 * slack / window}
+    home = Quotas(most_debt=0.25 * slack, **parts)
+    now = 0.0
+    passed = []
+    for number, (gap, cost, runs) in enumerate(rows):
+        now += gap
+        if number in changes:
+            home = Quotas(most_debt=0.25 * slack, **parts)
+            home.take_over(now)
+        if not home.spend("a", RATE, BURST, cost, now):
+            if runs:
+                passed.append((now, cost))
+            else:
+                home.refund("a", cost)
+    # A request above the burst and the debt passes alone, once the bucket is full.
+    spare = BURST * 1.08 + 0.1 * slack + 0.25 * slack
+    most = (RATE * window + BURST) * 1.1 + slack
+    for start, _ in passed:
+        inside = [c for at, c in passed if start <= at <= start + window]
+        oversize = max(0.0, max(inside) - spare)
+        assert sum(inside) <= most + oversize + 1e-6
+
+
+def test_what_is_over_the_quota_for_long_still_gets_the_extra_rate():
+    quotas = Quotas(extra_rate=50.0)
+    passed = sum(
+        not quotas.spend("a", RATE, 20.0, 10.0, step * 0.01) for step in range(2000)
+    )
+    assert passed * 10.0 >= (RATE + 50.0) * 20.0 * 0.98
+
+
+def test_what_was_not_run_is_given_back():
+    quotas = Quotas()
+    assert not quotas.spend("a", RATE, BURST, BURST, 0.0)
+    assert quotas.spend("a", RATE, BURST, 50.0, 0.0)
+    quotas.refund("a", BURST)
+    assert not quotas.spend("a", RATE, BURST, 50.0, 0.0)
+
+
+def test_a_debt_has_a_bound():
+    quotas = Quotas(most_debt=40.0)
+    assert not quotas.spend("a", RATE, BURST, BURST - 10.0, 0.0)
+    assert quotas.spend("a", RATE, BURST, 60.0, 0.0)
+    assert not quotas.spend("a", RATE, BURST, 50.0, 0.0)
+    # What is larger than the burst passes once the bucket is full.
+    assert quotas.spend("a", RATE, BURST, 900.0, 0.5)
+    assert not quotas.spend("a", RATE, BURST, 900.0, 10.0)
+
+
 def test_no_rate_is_no_quota():
     assert not Quotas().spend("a", 0.0, 0.0, 1e9, 0.0)
 
