A host that starts serves at once by its part, and keeps the first home it reaches

Ruled out: the start itself (0.21 s from the first line of Python to 'started', 0.15 s of it imports; hosts come back 0.05 to 0.5 s after the power). Now such a host serves with an eighth of the targets until it reaches another, dials each 50 ms until then, and keeps that home for its first second.

--- a/lovagepier/entry/_desk.py
+++ b/lovagepier/entry/_desk.py
@@ -25,9 +25,14 @@
 
 # How often an entry host and the home tell each other that they are there.
 BEAT_S = 0.25
-# A host that has just started looks for a home so long before it is its own:
-# after a loss of all hosts, each would use a part of every target for itself.
-SETTLE_S = 0.4
+# A host that has just started serves by itself so long at the most before it holds
+# the others for lost; meanwhile it keeps the first home that it reaches, since
+# registrations of before and after a loss of all hosts would make it change often.
+SETTLE_S = 1.0
+# It looks for a home this often until it has one.
+SETTLE_STEP_S = 0.05
+# Hosts that share the targets at the least while registrations still come in.
+SETTLE_HOSTS = 8
 # A home or entry host that was silent this long is passed over.
 SILENT_S = 1.0
 # A link that is kept in reserve beats once in so many times.
@@ -254,23 +259,19 @@
         return self._loop.time() - link.heard_at < patience
 
     def choose(self):
-        """Turn to the most senior host that can be reached."""
+        """Turn to the most senior host that can be reached, else serve alone."""
+        if self._settling() and self._has_other_home() and self._is_up(self.current):
+            return
         for name in self._candidates():
-            if name == self._cfg.host_name:
-                if self._may_serve_itself(name):
-                    self._turn_to(name)
-                return
-            if self._is_up(name):
+            if name == self._cfg.host_name or self._is_up(name):
                 self._turn_to(name)
                 return
 
-    def _may_serve_itself(self, name):
-        if self.current is not None:
-            return True
-        if self._loop.time() - self._began >= SETTLE_S:
-            return True
-        # Registered before all others that are registered again.
-        return name in self._view.members() and self._candidates()[0] == name
+    def _settling(self):
+        return self._loop.time() - self._began < SETTLE_S
+
+    def _has_other_home(self):
+        return self.current not in (None, self._cfg.host_name)
 
     def _turn_to(self, name):
         if name == self.current:
@@ -286,6 +287,7 @@
         elif self._serves_itself():
             self._home.on_entry_lost(self._cfg.host_name, now)
         self.current = name
+        self._adjust_share()
         rows = [
             [[getattr(ask, field) for field in Ask.__slots__], target]
             for ask, target in self._running.values()
@@ -305,13 +307,28 @@
         while True:
             self._upkeep()
             self.sharing.pass_on(list(self.served.links.values()))
-            await asyncio.sleep(BEAT_S)
+            await self._rest()
 
-    def _upkeep(self):
-        self._cut_silent()
+    async def _rest(self):
+        """Wait for the next round; a host without a home looks for one meanwhile."""
+        until = self._loop.time() + BEAT_S
+        while self._settling() and not self._has_other_home():
+            if self._loop.time() >= until:
+                return
+            await asyncio.sleep(SETTLE_STEP_S)
+            self._dial_wanted()
+        await asyncio.sleep(until - self._loop.time())
+
+    def _dial_wanted(self):
+        """Dial the hosts that this one wants a link to; return them."""
         wanted = self._wanted()
         for name, address in wanted.items():
             self._dial(name, address)
+        return wanted
+
+    def _upkeep(self):
+        self._cut_silent()
+        wanted = self._dial_wanted()
         self.choose()
         self._rounds += 1
         for name, link in list(self._links.items()):
@@ -373,7 +390,8 @@
             return
         if now < self._redial_at.get(name, 0.0):
             return
-        self._redial_at[name] = now + REDIAL_S
+        pause = SETTLE_STEP_S if self._settling() else REDIAL_S
+        self._redial_at[name] = now + pause
         self._dialing[name] = self._loop.create_task(self._keep_link(name, address))
 
     async def _keep_link(self, name, address):
@@ -381,6 +399,7 @@
             link.peer = name
             self._links[name] = link
             link.send(self._beat(False))
+            self.choose()
 
         def on_close(link):
             if self._links.get(name) is link:
@@ -407,7 +426,10 @@
         if not served:
             self._home.set_share(1.0, 1.0, now)
             return
-        part = served / max(len(self._view.members()), 1)
+        live = len(self._view.members())
+        if self._settling() and self._cfg.host_first_start != "true":
+            live = max(live, SETTLE_HOSTS)
+        part = served / max(live, 1)
         quota_part = served / max(self._lately_live(now), 1)
         if part >= WHOLE_PART:
             part = 1.0
--- a/test/test_entry_path.py
+++ b/test/test_entry_path.py
@@ -6,6 +6,7 @@
 
 from lovagepier.entry import _desk
 from lovagepier.entry._front import REFUSE_AFTER_S
+from lovagepier.entry._view import encode_host
 from test.entry_builders import (
     call,
     config,
@@ -16,6 +17,7 @@
     until,
     world,
 )
+from trials.ports import free_port
 
 
 def play(scenario, **options):
@@ -444,6 +446,38 @@
     play(scenario, hosts=2)
 
 
+def test_a_host_that_starts_serves_before_it_has_found_the_senior_one(monkeypatch):
+    monkeypatch.setattr(_desk, "SETTLE_S", 1000.0)
+
+    async def run():
+        async with world(hosts=0) as made:
+            # Registered before a loss of all hosts; nothing listens there yet.
+            lost = encode_host("n0", f"127.0.0.1:{free_port()}", 9)
+            await made.store.write("lovagepier/hosts/n0.before", lost)
+            host = await made.host("n1", host={"first_start": "false"})
+            await until(lambda: "n0" in host.view.members())
+            assert (await call(host, "/read/x", "r1")).status == 200
+            fleet = host.home._pools["model"].scheduler.fleet
+            assert [state.limit.value for state in fleet] == [1.0]
+
+    asyncio.run(run())
+
+
+def test_a_host_that_starts_keeps_the_first_home_that_it_reaches(monkeypatch):
+    monkeypatch.setattr(_desk, "SETTLE_S", 1000.0)
+
+    async def scenario(made):
+        first, second = made.hosts
+        await until(lambda: second.desk.current == "n1")
+        # Registered again, n1 is no longer the most senior.
+        await made.store.remove(next(k for k in made.store.items if "/n1." in k))
+        await until(lambda: "n1" not in second.view.members())
+        second.desk.choose()
+        assert second.desk.current == "n1"
+
+    play(scenario, hosts=2)
+
+
 def test_a_host_that_starts_again_gives_out_no_second_burst():
     async def spent(first_start):
         async with world(hosts=0) as made:
