--- a/lovagepier/decisions/scheduler.py
+++ b/lovagepier/decisions/scheduler.py
@@ -33,9 +33,9 @@
 class SchedulerOptions:
     """Settings of one pool scheduler; times in seconds.
 
-    `retries` makes the pool's `RetryBudget`. With `late_bands` every second
-    tier is for work of the tier above that can't be on time any more: a late
-    answer is worth little, so it doesn't make a next one late.
+    `retries` makes the pool's `RetryBudget`. With `late_bands` work
+    that can't be on time any more goes to its `late_tier`: a late answer is worth
+    little, so it doesn't make a next one late.
     """
 
     __slots__ = (
@@ -226,7 +226,7 @@
         return decisions
 
     def _demote_late(self, now):
-        """Move late work a band down; refuse what that band has no room for."""
+        """Move late work to its late tier; refuse what that band has no room for."""
         late = self.waiting.demote_late(now)
         room = LATE_ROUNDS * sum(
             state.limit.value for state in self.fleet if not state.leaving
--- a/lovagepier/decisions/waiting.py
+++ b/lovagepier/decisions/waiting.py
@@ -157,13 +157,13 @@
         return late
 
     def demote_late(self, now):
-        """Move work that can't be on time any more one tier down; return it."""
+        """Move work that can't be on time any more to its late tier; return it."""
         late = []
         while self._aims and self._aims[0].on_time_until < now:
             work = self._aims[0]
             self.remove(work.id)
             work.on_time_until = float("inf")
-            work.tier += 1
+            work.tier = work.late_tier
             self._insert(work)
             late.append(work)
         return late
--- a/lovagepier/decisions/work.py
+++ b/lovagepier/decisions/work.py
@@ -17,7 +17,8 @@
     `decode_tokens` is learnt unless given. `retry_reserve` is the part of the
     retry budget that a repeat of this work leaves to others; `overbooks` that
     it may wait at a full target for the next slot, as the top tier does. `cost`
-    is what was counted against its account's quota.
+    is what was counted against its account's quota; `late_tier` the tier that it
+    moves to once it can't be on time.
     """
 
     id: str
@@ -48,6 +49,7 @@
     retry_reserve: float = 0.0
     overbooks: bool = False
     cost: float = 0.0
+    late_tier: int = 0
 
     def hit_tokens(self, depth):
         """Return the prompt tokens in the first `depth` blocks."""
--- a/lovagepier/entry/_home.py
+++ b/lovagepier/entry/_home.py
@@ -24,10 +24,13 @@
 # the bytes that are paid for, weighed as time.
 ZONE_COST_S = 0.001
 REGION_COST_S = 0.035
-# Two bands a tier: what can be on time, and what is late. The last tier is
-# work over its account's quota.
-TIERS = 34
-SPARE_TIER = TIERS - 2
+# Ranks of work: accounts' and routes' priorities together.
+RANKS = 16
+# Bands of a rank, most urgent first: on time; over its account's quota, but within
+# the bound on it; late.
+BANDS = 3
+OVER_QUOTA_BAND = 1
+LATE_BAND = 2
 # Part of the retry bound that is used; the rest is for other hosts' view of
 # the window and for a home that changes in its middle.
 RETRY_PART = 0.85
@@ -101,7 +104,7 @@
         pool = self._pools.get(service)
         if pool is None:
             options = SchedulerOptions(
-                tiers=TIERS,
+                tiers=RANKS * BANDS,
                 late_bands=True,
                 distance=self._distance,
                 lost_after=LOST_AFTER_S,
@@ -195,18 +198,18 @@
         if ask.attempt == 0:
             self.moves.count_sent(ask.service)
         work = self._work(entry, ask, now)
-        if self._is_spare(ask, now):
-            work.tier = SPARE_TIER
+        if self._is_over_fair_quota(ask, now):
+            work.tier += OVER_QUOTA_BAND
         self._carry_out(pool.scheduler.offer(work, now))
 
     def _account(self, ask):
         catalog = self._view.catalog
         return catalog.accounts.get(ask.account) if catalog else None
 
-    def _is_spare(self, ask, now):
+    def _is_over_fair_quota(self, ask, now):
         """Return whether a request is within the bound on its quota but over it.
 
-        Such work is served only with what nobody else wants.
+        Such work comes after that of the same rank that is within its quota.
         """
         account = self._account(ask)
         if account is None:
@@ -232,11 +235,13 @@
         return Refused(ask.id, ErrorKind.OVER_QUOTA, why, wait)
 
     def _work(self, entry, ask, now):
+        rank = min(max(ask.tier, 0), RANKS - 1)
         return Work(
             id=f"{entry}/{ask.id}",
             entry=entry,
             account=ask.account,
-            tier=min(max(ask.tier, 0) * 2, SPARE_TIER),
+            tier=rank * BANDS,
+            late_tier=rank * BANDS + LATE_BAND,
             deadline=now + ask.left,
             aim=now + ask.aim,
             route=ask.route,
--- a/test/builders.py
+++ b/test/builders.py
@@ -19,7 +19,9 @@
         "prefill_tokens": 100,
         "fingerprint": f"body-{request_id}",
     }
-    return Work(**{**values, **fields})
+    values.update(fields)
+    values.setdefault("late_tier", values["tier"] + 1)
+    return Work(**values)
 
 
 def make_scheduler(targets=("e1",), slots=2.0, **options):
--- a/test/test_entry_path.py
+++ b/test/test_entry_path.py
@@ -8,6 +8,7 @@
 from lovagepier.entry._front import REFUSE_AFTER_S
 from lovagepier.entry._view import encode_host
 from test.entry_builders import (
+    KEY,
     call,
     config,
     connect,
@@ -446,6 +447,42 @@
     play(scenario, hosts=2)
 
 
+def test_over_its_quota_urgent_work_still_goes_before_less_urgent_work():
+    async def scenario(made):
+        raw = config(2)
+        raw["tenants"] = [
+            {"name": "blue", "api_keys": [KEY], "rate_per_s": 0.001, "burst": 5},
+            {"name": "red", "api_keys": ["key-of-red"]},
+        ]
+        for row in raw["routes"]:
+            row["priority"] = 0 if row["name"] == "read" else 2
+        await made.store.write("op/config", raw)
+        host, worker = made.hosts[0], made.workers["w1"]
+        await until(lambda: host.view.version == 2)
+        worker.work_s = 0.3
+        keys = {"read": KEY, "file": "key-of-red"}
+
+        async def send(name, number):
+            method = "GET" if name == "read" else "POST"
+            body = b"" if name == "read" else b"1"
+            path = f"/{name}/x"
+            return await call(
+                host, path, f"{name}{number}", method=method, key=keys[name], body=body
+            )
+
+        # Blue is over its quota by the second half of its calls; red is not.
+        calls = [asyncio.create_task(send("read", number)) for number in range(9)]
+        await until(lambda: host.home.waiting() == 4)
+        calls += [asyncio.create_task(send("file", number)) for number in range(2)]
+        await until(lambda: host.home.waiting() == 6)
+        answers = await asyncio.gather(*calls)
+        assert [answer.status for answer in answers] == [200] * 11
+        order = [run[0][:4] for run in worker.runs]
+        assert order == ["read"] * 9 + ["file"] * 2
+
+    play(scenario, budgets={"quota_overage": "0", "quota_slack": "100"})
+
+
 def test_a_host_that_starts_serves_before_it_has_found_the_senior_one(monkeypatch):
     monkeypatch.setattr(_desk, "SETTLE_S", 1000.0)
 
