An account over its quota keeps its most urgent requests

A request of a lower rank now leaves room for ten of its size a rank, never more than the burst was widened by, so nothing within the quota is refused. Ruled out: a reserve of any size (refused accounts within their quota; a test shows it).

--- a/lovagepier/decisions/quotas.py
+++ b/lovagepier/decisions/quotas.py
@@ -77,22 +77,25 @@
         bucket.level = min(bucket.level, burst)
         return bucket
 
-    def spend(self, name, rate, burst, cost, now):
+    def spend(self, name, rate, burst, cost, now, reserve=0.0):
         """Return 0 if a request is within the quota, else seconds to come back in.
 
-        A request passes while anything is left and may leave a bounded debt:
-        else a spent quota would serve small requests only. Those refused are
-        told to come back one after the other.
+        A request passes while more than `reserve` is left, which it leaves to
+        the account's more urgent requests; no more than what the burst was
+        widened by, so that nothing within the quota is refused. It may leave a
+        bounded debt: else a spent quota would serve small requests only. Those
+        refused are told to come back one after the other.
         """
         if not rate or not cost:
             return 0.0
         bucket = self._bucket(name, rate, burst, now)
+        reserve = min(reserve, bucket.burst - burst * self.share)
         least = min(cost - self._most_debt, bucket.burst)
-        if bucket.level > 0 and bucket.level >= least:
+        if bucket.level > reserve and bucket.level >= least:
             bucket.level -= cost
             return 0.0
         bucket.promised += cost
-        return (bucket.promised - bucket.level) / max(bucket.rate, 1e-9)
+        return (bucket.promised + reserve - bucket.level) / max(bucket.rate, 1e-9)
 
     def refund(self, name, cost):
         """Give back what a request cost that was not run after all."""
--- a/lovagepier/entry/_home.py
+++ b/lovagepier/entry/_home.py
@@ -44,6 +44,10 @@
 QUOTA_RATE_PART = 0.55
 QUOTA_BURST_PART = 0.1
 QUOTA_DEBT_PART = 0.25
+# A request leaves room in its account's quota for so many of its size for each rank
+# of routes above its own: an account over its quota keeps its most urgent work, and
+# small calls pass beside it.
+QUOTA_RESERVE_SIZES = 10.0
 # Part of the bound's overage that is used.
 QUOTA_OVERAGE_PART = 0.8
 # Finished requests are remembered for outcomes that come late.
@@ -223,8 +227,9 @@
         account = self._account(ask)
         if account is None or not ask.cost:
             return None
+        reserve = (ask.tier % ROUTE_TIERS) * QUOTA_RESERVE_SIZES * ask.cost
         wait = self.quotas.spend(
-            account.name, account.rate, account.burst, ask.cost, now
+            account.name, account.rate, account.burst, ask.cost, now, reserve
         )
         if not wait:
             return None
--- a/test/test_quotas.py
+++ b/test/test_quotas.py
@@ -112,6 +112,33 @@
     assert passed * 10.0 >= (RATE + 50.0) * 20.0 * 0.98
 
 
+def test_an_account_over_its_quota_keeps_its_urgent_requests():
+    quotas = Quotas(extra=200.0)
+    passed = {"urgent": 0, "other": 0, "small": 0}
+    costs = {"urgent": 30.0, "other": 30.0, "small": 1.0}
+    for step in range(3000):
+        for name, cost in costs.items():
+            reserve = 0.0 if name == "urgent" else 5.0 * cost
+            wait = quotas.spend("a", RATE, BURST, cost, step * 0.32, reserve)
+            passed[name] += not wait
+    assert passed["urgent"] >= 0.98 * 3000
+    assert passed["small"] >= 0.9 * 3000
+    assert passed["other"] < 0.1 * 3000
+
+
+@given(steps, st.floats(0.0, 100.0), st.floats(0.0, 1e6))
+def test_nothing_within_the_quota_is_refused(rows, extra, reserve):
+    wide, plain = Quotas(extra=extra, extra_rate=extra), Quotas()
+    now = 0.0
+    for gap, cost in rows:
+        now += gap
+        refused = wide.spend("a", RATE, BURST, cost, now, reserve)
+        if not refused:
+            plain.spend("a", RATE, BURST, cost, now)
+        else:
+            assert plain.spend("a", RATE, BURST, cost, now)
+
+
 def test_what_was_not_run_is_given_back():
     quotas = Quotas()
     assert not quotas.spend("a", RATE, BURST, BURST, 0.0)
