Placement sees only targets that could start the work

Likewise four fast full targets with room for urgent work hid idle slow ones. Ruled out: lost outcomes (no stuck work at the targets), the home's processor (0.36 core).

--- a/lovagepier/decisions/fleet.py
+++ b/lovagepier/decisions/fleet.py
@@ -196,15 +196,16 @@
 
     def _unindex(self, state):
         if state.key is not None:
-            version, key = state.key
-            self._order[version].discard(key)
+            index, key = state.key
+            self._order[index].discard(key)
             state.key = None
 
     def reindex(self, state):
         """Put the target in its place after any change to it. O(log n).
 
-        A target without a free slot leaves the order, so that a look at the
-        first few entries sees only targets that could start work.
+        A target without room leaves the order; one that has room for urgent
+        work only stands in an order of its own, so that a look at the first
+        few entries sees only targets that could start the work at hand.
         """
         self._unindex(state)
         if state.leaving or state.down or not state.room(extra=1):
@@ -212,21 +213,31 @@
         load = state.in_flight / max(state.limit.value, 1.0)
         pace = state.speed.token_seconds * 100 + 500 / state.speed.prefill_rate
         key = (state.wait_seconds() + pace * (1.0 + load), state.name)
-        state.key = (state.version, key)
-        order = self._order.setdefault(state.version, SortedList())
+        index = (state.version, not state.room())
+        state.key = (index, key)
+        order = self._order.setdefault(index, SortedList())
         order.add(key)
 
     def versions(self):
         """Return the versions that have targets in service."""
         return {state.version for state in self._targets.values()}
 
-    def likeliest(self, version, count):
-        """Yield up to `count` targets of `version`, soonest first."""
-        order = self._order.get(version)
-        if not order:
-            return
-        for _, name in order.islice(0, count):
-            yield self._targets[name]
+    def likeliest(self, version, count, now, urgent=False):
+        """Yield up to `count` targets of `version` that take work, soonest first.
+
+        Where none has a free slot, `urgent` work sees those that it may wait at.
+        """
+        for full in (False, True) if urgent else (False,):
+            for _, name in self._order.get((version, full), ()):
+                state = self._targets[name]
+                # Ejected targets stay in the order: nothing tells when they may
+                # return, and idle ones would come first in it.
+                if not state.takes_work(now):
+                    continue
+                yield state
+                count -= 1
+                if not count:
+                    return
 
     def in_flight(self, version=None):
         """Return the work running on one version's targets, or on all."""
--- a/lovagepier/decisions/policies.py
+++ b/lovagepier/decisions/policies.py
@@ -49,6 +49,11 @@
         raise NotImplementedError
 
 
+def _is_urgent(work):
+    """Return whether `work` may wait at a full target for the next slot."""
+    return work.overbooks or work.tier == 0
+
+
 def _open(fleet, version, work, now):
     return [
         state
@@ -123,10 +128,10 @@
         work.awaits_cache = False
         best = None
         held = 0.0
-        for state, hit in self._considered(fleet, version, work, prefixes):
+        for state, hit in self._considered(fleet, version, work, prefixes, now):
             if state.name in work.exclude or not state.takes_work(now):
                 continue
-            if not state.room(extra=int(work.overbooks or work.tier == 0)):
+            if not state.room(extra=int(_is_urgent(work))):
                 held = max(held, hit / state.speed.prefill_rate)
                 continue
             cost = self._cost(state, hit, work)
@@ -156,7 +161,7 @@
         cost += (work.prefill_tokens - hit) / rate * delayed
         return cost + self.distance(work.zone, state.zone)
 
-    def _considered(self, fleet, version, work, prefixes):
+    def _considered(self, fleet, version, work, prefixes, now):
         """Yield (target, hit tokens): cache holders, then the likeliest."""
         hits = prefixes.hits(work.blocks)
         if hits:
@@ -164,7 +169,8 @@
                 state = fleet.get(name)
                 if state is not None and state.version == version:
                     yield state, work.hit_tokens(depth)
-        for state in fleet.likeliest(version, CONSIDERED):
+        count = CONSIDERED + len(work.exclude)
+        for state in fleet.likeliest(version, count, now, _is_urgent(work)):
             if state.name not in hits:
                 yield state, 0
 
@@ -178,7 +184,7 @@
         states = [
             state
             for state in _open(fleet, version, work, now)
-            if state.room(extra=int(work.overbooks or work.tier == 0))
+            if state.room(extra=int(_is_urgent(work)))
         ]
         if not states:
             return None
--- a/test/test_scheduler.py
+++ b/test/test_scheduler.py
@@ -415,3 +415,29 @@
             granted[reserve] += len(_grants(scheduler.offer(work, 0.0)))
     assert granted[0.1] > 0
     assert granted[0.0] >= 4
+
+
+def test_work_passes_ejected_targets_however_many():
+    names = [f"e{number}" for number in range(12)]
+    scheduler = make_scheduler(names)
+    for state in list(scheduler.fleet)[:8]:
+        state.ejected_until = 10.0
+        state.probing = True
+        scheduler.fleet.reindex(state)
+    for number in range(8):
+        grants = _grants(scheduler.offer(make_work(f"r{number}"), 1.0))
+        assert grants and grants[0].target in names[8:]
+
+
+def test_work_goes_to_a_slow_idle_target_while_fast_ones_have_room_for_urgent_only():
+    names = [f"fast{number}" for number in range(6)] + ["slow"]
+    scheduler = make_scheduler(())
+    for name in names:
+        scheduler.set_target(name, "a1", "v1", "i1", 0.0, slots=1)
+    for state in scheduler.fleet:
+        state.speed.learn_whole(0.5 if state.name == "slow" else 0.001)
+        if state.name != "slow":
+            state.start(make_work(f"held-{state.name}"), 0)
+        scheduler.fleet.reindex(state)
+    grants = _grants(scheduler.offer(make_work("r", tier=2), 0.0))
+    assert [grant.target for grant in grants] == ["slow"]
