A stream that falls silent goes on at another target

After twice the longest pause that is on time, 0.8 s at the least, the home is asked for another target; until it has one the silent one keeps the stream. Only streams that may go on elsewhere.

--- a/lovagepier/entry/_exchange.py
+++ b/lovagepier/entry/_exchange.py
@@ -25,6 +25,10 @@
 PATIENCE_AIMS = 2.0
 PATIENCE_LEAST_S = 0.4
 PATIENCE_MOST_S = 2.5
+# A stream that may go on elsewhere is silent for so many of the longest pauses that
+# are on time, and for this at the least, before another target is asked for.
+PATIENCE_GAPS = 2.0
+GAP_LEAST_S = 0.8
 
 _log = part_log("callers")
 _ids = itertools.count(1)
@@ -345,7 +349,7 @@
         first = None
         if self._answer_begun:
             self._splitter = EventSplitter(self._splitter.last_id, skip=True)
-        while (data := await tconn.read_data()) is not None:
+        while (data := await self._next_data(tconn)) is not None:
             events = self._splitter.feed(data)
             if not events:
                 continue
@@ -364,6 +368,36 @@
         self._reusable = self._conn.end()
         return first, _Step.ANSWERED
 
+    async def _next_data(self, tconn):
+        """Return the next bytes of a stream; raise `_Replaced` if another takes over.
+
+        A target that falls silent keeps its stream until the home has another
+        one for it.
+        """
+        route = self._call.route
+        if not route.resumes or self._runs >= route.max_attempts:
+            return await tconn.read_data()
+        try:
+            async with asyncio.timeout(self._longest_pause()):
+                return await tconn.read_data()
+        except TimeoutError:
+            pass
+        _log.info(
+            "a stream fell silent",
+            request=self._call.request_id,
+            last=self._splitter.last_id,
+        )
+        reading = self._loop.create_task(tconn.read_data())
+        try:
+            await self._look_elsewhere(reading)
+            return await reading
+        finally:
+            reading.cancel()
+
+    def _longest_pause(self):
+        pause = self._call.route.gap_s * PATIENCE_GAPS
+        return min(max(pause, GAP_LEAST_S), PATIENCE_MOST_S)
+
     # The end
 
     def _give_up(self, refused):
--- a/lovagepier/entry/catalog.py
+++ b/lovagepier/entry/catalog.py
@@ -15,7 +15,8 @@
     """Where calls under a host and path prefix go, and what they are owed.
 
     Times are seconds; `tier` 0 is the highest; `services` are (name, weight)
-    pairs; `repeatable` tells that a call may run more than once, `resumes`
+    pairs; `gap_s` is the longest pause between events that is on time;
+    `repeatable` tells that a call may run more than once, `resumes`
     that a broken stream may go on at another target.
     """
 
@@ -27,6 +28,7 @@
     resumes: bool
     timeout_s: float
     aim_s: float
+    gap_s: float
     tier: int
     services: tuple
     max_attempts: int
--- a/lovagepier/platform/_documents.py
+++ b/lovagepier/platform/_documents.py
@@ -76,6 +76,7 @@
         resumes=streams and resumes,
         timeout_s=_seconds(raw, "timeout_ms", 0),
         aim_s=_seconds(raw, "target_latency_ms", 0),
+        gap_s=_seconds(raw, "gap_aim_ms", 0),
         tier=int(raw.get("priority", 0)),
         services=_services_of(raw),
         max_attempts=max(int(raw.get("max_attempts", 1)), 1),
--- a/test/platform_standins.py
+++ b/test/platform_standins.py
@@ -273,7 +273,9 @@
         writer.close()
         raise ConnectionError
 
-    async def _stream(self, writer, seal, headers, request_id, stop_after=None):
+    async def _stream(
+        self, writer, seal, headers, request_id, stop_after=None, silent=False
+    ):
         head = [
             "HTTP/1.1 200 OK",
             "Content-Type: text/event-stream",
@@ -286,6 +288,8 @@
             if stop_after is not None and number > start + stop_after:
                 _chunk(writer, f"id: {number}\ndata: ha".encode())
                 await writer.drain()
+                if silent:
+                    await asyncio.sleep(30)
                 writer.transport.abort()
                 raise ConnectionError
             _chunk(writer, f"id: {number}\ndata: piece {number}\n\n".encode())
@@ -308,6 +312,9 @@
     async def _broken_stream(self, writer, seal, headers, request_id):
         await self._stream(writer, seal, headers, request_id, stop_after=2)
 
+    async def _silent_stream(self, writer, seal, headers, request_id):
+        await self._stream(writer, seal, headers, request_id, stop_after=2, silent=True)
+
 
 def _chunk(writer, data):
     writer.write(b"%x\r\n%s\r\n" % (len(data), data))
--- a/test/test_entry_path.py
+++ b/test/test_entry_path.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lovagepier.entry import _desk
+from lovagepier.entry import _desk, _exchange
 from lovagepier.entry._front import REFUSE_AFTER_S
 from lovagepier.entry._view import encode_host
 from test.entry_builders import (
@@ -145,6 +145,41 @@
     play(scenario)
 
 
+def test_a_stream_that_fell_silent_goes_on_elsewhere(monkeypatch):
+    monkeypatch.setattr(_exchange, "GAP_LEAST_S", 0.1)
+
+    async def scenario(made):
+        made.workers["m1"].mode = "silent_stream"
+        second = await made.worker("m2", "model")
+        second.mode = "stream"
+        await until(lambda: made.hosts[0].view.target("m2") is not None)
+        for number in range(4):
+            path = "/talk/x"
+            answer = await call(
+                made.hosts[0], path, f"r{number}", method="POST", body=b"{}"
+            )
+            assert answer.is_whole
+            ids = [line for line in answer.body.split(b"\n") if line.startswith(b"id:")]
+            assert ids == [b"id: 1", b"id: 2", b"id: 3", b"id: 4"]
+            assert b"ha\n" not in answer.body
+        assert made.workers["m1"].runs
+
+    play(scenario)
+
+
+def test_a_silent_stream_without_another_target_is_not_cut(monkeypatch):
+    monkeypatch.setattr(_exchange, "GAP_LEAST_S", 0.1)
+
+    async def scenario(made):
+        made.workers["m1"].mode = "stream"
+        made.workers["m1"].gap_s = 0.3
+        answer = await call(made.hosts[0], "/talk/x", "r1", method="POST", body=b"{}")
+        assert answer.is_whole
+        assert len(made.workers["m1"].runs) == 1
+
+    play(scenario)
+
+
 def test_a_stream_that_may_not_go_on_looks_cut():
     async def scenario(made):
         made.workers["m1"].mode = "broken_stream"
