--- a/lovagepier/entry/_desk.py
+++ b/lovagepier/entry/_desk.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from lovagepier.entry._links import dial
 from lovagepier.entry._messages import (
     Ask,
     Beat,
@@ -17,7 +16,9 @@
     Roster,
     Withdraw,
 )
+from lovagepier.entry._reach import RESERVE_BEATS, Reach
 from lovagepier.entry._served import Served
+from lovagepier.entry._shares import Shares
 from lovagepier.entry._sharing import Sharing
 from lovagepier.logs import part_log
 
@@ -31,12 +32,6 @@
 SETTLE_S = 1.0
 # It looks for a home this often until it has one.
 SETTLE_STEP_S = 0.05
-# Hosts that share the targets at the least while registrations still come in.
-SETTLE_HOSTS = 8
-# A home or entry host that was silent this long is passed over.
-SILENT_S = 1.0
-# A link that is kept in reserve beats once in so many times.
-RESERVE_BEATS = 4
 # How many of the most senior hosts are kept connected besides the home in use.
 CANDIDATES = 2
 # A host that could not be reached is tried again after this.
@@ -47,12 +42,6 @@
 # Hosts that learn from a home watch for themselves once it knows nothing newer
 # than this.
 HOME_STALE_S = 1.5 + 2.0
-# Part of the live hosts from which on a home uses all targets: fewer mean that
-# another home may be using them as well.
-WHOLE_PART = 0.6
-# A host whose registration lapsed counts so long as one that serves by itself: a
-# longer cut than most; a host that was killed is back before that.
-PARTED_S = 20.0
 
 _log = part_log("members")
 
@@ -83,17 +72,15 @@
         self._home = home
         self.sharing = Sharing(view, apply_keys)
         self._loop = asyncio.get_running_loop()
-        self._links = {}
-        self._dialing = {}
-        self._redial_at = {}
         self.served = Served(cfg, view, home)
+        self._reach = Reach(self.on_message, self._on_link, self.choose)
+        self._shares = Shares(view)
         self._pending = {}
         self._running = {}
         self._roster = []
         self._condemned = set()
         self._home_age = 0.0
         self._rounds = 0
-        self._seen_at = {}
         self._quota_levels = None
         self._began = self._loop.time()
         self.current = None
@@ -153,7 +140,7 @@
         if self._serves_itself():
             self._handle(self._cfg.host_name, message)
             return
-        link = self._links.get(self.current)
+        link = self._reach.links.get(self.current)
         if link is None or not link.send(message):
             self._loop.call_soon(self.choose)
 
@@ -253,19 +240,16 @@
             names.append(self._cfg.host_name)
         return names
 
-    def _is_up(self, name):
-        link = self._links.get(name)
-        if link is None or not link.is_open:
-            return False
-        patience = SILENT_S if link.in_use else SILENT_S * RESERVE_BEATS
-        return self._loop.time() - link.heard_at < patience
-
     def choose(self):
         """Turn to the most senior host that can be reached, else serve alone."""
-        if self._settling() and self._has_other_home() and self._is_up(self.current):
+        if (
+            self._settling()
+            and self._has_other_home()
+            and self._reach.is_up(self.current)
+        ):
             return
         for name in self._candidates():
-            if name == self._cfg.host_name or self._is_up(name):
+            if name == self._cfg.host_name or self._reach.is_up(name):
                 self._turn_to(name)
                 return
 
@@ -279,10 +263,9 @@
         if name == self.current:
             return
         _log.info("turned to a home", home=name, before=self.current)
-        for each, link in self._links.items():
-            link.in_use = each == name
-            if link.in_use:
-                link.send(self._beat(True))
+        self._reach.use(name)
+        if name in self._reach.links:
+            self._reach.links[name].send(self._beat(True))
         now = self._loop.time()
         if name == self._cfg.host_name and self.current is not None:
             self._home.take_over(now, self._quota_levels)
@@ -324,17 +307,22 @@
     def _dial_wanted(self):
         """Dial the hosts that this one wants a link to; return them."""
         wanted = self._wanted()
+        pause = SETTLE_STEP_S if self._settling() else REDIAL_S
         for name, address in wanted.items():
-            self._dial(name, address)
+            self._reach.dial(name, address, pause)
         return wanted
 
+    def _on_link(self, link):
+        link.send(self._beat(False))
+        self.choose()
+
     def _upkeep(self):
-        self._cut_silent()
+        self._reach.cut_silent(list(self.served.links.values()))
         wanted = self._dial_wanted()
         self.choose()
+        self._reach.use(self.current)
         self._rounds += 1
-        for name, link in list(self._links.items()):
-            link.in_use = name == self.current
+        for name, link in list(self._reach.links.items()):
             if name not in wanted and not link.in_use:
                 link.close()
             elif link.in_use or self._rounds % RESERVE_BEATS == 0:
@@ -359,7 +347,7 @@
     def announce(self):
         """Tell the home at once that this host is leaving."""
         self.served.tell_leaving()
-        for link in self._links.values():
+        for link in self._reach.links.values():
             link.send(self._beat(link.in_use))
 
     def _wanted(self):
@@ -377,7 +365,7 @@
                 continue
             address, port = host.peers.rsplit(":", 1)
             wanted[name] = (address, int(port))
-            reachable += self._is_up(name)
+            reachable += self._reach.is_up(name)
             if reachable >= CANDIDATES or len(wanted) >= 2 * CANDIDATES:
                 break
         if not members:
@@ -386,65 +374,8 @@
                     wanted[f"{address[0]}:{address[1]}"] = address
         return wanted
 
-    def _dial(self, name, address):
-        now = self._loop.time()
-        if name in self._links or name in self._dialing:
-            return
-        if now < self._redial_at.get(name, 0.0):
-            return
-        pause = SETTLE_STEP_S if self._settling() else REDIAL_S
-        self._redial_at[name] = now + pause
-        self._dialing[name] = self._loop.create_task(self._keep_link(name, address))
-
-    async def _keep_link(self, name, address):
-        def on_open(link):
-            link.peer = name
-            self._links[name] = link
-            link.send(self._beat(False))
-            self.choose()
-
-        def on_close(link):
-            if self._links.get(name) is link:
-                del self._links[name]
-            self.choose()
-
-        try:
-            await dial(address, on_open, self.on_message, on_close)
-        finally:
-            self._dialing.pop(name, None)
-
-    def _cut_silent(self):
-        now = self._loop.time()
-        for link in [*self._links.values(), *self.served.links.values()]:
-            patience = SILENT_S if link.in_use else SILENT_S * RESERVE_BEATS
-            if now - link.heard_at >= patience:
-                _log.warning("a link fell silent", host=link.peer)
-                link.close()
-
     def _adjust_share(self):
+        served = self.served.asking() + self._serves_itself()
+        first = self._settling() and self._cfg.host_first_start != "true"
         now = self._loop.time()
-        served = self.served.asking()
-        served += self._serves_itself()
-        if not served:
-            self._home.set_share(1.0, 1.0, now)
-            return
-        live = len(self._view.members())
-        if self._settling() and self._cfg.host_first_start != "true":
-            live = max(live, SETTLE_HOSTS)
-        part = served / max(live, 1)
-        quota_part = served / max(self._lately_live(now), 1)
-        if part >= WHOLE_PART:
-            part = 1.0
-        self._home.set_share(part, min(quota_part, 1.0), now)
-
-    def _lately_live(self, now):
-        """Return how many hosts may be giving out parts of the quotas.
-
-        A host whose registration lapsed may be cut off from the store only.
-        """
-        for name in self._view.members():
-            self._seen_at[name] = now
-        for name, at in list(self._seen_at.items()):
-            if now - at >= PARTED_S:
-                del self._seen_at[name]
-        return len(self._seen_at)
+        self._home.set_share(*self._shares.parts(served, first, now), now)
--- a/lovagepier/entry/_links.py
+++ b/lovagepier/entry/_links.py
@@ -79,8 +79,9 @@
                 on_message(self, decode(data).message)
         except CodecError as exc:
             _log.warning("closed a link that sent a malformed frame", why=str(exc))
-        except (ConnectionClosed, WebSocketException, OSError):
-            pass
+        except (ConnectionClosed, WebSocketException, OSError) as exc:
+            # The next home is chosen by whoever used the link.
+            _log.info("a link ended", peer=self.peer, why=type(exc).__name__)
         finally:
             self._sender.cancel()
             self.close()
@@ -90,6 +91,7 @@
             while True:
                 await self._conn.send(await self._outbox.get())
         except (ConnectionClosed, WebSocketException, OSError):
+            # `run` ends by this and says why.
             self.close()
 
 
@@ -107,7 +109,8 @@
             logger=_SILENT,
             proxy=None,
         )
-    except (OSError, TimeoutError, WebSocketException):
+    except (OSError, TimeoutError, WebSocketException) as exc:
+        _log.debug("could not reach a peer", peer=f"{host}:{port}", why=str(exc))
         return False
     link = Link(conn)
     on_open(link)
--- a/test/test_entry_path.py
+++ b/test/test_entry_path.py
@@ -299,7 +299,7 @@
         for link in list(first.desk.served.links.values()):
             link.close()
         first._registrar.stop(block=False)
-        await until(lambda: first._loop and not second.desk._links)
+        await until(lambda: first._loop and not second.desk._reach.links)
         await made.store.remove(next(k for k in made.store.items if "/n1." in k))
         await until(lambda: second.desk.current == "n2")
         assert (await call(second, "/read/x", "r2")).status == 200
