One packed copy for all that ask; parted hosts share slots of small targets

Hosts that served alone meanwhile took one slot of each target, up to 13 in flight at six slots. Five requests were sent on after their callers had left (GONE): their host's loop stood still for 3.5 s. Now a copy is packed once in 0.5 s, a newer configuration is waited for as long as the home needs to pass it on, part of a slot is one slot at so many of the targets, and the debt on a quota is shared like the quota. Ruled out: lost cancellations (the host closed the target's connection in the same loop step in which it sent the request).

--- a/lovagepier/decisions/limits.py
+++ b/lovagepier/decisions/limits.py
@@ -65,7 +65,10 @@
 
 
 class FixedLimit:
-    """A limit that the target's own registration states; nothing is learnt."""
+    """A limit that the target's own registration states; nothing is learnt.
+
+    Below one slot the target is not used at all.
+    """
 
     # The top tier may wait for the next slot at the target itself: the way from
     # an ended request to the next grant leaves a slot empty otherwise.
@@ -78,7 +81,7 @@
 
     def room(self, in_flight, reserve=0):
         """Return whether one more request fits, keeping `reserve` slots."""
-        return in_flight + 1 + reserve <= max(self.value, _MIN_LIMIT)
+        return self.value >= _MIN_LIMIT and in_flight + 1 + reserve <= self.value
 
     def on_first_byte(self, waited, in_flight, now):
         """Learn nothing: the slots are stated."""
--- a/lovagepier/decisions/quotas.py
+++ b/lovagepier/decisions/quotas.py
@@ -124,7 +124,7 @@
             return 0.0
         bucket = self._bucket(name, rate, burst, now)
         reserve = min(reserve, bucket.burst - burst * self.share)
-        least = min(cost - self._most_debt, bucket.burst)
+        least = min(cost - self._most_debt * self.share, bucket.burst)
         if bucket.level > reserve and bucket.level >= least:
             bucket.level -= cost
             return 0.0
--- a/lovagepier/entry/_home.py
+++ b/lovagepier/entry/_home.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from lovagepier.decisions.homes import stable_draw
+from lovagepier.decisions.parting import part_of_slots
 from lovagepier.decisions.quotas import Quotas
 from lovagepier.decisions.retries import RetryBudget
 from lovagepier.decisions.scheduler import PoolScheduler, SchedulerOptions
@@ -149,6 +150,7 @@
         for name in [name for name in pool.lives if name not in targets]:
             pool.scheduler.remove_target(name, now)
             del pool.lives[name]
+        slots = self._slots(targets.values())
         for target in targets.values():
             label = self.moves.label(target)
             decisions = pool.scheduler.set_target(
@@ -157,7 +159,7 @@
                 label or "",
                 target.life,
                 now,
-                slots=max(target.slots * self._share, 1.0),
+                slots=slots[target.id],
             )
             if pool.lives.get(target.id) != target.life:
                 pool.lives[target.id] = target.life
@@ -183,12 +185,17 @@
         )
         self._share = share
         for pool in self._pools.values():
+            targets = map(self._view.target, pool.lives)
+            slots = self._slots(target for target in targets if target is not None)
             for state in pool.scheduler.fleet:
-                target = self._view.target(state.name)
-                if target is not None:
-                    state.limit.value = max(target.slots * share, 1.0)
+                if state.name in slots:
+                    state.limit.value = slots[state.name]
                     pool.scheduler.fleet.reindex(state)
 
+    def _slots(self, targets):
+        slots = {target.id: target.slots for target in targets}
+        return part_of_slots(self._cfg.host_name, slots, self._share)
+
     def take_over(self, now, quota_levels=None):
         """Begin to decide for hosts that asked another home until now.
 
--- a/lovagepier/entry/_sharing.py
+++ b/lovagepier/entry/_sharing.py
@@ -14,6 +14,11 @@
 # A peer that is ahead for this long is asked for its copy of the store: the
 # watch or what the home passes on usually closes the gap sooner.
 STALE_S = 0.7
+# A peer that has a newer configuration is asked after this: what the home passes on
+# is there within a beat, and 60 hosts that ask at once hold it up for a second.
+NEWER_S = 0.3
+# A copy is packed anew no more often than this while the configuration is the same.
+PACKED_S = 0.5
 # A copy is asked for no more often than this.
 ASK_AGAIN_S = 0.25
 # zlib's level for copies of the store.
@@ -34,6 +39,9 @@
         self._behind_since = None
         self._to_pass_on = {}
         self._passed_on = None
+        self._packed = None
+        self._packed_at = 0.0
+        self._packed_version = 0
 
     def compare(self, link, told):
         """Ask for the peer's copy of the store where ours is behind and stale."""
@@ -43,9 +51,11 @@
             return
         if self._behind_since is None:
             self._behind_since = now
-        newer = told.version > self._view.version
-        stuck = now - self._behind_since > STALE_S
-        if (newer or stuck) and now - self._mirror_asked > ASK_AGAIN_S:
+        patience = NEWER_S if told.version > self._view.version else STALE_S
+        if not self._view.version:
+            patience = 0.0
+        stuck = now - self._behind_since >= patience
+        if stuck and now - self._mirror_asked > ASK_AGAIN_S:
             self._mirror_asked = now
             link.send(MirrorAsk(self._view.as_of))
 
@@ -117,7 +127,20 @@
         return Event(key, revision, Item(key, value, revision, created))
 
     def packed(self):
-        """Return this host's copy of the store."""
+        """Return this host's copy of the store, one packed lately if that will do."""
+        now = self._loop.time()
+        if (
+            self._packed is not None
+            and self._packed_version == self._view.version
+            and now - self._packed_at < PACKED_S
+        ):
+            return self._packed
+        self._packed = self._pack()
+        self._packed_version = self._view.version
+        self._packed_at = now
+        return self._packed
+
+    def _pack(self):
         rows = [
             [item.key, item.value, item.revision, item.created]
             for item in self._view.items.values()
--- /dev/null
+++ b/test/test_entry_sharing.py
@@ -0,0 +1,75 @@
+"""Copies of the store between hosts: no stampede on the one that is ahead."""
+
+import asyncio
+
+from lovagepier.entry import _sharing
+from lovagepier.entry._messages import MirrorAsk
+from lovagepier.entry._sharing import Sharing
+from lovagepier.entry._view import StoreView
+from lovagepier.platform import Item
+
+
+class _Link:
+    def __init__(self):
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+
+
+class _Told:
+    def __init__(self, version, as_of):
+        self.version = version
+        self.as_of = as_of
+
+
+def _sharing_of(version):
+    view = StoreView()
+    view.on_scan([Item("a", b"1", 5, 5)], 5, 0.0)
+
+    class _Catalog:
+        pass
+
+    if version:
+        view.catalog = _Catalog()
+        view.catalog.version = version
+    return Sharing(view, lambda keys: None)
+
+
+def test_many_that_ask_get_one_copy_packed_once(monkeypatch):
+    monkeypatch.setattr(_sharing, "PACKED_S", 1000.0)
+
+    async def run():
+        sharing = _sharing_of(3)
+        first = sharing.packed()
+        assert all(sharing.packed() is first for _ in range(60))
+        sharing._view.catalog.version = 4
+        assert sharing.packed() is not first
+
+    asyncio.run(run())
+
+
+def test_a_newer_configuration_is_waited_for_before_it_is_asked_for(monkeypatch):
+    monkeypatch.setattr(_sharing, "NEWER_S", 1000.0)
+
+    async def run():
+        sharing, link = _sharing_of(3), _Link()
+        sharing.compare(link, _Told(4, 9))
+        assert not link.sent
+        monkeypatch.setattr(_sharing, "NEWER_S", 0.0)
+        sharing.compare(link, _Told(4, 9))
+        assert [type(message) for message in link.sent] == [MirrorAsk]
+
+    asyncio.run(run())
+
+
+def test_a_host_without_a_configuration_asks_at_once(monkeypatch):
+    monkeypatch.setattr(_sharing, "NEWER_S", 1000.0)
+    monkeypatch.setattr(_sharing, "STALE_S", 1000.0)
+
+    async def run():
+        sharing, link = _sharing_of(0), _Link()
+        sharing.compare(link, _Told(4, 9))
+        assert len(link.sent) == 1
+
+    asyncio.run(run())
--- a/test/test_quotas.py
+++ b/test/test_quotas.py
@@ -196,6 +196,16 @@
     assert not quotas.spend("a", RATE, BURST, 900.0, 10.0)
 
 
+def test_parts_leave_no_more_debt_than_the_whole():
+    total = 0.0
+    for _ in range(10):
+        home = Quotas(most_debt=40.0)
+        home.share = 0.1
+        home.spend("a", RATE, BURST, 29.0, 0.0)
+        total += 0.0 if home.spend("a", RATE, BURST, 10.0, 0.0) else 10.0
+    assert total <= 40.0
+
+
 def test_no_rate_is_no_quota():
     assert not Quotas().spend("a", 0.0, 0.0, 1e9, 0.0)
 
