--- a/lovagepier/entry/_messages.py
+++ b/lovagepier/entry/_messages.py
@@ -162,14 +162,14 @@
 class Changed:
     """What changed in the store after revision `after`, up to `as_of`.
 
-    Rows are [key, revision, created, value, base]: the value is None where
-    the key was deleted, and steps from the value at revision `base` (see
+    Rows are [key, revision, created, value, base], packed: the value is None
+    where the key was deleted, and steps from the value at revision `base` (see
     `_deltas`) where `base` is not 0.
     """
 
     after: int
     as_of: int
-    rows: list
+    packed: bytes
 
 
 @message("e.mirror?")
--- a/lovagepier/entry/_sharing.py
+++ b/lovagepier/entry/_sharing.py
@@ -21,10 +21,23 @@
 PACKED_S = 0.5
 # A copy is asked for no more often than this.
 ASK_AGAIN_S = 0.25
-# zlib's level for copies of the store.
+# zlib's level for what hosts pass on of the store.
 PACK_LEVEL = 6
 
 
+def _pack(rows):
+    """Return rows as bytes; a configuration shrinks to about a tenth.
+
+    Thirty whole ones of 350 routes fill a narrow link between regions for
+    two seconds, in which the home is not heard.
+    """
+    return zlib.compress(cbor2.dumps(rows), PACK_LEVEL)
+
+
+def _unpack(packed):
+    return cbor2.loads(zlib.decompress(packed))
+
+
 class Sharing:
     """Keeps this host's view level with its peers'.
 
@@ -86,7 +99,7 @@
         if after is None or as_of <= after or not links:
             return
         rows = [self._row(key, before, as_of) for key, before in changed.items()]
-        told = Changed(after, as_of, rows)
+        told = Changed(after, as_of, _pack(rows))
         for link in links:
             link.send(told)
 
@@ -105,7 +118,7 @@
             # Something between was missed; the next beat asks for all of it.
             return
         events = []
-        for row in told.rows:
+        for row in _unpack(told.packed):
             event = self._event(*row)
             if event is None:
                 return
@@ -145,13 +158,10 @@
             [item.key, item.value, item.revision, item.created]
             for item in self._view.items.values()
         ]
-        return MirrorTold(
-            self._view.as_of, zlib.compress(cbor2.dumps(rows), PACK_LEVEL)
-        )
+        return MirrorTold(self._view.as_of, _pack(rows))
 
     def on_mirror(self, told):
         """Take a peer's copy of the store in."""
-        rows = cbor2.loads(zlib.decompress(told.packed))
-        items = [Item(*row) for row in rows]
+        items = [Item(*row) for row in _unpack(told.packed)]
         self.forget_changes()
         self._apply_keys(self._view.on_mirror(items, told.as_of, self._loop.time()))
--- a/test/test_entry_sharing.py
+++ b/test/test_entry_sharing.py
@@ -73,3 +73,22 @@
         assert len(link.sent) == 1
 
     asyncio.run(run())
+
+
+def test_a_large_configuration_is_passed_on_small():
+    async def run():
+        view = StoreView()
+        view.on_scan([Item("a", b"{}", 5, 5)], 5, 0.0)
+        sharing, link = Sharing(view, lambda keys: None), _Link()
+        routes = b"".join(b'{"name":"r%d","host":"a.example"},' % n for n in range(400))
+        sharing.note_changes({"a": view.items["a"]}, 5)
+        view.on_scan([Item("a", routes, 7, 5)], 7, 1.0)
+        sharing.pass_on([link])
+        (told,) = link.sent
+        assert len(told.packed) < len(routes) / 4
+        got = StoreView()
+        got.on_scan([Item("a", b"{}", 5, 5)], 5, 0.0)
+        Sharing(got, lambda keys: None).on_changed(told)
+        assert got.items["a"].value == routes and got.as_of == 7
+
+    asyncio.run(run())
