Moves: only the home judges them, its successor goes on with its counts

Now 0.3 of failures take it back. - hosts that are not home stepped their own plans without evidence and took good versions back, which showed once they became home. - a new home began to count exposure from nothing. A host that is cut off no longer tells others of a take-back for want of evidence.

--- a/lovagepier/decisions/moving.py
+++ b/lovagepier/decisions/moving.py
@@ -17,6 +17,8 @@
 # With less evidence than this at the latest switch the move is taken back.
 LEAST_OUTCOMES = 12
 LATEST_SWITCH = 0.7
+# With little evidence, a version of which this part failed is not switched to.
+MOST_FAILED = 0.3
 # What is still running on the old version then is cut by the platform.
 LATEST_END = 0.93
 
@@ -34,7 +36,8 @@
 class MoveProgress:
     """What a plan is judged on: counts since the order, and targets.
 
-    `sent` and `sent_new` are dispatches, `outcomes_new` ended ones,
+    `sent` and `sent_new` are dispatches, `outcomes_new` ended ones and
+    `failed_new` those of them that failed,
     `new_ready` tells whether targets of the new version take work and
     `old_running` how many requests the old version still runs.
     """
@@ -44,6 +47,15 @@
     outcomes_new: int = 0
     new_ready: bool = False
     old_running: int = 0
+    failed_new: int = 0
+
+
+def _is_promising(progress):
+    """Return whether a version may be switched to on little evidence.
+
+    One that fails often is ejected before enough is known to brake it.
+    """
+    return progress.failed_new < progress.outcomes_new * MOST_FAILED
 
 
 class MovePlan:
@@ -73,10 +85,10 @@
             if part >= TRIAL_UNTIL and known:
                 self.stage = Stage.SWITCHED
             elif part >= LATEST_SWITCH:
-                if progress.new_ready and progress.outcomes_new:
+                if progress.new_ready and _is_promising(progress):
                     self.stage = Stage.SWITCHED
                 else:
-                    self.take_back("too little evidence in time")
+                    self.take_back("too little good evidence in time")
         elif self.stage == Stage.SWITCHED:
             ended = not progress.old_running and part >= TRIAL_UNTIL
             if ended or part >= LATEST_END:
--- a/lovagepier/entry/_desk.py
+++ b/lovagepier/entry/_desk.py
@@ -212,6 +212,7 @@
         self._home_age = roster.store_age
         self._roster = link.roster
         self._quota_levels = roster.quotas
+        self._home.moves.adopt(roster.moves)
         self._condemned.update(roster.condemned)
         for service, revision, cause in roster.brakes:
             self._home.moves.take_back(service, revision, cause)
--- a/lovagepier/entry/_home.py
+++ b/lovagepier/entry/_home.py
@@ -336,9 +336,13 @@
 
     # Time
 
-    def tick(self, now):
-        """Refuse what can't be served any more; try lost targets again."""
-        self.moves.step(self._old_running, now)
+    def tick(self, now, is_home=True):
+        """Refuse what can't be served any more; try lost targets again.
+
+        Only the home that others turn to judges moves: it has the evidence.
+        """
+        if is_home:
+            self.moves.step(self._old_running, now)
         for service, pool in self._pools.items():
             self._apply_move(service, pool, now)
             for name, until in list(pool.down_until.items()):
--- a/lovagepier/entry/_host.py
+++ b/lovagepier/entry/_host.py
@@ -224,8 +224,9 @@
             try:
                 if self.view.expire_lapsed(now):
                     self._refresh()
-                self.home.tick(now)
-                if self.desk.current == self.cfg.host_name:
+                is_home = self.desk.current == self.cfg.host_name
+                self.home.tick(now, is_home)
+                if is_home:
                     self.home.moves.tell(now)
                 self.desk.served.push_rosters()
                 self._set_watching()
--- a/lovagepier/entry/_messages.py
+++ b/lovagepier/entry/_messages.py
@@ -49,7 +49,9 @@
     [service, order revision, cause] of moves that were taken back;
     `store_age` is how long ago the store last answered the home. `hosts` is
     None where it is as last told on this link. `quotas` maps accounts whose
-    quotas are nearly spent to the part of the burst that is left.
+    quotas are nearly spent to the part of the burst that is left; `moves` rows
+    are [service, order revision, sent, sent to the new version, its outcomes,
+    its failures] of open moves.
     """
 
     home: str
@@ -60,6 +62,7 @@
     condemned: list
     brakes: list
     quotas: dict
+    moves: list
 
 
 @message("e.ask")
--- a/lovagepier/entry/_moves.py
+++ b/lovagepier/entry/_moves.py
@@ -26,7 +26,16 @@
 
 
 class _Move:
-    __slots__ = ("brake", "judge", "order", "plan", "progress", "told", "tried_at")
+    __slots__ = (
+        "brake",
+        "judge",
+        "order",
+        "plan",
+        "progress",
+        "proven",
+        "told",
+        "tried_at",
+    )
 
     def __init__(self, order, plan):
         self.order = order
@@ -34,6 +43,9 @@
         self.progress = MoveProgress()
         self.brake = Brake()
         self.judge = SlownessJudge()
+        # Whether it was taken back on evidence, not for want of it: a host that is
+        # cut off sees too little to speak for the others.
+        self.proven = False
         self.told = None
         self.tried_at = float("-inf")
 
@@ -141,6 +153,7 @@
         failed = outcome.status in _BAD
         slow = not failed and move.judge.judge(work.route, not is_new, work, outcome)
         move.progress.outcomes_new += is_new
+        move.progress.failed_new += is_new and failed
         counts = Counts(1, int(failed), int(slow))
         cause = move.brake.observe(work.route, is_new, counts, now)
         if cause is not None and is_new:
@@ -152,6 +165,7 @@
         if move is None or move.order.revision != revision:
             return
         move.plan.take_back(cause)
+        move.proven = True
         _log.warning(
             "a version is taken back",
             service=service,
@@ -162,17 +176,44 @@
         )
 
     def brakes(self):
-        """Return the moves that were taken back as rows for peers."""
+        """Return the moves that evidence took back as rows for peers."""
         return [
             [service, move.order.revision, move.plan.cause]
             for service, move in self._moves.items()
-            if move.plan.stage == Stage.TAKEN_BACK
+            if move.plan.stage == Stage.TAKEN_BACK and move.proven
         ]
 
+    def progress(self):
+        """Return what open moves are judged on as rows for the next home."""
+        return [
+            [
+                service,
+                move.order.revision,
+                move.progress.sent,
+                move.progress.sent_new,
+                move.progress.outcomes_new,
+                move.progress.failed_new,
+            ]
+            for service, move in self._moves.items()
+            if self._open(service) is not None
+        ]
+
+    def adopt(self, rows):
+        """Take over what the home counted; a successor goes on from there."""
+        for service, revision, *counts in rows:
+            move = self._open(service)
+            if move is None or move.order.revision != revision:
+                continue
+            known = move.progress
+            known.sent = max(known.sent, counts[0])
+            known.sent_new = max(known.sent_new, counts[1])
+            known.outcomes_new = max(known.outcomes_new, counts[2])
+            known.failed_new = max(known.failed_new, counts[3])
+
     # Duty
 
     def step(self, old_running, now):
-        """Carry each open move on and tell what changed."""
+        """Carry each open move on and tell what changed; the home's duty."""
         for service, move in self._moves.items():
             before = move.plan.stage
             if before in (Stage.TRIAL, Stage.SWITCHED):
--- a/lovagepier/entry/_served.py
+++ b/lovagepier/entry/_served.py
@@ -94,6 +94,7 @@
             self._home.strikes.condemned(),
             self._home.moves.brakes(),
             self._home.quotas.low_levels(now),
+            self._home.moves.progress(),
         )
 
     def tell_leaving(self):
--- a/test/test_moving.py
+++ b/test/test_moving.py
@@ -68,3 +68,14 @@
     progress = MoveProgress(1000, 0, 100, True)
     assert plan.share(progress) == 0.0
     assert plan.step(progress, 9.0) == Stage.TAKEN_BACK
+
+
+def test_a_version_that_mostly_fails_is_not_switched_to_on_little_evidence():
+    for failed, stage in (
+        (0, Stage.SWITCHED),
+        (1, Stage.SWITCHED),
+        (2, Stage.TAKEN_BACK),
+    ):
+        plan = MovePlan(10.0, SHARE, SLACK, 0.0)
+        progress = MoveProgress(100, 5, 5, True, failed_new=failed)
+        assert plan.step(progress, 7.5) == stage
