--- a/lovagepier/entry/_moves.py
+++ b/lovagepier/entry/_moves.py
@@ -219,6 +219,8 @@
             if before in (Stage.TRIAL, Stage.SWITCHED):
                 self._advance(service, move, old_running, now)
             if move.plan.stage != before:
+                failed = move.progress.failed_new
+                move.proven = move.plan.stage == Stage.TAKEN_BACK and failed > 0
                 _log.info(
                     "a move goes on",
                     service=service,
