Peers that are behind too no longer hide a newer configuration

Cause, shown by a test that fails first: since a newer configuration is waited for 0.3 s, each beat of a peer that is as far behind as this host began the wait anew, so a host that misses what the home passes on never asked. Ruled out: the packed copy (of the same version by its key), versions going back.

--- a/lovagepier/entry/_desk.py
+++ b/lovagepier/entry/_desk.py
@@ -30,6 +30,8 @@
 # the others for lost; meanwhile it keeps the first home that it reaches, since
 # registrations of before and after a loss of all hosts would make it change often.
 SETTLE_S = 1.0
+# It may still change to a more senior one for this long: links open one by one.
+SETTLE_PICK_S = 0.15
 # It looks for a home this often until it has one.
 SETTLE_STEP_S = 0.05
 # How many of the most senior hosts are kept connected besides the home in use.
@@ -82,6 +84,7 @@
         self._home_age = 0.0
         self._rounds = 0
         self._quota_levels = None
+        self._turned_at = 0.0
         self._began = self._loop.time()
         self.current = None
 
@@ -243,11 +246,7 @@
 
     def choose(self):
         """Turn to the most senior host that can be reached, else serve alone."""
-        if (
-            self._settling()
-            and self._has_other_home()
-            and self._reach.is_up(self.current)
-        ):
+        if self._keeps_first_home():
             return
         for name in self._candidates():
             if name == self._cfg.host_name or self._reach.is_up(name):
@@ -257,6 +256,12 @@
     def _settling(self):
         return self._loop.time() - self._began < SETTLE_S
 
+    def _keeps_first_home(self):
+        if not self._settling() or not self._has_other_home():
+            return False
+        picked = self._loop.time() - self._turned_at >= SETTLE_PICK_S
+        return picked and self._reach.is_up(self.current)
+
     def _has_other_home(self):
         return self.current not in (None, self._cfg.host_name)
 
@@ -273,6 +278,7 @@
         elif self._serves_itself():
             self._home.on_entry_lost(self._cfg.host_name, now)
         self.current = name
+        self._turned_at = now
         self._adjust_share()
         rows = [
             [[getattr(ask, field) for field in Ask.__slots__], target]
--- a/lovagepier/entry/_sharing.py
+++ b/lovagepier/entry/_sharing.py
@@ -49,7 +49,8 @@
         self._apply_keys = apply_keys
         self._loop = asyncio.get_running_loop()
         self._mirror_asked = 0.0
-        self._behind_since = None
+        self._behind = None
+        self._behind_since = 0.0
         self._to_pass_on = {}
         self._passed_on = None
         self._packed = None
@@ -57,12 +58,17 @@
         self._packed_version = 0
 
     def compare(self, link, told):
-        """Ask for the peer's copy of the store where ours is behind and stale."""
+        """Ask for the peer's copy of the store where ours stays behind it.
+
+        A peer that is no further than this host says nothing of the others.
+        """
         now = self._loop.time()
-        if told.version <= self._view.version and told.as_of <= self._view.as_of:
-            self._behind_since = None
+        if self._behind is not None and self._has(self._behind):
+            self._behind = None
+        if self._has(told):
             return
-        if self._behind_since is None:
+        if self._behind is None:
+            self._behind = told
             self._behind_since = now
         patience = NEWER_S if told.version > self._view.version else STALE_S
         if not self._view.version:
@@ -72,6 +78,9 @@
             self._mirror_asked = now
             link.send(MirrorAsk(self._view.as_of))
 
+    def _has(self, told):
+        return told.version <= self._view.version and told.as_of <= self._view.as_of
+
     def note_changes(self, changed, after):
         """Remember what the hosts that ask here have to be told.
 
--- a/test/test_entry_path.py
+++ b/test/test_entry_path.py
@@ -537,6 +537,7 @@
 
 def test_a_host_that_starts_keeps_the_first_home_that_it_reaches(monkeypatch):
     monkeypatch.setattr(_desk, "SETTLE_S", 1000.0)
+    monkeypatch.setattr(_desk, "SETTLE_PICK_S", 0.0)
 
     async def scenario(made):
         first, second = made.hosts
--- a/test/test_entry_sharing.py
+++ b/test/test_entry_sharing.py
@@ -92,3 +92,36 @@
         assert got.items["a"].value == routes and got.as_of == 7
 
     asyncio.run(run())
+
+
+class _Clock:
+    now = 0.0
+
+    def time(self):
+        return self.now
+
+
+def test_peers_that_are_behind_too_do_not_hide_a_newer_configuration():
+    async def run():
+        sharing, link, other = _sharing_of(3), _Link(), _Link()
+        sharing._loop = clock = _Clock()
+        for _ in range(20):
+            clock.now += 0.1
+            sharing.compare(link, _Told(4, 9))
+            sharing.compare(other, _Told(3, 5))
+        assert link.sent and not other.sent
+
+    asyncio.run(run())
+
+
+def test_a_peer_that_is_ever_a_little_ahead_is_not_asked():
+    async def run():
+        sharing, link = _sharing_of(3), _Link()
+        sharing._loop = clock = _Clock()
+        for step in range(40):
+            clock.now += 0.1
+            sharing.compare(link, _Told(3, 6 + step))
+            sharing._view.as_of = 5 + step
+        assert not link.sent
+
+    asyncio.run(run())
