Bound what a target may send that is no answer

Cause: whole bodies, bodies of refusals and of responses to other requests, interim responses and incomplete events were read without a bound; the timer for silent streams restarted with any byte. Ruled out: an endless head (the parser's limit of 64 KiB ends it). Now: 4 MiB a body, 256 KiB an event (searched once, not again with each byte), 1 MiB of another's response, 8 interim responses; a refusal's body may take 64 KiB and 0.1 s before its connection is closed; silence is time without a whole event. What ran is told as 502 or goes on elsewhere.

--- a/lovagepier/entry/_events.py
+++ b/lovagepier/entry/_events.py
@@ -2,12 +2,21 @@
 
 import re
 
-__all__ = ["EventSplitter"]
+__all__ = ["EventSplitter", "EventTooLong"]
+
+# Bytes without the end of an event that still count as one; more are no stream.
+MAX_EVENT_BYTES = 256 * 1024
 
 _END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+# Longest separator of events, in bytes.
+_MAX_SEPARATOR = 4
 _ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
 
 
+class EventTooLong(Exception):
+    """The bytes of a stream do not contain the end of an event."""
+
+
 class EventSplitter:
     """Collects bytes into whole events and keeps the last event's id.
 
@@ -16,10 +25,11 @@
     of events returned.
     """
 
-    __slots__ = ("_buffer", "_skip_to", "count", "last_id")
+    __slots__ = ("_buffer", "_searched", "_skip_to", "count", "last_id")
 
     def __init__(self, last_id="", skip=False):
         self._buffer = b""
+        self._searched = 0
         self.last_id = last_id
         self._skip_to = int(last_id) if skip and last_id.isdigit() else None
         self.count = 0
@@ -30,16 +40,24 @@
         return self._buffer
 
     def feed(self, data):
-        """Return the bytes of all events that `data` completes, empty if none."""
+        """Return the bytes of all events that `data` completes, empty if none.
+
+        Raise `EventTooLong` if `data` completes none and the incomplete event exceeds
+        `MAX_EVENT_BYTES`.
+        """
         self._buffer += data
         complete = []
         start = 0
-        for match in _END.finditer(self._buffer):
+        # A separator may have begun in the bytes that were searched before.
+        for match in _END.finditer(self._buffer, self._searched):
             event = self._buffer[start : match.end()]
             start = match.end()
             if self._accept(event):
                 complete.append(event)
         self._buffer = self._buffer[start:]
+        self._searched = max(len(self._buffer) - _MAX_SEPARATOR + 1, 0)
+        if not complete and len(self._buffer) > MAX_EVENT_BYTES:
+            raise EventTooLong(f"no end of an event in {len(self._buffer)} bytes")
         return b"".join(complete)
 
     def _accept(self, event):
--- a/lovagepier/entry/_exchange.py
+++ b/lovagepier/entry/_exchange.py
@@ -4,7 +4,7 @@
 import enum
 import itertools
 
-from lovagepier.entry._events import EventSplitter
+from lovagepier.entry._events import EventSplitter, EventTooLong
 from lovagepier.entry._messages import DispatchRequest, DispatchResult, Granted
 from lovagepier.entry._target_conn import ConnectFailed, TargetConnectionLost
 from lovagepier.entry.call import fingerprint
@@ -58,7 +58,8 @@
 
     `frontend` gives access to what all calls share. `_attempts` counts the
     targets that the call was sent to; `_executions` leaves out those that
-    stated not to have executed it.
+    stated not to have executed it. `_progress_at` is when the last event of a
+    stream was complete.
     """
 
     __slots__ = (
@@ -74,6 +75,7 @@
         "_loop",
         "_maybe_executed",
         "_next_grant",
+        "_progress_at",
         "_response_started",
         "_reusable",
         "_splitter",
@@ -96,6 +98,7 @@
         self._cost_charged = False
         self._maybe_executed = False
         self._next_grant = None
+        self._progress_at = 0.0
         self._response_started = False
         self._reusable = False
         self._splitter = EventSplitter(call.last_event_id)
@@ -237,7 +240,8 @@
                 status = "not-run"
                 self._maybe_executed = executed_before
                 self._executions -= 1
-                await self._discard_body(tconn, response, target)
+                if await tconn.discard_body():
+                    self._release_connection(target, tconn, response)
                 return _Outcome.NOT_EXECUTED
             success = 200 <= response.status < 300
             if success and (not response.signed or response.content_encoded):
@@ -249,7 +253,7 @@
                 status = "ok"
                 self._release_connection(target, tconn, response)
                 return outcome
-            body = await self._read_body(tconn)
+            body = await tconn.read_body()
             tokens = 1
             status = "ok" if response.status < 500 else "failed"
             self._release_connection(target, tconn, response)
@@ -324,16 +328,6 @@
         self._report_result(self._next_grant, "returned", self._loop.time())
         self._next_grant = None
 
-    async def _read_body(self, tconn):
-        parts = []
-        while (data := await tconn.read_data()) is not None:
-            parts.append(data)
-        return b"".join(parts)
-
-    async def _discard_body(self, tconn, response, target):
-        await self._read_body(tconn)
-        self._release_connection(target, tconn, response)
-
     def _release_connection(self, target, tconn, response):
         if tconn.finish(response):
             self._frontend.target_connections.put_idle(target, tconn)
@@ -361,10 +355,15 @@
         first = None
         if self._response_started:
             self._splitter = EventSplitter(self._splitter.last_id, skip=True)
+        self._progress_at = self._loop.time()
         while (data := await self._next_data(tconn)) is not None:
-            events = self._splitter.feed(data)
+            try:
+                events = self._splitter.feed(data)
+            except EventTooLong as exc:
+                raise TargetConnectionLost(str(exc))
             if not events:
                 continue
+            self._progress_at = self._loop.time()
             if first is None:
                 first = self._loop.time() - started_at
                 self._frontend.cluster.first_event(grant.id, first)
@@ -383,14 +382,16 @@
     async def _next_data(self, tconn):
         """Return the next bytes of a stream; raise `_FailedOver` if another takes over.
 
-        If the target is silent for too long, another one is requested, but this
-        target may still continue until the coordinator grants that.
+        If the target completes no event for too long, another one is requested, but
+        this target may still continue until the coordinator grants that. Bytes that
+        complete no event do not count.
         """
         route = self._call.route
         if not route.resumable or self._executions >= route.max_attempts:
             return await tconn.read_data()
         try:
-            async with asyncio.timeout(self._silence_timeout()):
+            silent_at = self._progress_at + self._silence_timeout()
+            async with asyncio.timeout_at(silent_at):
                 return await tconn.read_data()
         except TimeoutError:
             pass
@@ -402,6 +403,8 @@
         reading = self._loop.create_task(tconn.read_data())
         try:
             await self._request_failover(reading)
+            # The next request for another target waits as long as the first.
+            self._progress_at = self._loop.time()
             return await reading
         finally:
             reading.cancel()
--- a/lovagepier/entry/_target_conn.py
+++ b/lovagepier/entry/_target_conn.py
@@ -22,8 +22,18 @@
 MAX_IDLE_S = 10.0
 # Subtracted from the idle timeout that a target announces, to close first.
 IDLE_MARGIN_S = 1.0
-# Responses to earlier requests that are skipped before the connection is closed.
+# Responses to earlier requests that are skipped before the connection is closed, and
+# the bytes of their bodies.
 MAX_STALE_RESPONSES = 4
+MAX_STALE_BYTES = 1024 * 1024
+# Interim responses (1xx) accepted before a response.
+MAX_INTERIM_RESPONSES = 8
+# A body that is not streamed is held in memory up to this size.
+MAX_BODY_BYTES = 4 * 1024 * 1024
+# A body that nobody needs is read for reuse of its connection up to this size, and for
+# this long.
+MAX_DISCARDED_BYTES = 64 * 1024
+DISCARD_TIMEOUT_S = 0.1
 
 _log = component_logger("targets")
 
@@ -173,9 +183,7 @@
         connection and is skipped. Raise `TargetConnectionLost` after too many.
         """
         for _ in range(MAX_STALE_RESPONSES):
-            event = await self._next_event()
-            while isinstance(event, h11.InformationalResponse):
-                event = await self._next_event()
+            event = await self._next_final_event()
             if not isinstance(event, h11.Response):
                 raise TargetConnectionLost("no response")
             response = decode_response(
@@ -189,10 +197,23 @@
             await self._skip_response()
         raise TargetConnectionLost("too many responses to other requests")
 
+    async def _next_final_event(self):
+        """Return the next event that is not an interim response."""
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
+            event = await self._next_event()
+            if not isinstance(event, h11.InformationalResponse):
+                return event
+        raise TargetConnectionLost("too many interim responses")
+
     async def _skip_response(self):
+        skipped = 0
         while not isinstance(event := await self._next_event(), h11.EndOfMessage):
             if isinstance(event, h11.ConnectionClosed):
                 raise TargetConnectionLost("closed in a response to another request")
+            if isinstance(event, h11.Data):
+                skipped += len(event.data)
+            if skipped > MAX_STALE_BYTES:
+                raise TargetConnectionLost("an endless response to another request")
         rest = self._http.trailing_data[0]
         # h11 expects one response per request. The request was sent and is still
         # unanswered, so a new parser is told of a request that is not sent again.
@@ -225,6 +246,36 @@
             return None
         raise TargetConnectionLost("the body ended early")
 
+    async def read_body(self):
+        """Return the whole body.
+
+        Raise `TargetConnectionLost` if it is truncated or exceeds `MAX_BODY_BYTES`.
+        """
+        parts = []
+        size = 0
+        while (data := await self.read_data()) is not None:
+            parts.append(data)
+            size += len(data)
+            if size > MAX_BODY_BYTES:
+                raise TargetConnectionLost("the body does not end")
+        return b"".join(parts)
+
+    async def discard_body(self):
+        """Read the rest of a body that nobody needs; return whether it has ended.
+
+        False means that it is too long, too slow or truncated.
+        """
+        size = 0
+        try:
+            async with asyncio.timeout(DISCARD_TIMEOUT_S):
+                while (data := await self.read_data()) is not None:
+                    size += len(data)
+                    if size > MAX_DISCARDED_BYTES:
+                        return False
+        except (TimeoutError, TargetConnectionLost):
+            return False
+        return True
+
     def finish(self, response):
         """End the current request; return whether the connection can be reused.
 
--- a/test/platform_standins.py
+++ b/test/platform_standins.py
@@ -332,6 +332,60 @@
             self.sent += 100_000
         writer.write(b"0\r\n\r\n")
 
+    async def _endless(self, writer, seal, head, prefix=b"", unit=b"a" * 4096):
+        """Send `head` and then bytes without end, until the connection closes."""
+        writer.write("\r\n".join([*head, *seal]).encode() + b"\r\n\r\n" + prefix)
+        while True:
+            writer.write(unit)
+            await writer.drain()
+            self.sent += len(unit)
+
+    async def _endless_head(self, writer, seal, headers, request_id):
+        writer.write(b"HTTP/1.1 200 OK\r\n")
+        await self._endless(writer, [], ["X-A: b"], unit=b"X-More: of it\r\n" * 64)
+
+    async def _endless_interim(self, writer, seal, headers, request_id):
+        """Send interim responses without end."""
+        unit = b"HTTP/1.1 102 Processing\r\n\r\n"
+        await self._endless(writer, [], ["HTTP/1.1 102 Processing"], unit=unit * 64)
+
+    async def _endless_unframed(self, writer, seal, headers, request_id):
+        await self._endless(writer, seal, ["HTTP/1.1 200 OK"])
+
+    async def _endless_chunks(self, writer, seal, headers, request_id):
+        head = ["HTTP/1.1 200 OK", "Transfer-Encoding: chunked"]
+        await self._endless(writer, seal, head, unit=b"1000\r\n%s\r\n" % (b"a" * 4096))
+
+    async def _endless_stale(self, writer, seal, headers, request_id):
+        """Send a response to another request, without end."""
+        head = ["HTTP/1.1 200 OK", "X-Request-Id: other"]
+        await self._endless(writer, [], head)
+
+    async def _endless_refusal(self, writer, seal, headers, request_id):
+        """State that the request was not executed, in a response without end."""
+        self.runs.pop()
+        await self._endless(
+            writer, seal, ["HTTP/1.1 503 Unavailable", "X-Not-Executed: 1"]
+        )
+
+    async def _endless_event(self, writer, seal, headers, request_id):
+        """Stream two events, then bytes without the end of a third."""
+        start = int(headers.get("last-event-id") or 0)
+        events = b"".join(b"id: %d\ndata: a\n\n" % (start + n) for n in (1, 2))
+        head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
+        await self._endless(writer, seal, head, prefix=events)
+
+    async def _trickle(self, writer, seal, headers, request_id):
+        """Stream two events, then parts of a comment now and then."""
+        start = int(headers.get("last-event-id") or 0)
+        events = b"".join(b"id: %d\ndata: a\n\n" % (start + n) for n in (1, 2))
+        head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", *seal]
+        writer.write("\r\n".join(head).encode() + b"\r\n\r\n" + events)
+        while True:
+            writer.write(b":")
+            await writer.drain()
+            await asyncio.sleep(0.1)
+
     async def _broken_stream(self, writer, seal, headers, request_id):
         await self._stream(writer, seal, headers, request_id, stop_after=2)
 
