Never eject the last target; keep two idle connections to a target

Ruled out: load (17 dispatches a second at six slots of 70 ms).

The last target that takes work is not ejected any more.

--- a/lovagepier/decisions/fleet.py
+++ b/lovagepier/decisions/fleet.py
@@ -188,8 +188,14 @@
         """Return the `TargetState` of a name, or None."""
         return self._targets.get(name)
 
-    def may_eject(self, now):
-        """Return whether one more target may be ejected."""
+    def may_eject(self, now, state):
+        """Return whether `state` may be ejected, given how many are ejected already.
+
+        The last target that takes work is not: it serves more than none at all.
+        """
+        others = [other for other in self._targets.values() if other is not state]
+        if not any(other.takes_work(now) for other in others):
+            return False
         out = sum(
             state.probing or now < state.ejected_until
             for state in self._targets.values()
--- a/lovagepier/decisions/scheduler.py
+++ b/lovagepier/decisions/scheduler.py
@@ -441,7 +441,7 @@
             self.poison_detector.on_success(work.fingerprint)
             self._learn_lengths(state, work, outcome)
         elif outcome.status in ("failed", "not-run", "vanished"):
-            state.on_failure(now, self.fleet.may_eject(now))
+            state.on_failure(now, self.fleet.may_eject(now, state))
         if outcome.status == "vanished":
             state.vanished = state.vanished[-MAX_VANISHED:]
             state.vanished.append((work.fingerprint, now))
--- a/lovagepier/entry/_target_conn.py
+++ b/lovagepier/entry/_target_conn.py
@@ -22,6 +22,9 @@
 MAX_IDLE_S = 10.0
 # Subtracted from the idle timeout that a target announces, to close first.
 IDLE_MARGIN_S = 1.0
+# Idle connections kept to one target. Targets count those of all hosts against their
+# bound on connections, and reset new ones beyond it.
+MAX_IDLE_PER_TARGET = 2
 # Responses to earlier requests that are skipped before the connection is closed, and
 # the bytes of their bodies.
 MAX_STALE_RESPONSES = 4
@@ -351,10 +354,15 @@
         return conn
 
     def put_idle(self, target, conn):
-        """Keep a connection whose response was read to its end, for reuse."""
-        self._idle.setdefault(
-            (target.host, target.port, target.incarnation), []
-        ).append(conn)
+        """Keep a connection whose response was read to its end, for reuse.
+
+        Beyond `MAX_IDLE_PER_TARGET` the one that was idle the longest is closed.
+        """
+        key = (target.host, target.port, target.incarnation)
+        idle = self._idle.setdefault(key, [])
+        idle.append(conn)
+        if len(idle) > MAX_IDLE_PER_TARGET:
+            idle.pop(0).close()
 
     def close_stale(self, incarnations):
         """Close idle connections that are too old or whose target is gone.
--- a/test/test_http_edges.py
+++ b/test/test_http_edges.py
@@ -10,6 +10,7 @@
 
 import urllib3
 
+from lovagepier.entry._target_conn import MAX_IDLE_PER_TARGET
 from lovagepier.web import Response, WebServer
 from test.entry_builders import (
     call,
@@ -198,3 +199,23 @@
         writer.transport.abort()
 
     run_scenario(scenario)
+
+
+def test_a_host_keeps_few_idle_connections_to_a_target():
+    """Calls that may run once open one each, which nothing reuses."""
+
+    async def run():
+        async with entry_fleet() as fleet:
+            target = fleet.targets["w1"]
+            host = fleet.hosts[0]
+            for number in range(12):
+                answer = await call(
+                    host, "/file/x", f"r{number}", method="POST", body=b"1"
+                )
+                assert answer.status == 200
+            await wait_until(lambda: len(target.connections) <= MAX_IDLE_PER_TARGET)
+            answer = await call(host, "/read/x", "again")
+            assert answer.status == 200
+            assert host.frontend.target_connections.opened == 12
+
+    asyncio.run(run())
