Rank restarted hosts as new; a coordinator cut off from the store follows

After a loss of all hosts the store lists the earlier registrations for seconds. A host that came back counted with its earlier one, took over, and lost that again when it registered anew: 40 switches in 0.5 s, with a part of targets and quotas each time. A roster now states the incarnation; a registration of another one gives no rank. 2. By its own clock it now knows the lapse, and by a linked host's answer from the store that the store is up: then it ranks last and follows. If the store answers nobody, order stays. Ruled out: the earlier hold of 0.15 s (it covers followers only).

The order is a pure function now (decisions/succession). Messages may grow by fields with defaults.

--- a/lovagepier/entry/_cluster.py
+++ b/lovagepier/entry/_cluster.py
@@ -6,6 +6,7 @@
 
 import asyncio
 
+from lovagepier.decisions.succession import rank_candidates
 from lovagepier.entry._capacity import CapacityShares
 from lovagepier.entry._followers import Followers
 from lovagepier.entry._messages import (
@@ -49,12 +50,11 @@
 # last answered the coordinator longer ago than this.
 MAX_COORDINATOR_STORE_AGE_S = 1.5 + 2.0
 
-_log = component_logger("members")
-
+# An answer of the store to another host this long after this host's last renewal shows
+# that the store is up: the next renewal was due by then.
+MISSED_RENEWAL_S = 1.5
 
-def _seniority_key(host):
-    """Sort key: highest capacity score first, then the oldest registration."""
-    return -host.capacity_score, host.create_revision
+_log = component_logger("members")
 
 
 class _Pending:
@@ -68,20 +68,23 @@
 class Cluster:
     """Sends requests to the coordinator and chooses which host's coordinator it is.
 
-    The coordinator is the most senior host that can be reached, or this host if no
-    more senior one can. Seniority is by capacity score, then by age of the
-    registration, so that a host that restarts does not take over.
+    The coordinator is the most senior host that can be reached (`rank_candidates`),
+    or this host if no more senior one can.
 
-    `coordinator_name` is the host of the coordinator in use, None before the first.
+    `boot` identifies this incarnation of the host. `coordinator_name` is the host of
+    the coordinator in use, None before the first.
     """
 
-    def __init__(self, cfg, view, coordinator, apply_keys):
+    def __init__(self, cfg, view, coordinator, apply_keys, boot=""):
         self._cfg = cfg
         self._view = view
         self._coordinator = coordinator
         self.replication = Replication(view, apply_keys)
         self._loop = asyncio.get_running_loop()
-        self.followers = Followers(cfg, view, coordinator)
+        self._boot = boot
+        self._renewed_at = None
+        self._registered_until = 0.0
+        self.followers = Followers(cfg, view, coordinator, boot)
         self._outgoing = OutgoingLinks(
             self.on_message, self._on_link, self.choose_coordinator
         )
@@ -231,8 +234,12 @@
 
     def _on_roster(self, link, roster):
         self.replication.request_if_behind(link, roster)
+        link.store_age = roster.store_age
         if roster.hosts is not None:
             link.roster = roster.hosts
+        if link.boot != roster.boot:
+            link.boot = roster.boot
+            self.choose_coordinator()
         if link.peer != self.coordinator_name:
             return
         self._coordinator_store_age = roster.store_age
@@ -258,27 +265,51 @@
         return self.coordinator_name == self._cfg.host_name
 
     def _candidates(self):
-        """Return the hosts that may be coordinator, most senior first.
+        """Return the hosts that may be coordinator, most senior first."""
+        members = self._view.members().values()
+        return rank_candidates(
+            members,
+            self._cfg.host_name,
+            stale={host.name for host in members if self._is_stale(host)},
+            draining={name for name, _, _, is_draining in self._roster if is_draining},
+            own_last=self.followers.draining or self._has_lapsed(),
+        )
+
+    def _is_stale(self, host):
+        """Return whether a host is known to have restarted since it registered."""
+        if host.name == self._cfg.host_name:
+            return host.boot != self._boot
+        link = self._outgoing.links.get(host.name)
+        return link is not None and bool(link.boot) and link.boot != host.boot
 
-        This host is among them; it is the last one while it drains.
+    def on_registered(self, renewed_at, until):
+        """Record a renewal of this host's registration, in loop seconds."""
+        self._renewed_at = renewed_at
+        self._registered_until = until
+
+    def _has_lapsed(self):
+        """Return whether only this host's own registration has lapsed.
+
+        The store drops it and the other hosts follow the next one, but a host that
+        can't reach the store does not learn so. If the store answers no host, all
+        registrations lapse alike and the order stays.
         """
-        members = self._view.members()
-        ranked = sorted(members.values(), key=_seniority_key)
-        draining = {name for name, _, _, is_draining in self._roster if is_draining}
-        names = [host.name for host in ranked if host.name not in draining]
-        if self._cfg.host_name not in names and not self.followers.draining:
-            names.append(self._cfg.host_name)
-        if self.followers.draining:
-            names = [name for name in names if name != self._cfg.host_name]
-            names.append(self._cfg.host_name)
-        return names
+        now = self._loop.time()
+        if self._renewed_at is None or now < self._registered_until:
+            return False
+        ages = [self.followers.least_store_age()]
+        ages += [
+            link.store_age + now - link.last_frame_at
+            for link in self._outgoing.links.values()
+        ]
+        return now - min(ages) > self._renewed_at + MISSED_RENEWAL_S
 
     def choose_coordinator(self):
         """Switch to the most senior host that can be reached, possibly this one."""
         if self._keeps_first_coordinator():
             return
         for name in self._candidates():
-            if name == self._cfg.host_name or self._outgoing.is_up(name):
+            if name == self._cfg.host_name or self._outgoing.is_known(name):
                 self._switch_to(name)
                 return
 
--- a/lovagepier/entry/_followers.py
+++ b/lovagepier/entry/_followers.py
@@ -14,11 +14,12 @@
     """Hosts that use this host's coordinator or keep a standby link to it.
 
     `links` are the open links by host name. `draining` is set once this host
-    is to stop.
+    is to stop. `boot` identifies this incarnation of the host.
     """
 
-    def __init__(self, cfg, view, coordinator):
+    def __init__(self, cfg, view, coordinator, boot):
         self._cfg = cfg
+        self._boot = boot
         self._view = view
         self._coordinator = coordinator
         self._loop = asyncio.get_running_loop()
@@ -69,6 +70,16 @@
         """Return how many other hosts use this host's coordinator now."""
         return sum(beat.is_follower for beat in self._heartbeats.values())
 
+    def least_store_age(self):
+        """Return the least time in seconds since the store answered a linked host."""
+        now = self._loop.time()
+        ages = [
+            self._heartbeats[name].store_age + now - link.last_frame_at
+            for name, link in self.links.items()
+            if name in self._heartbeats
+        ]
+        return min(ages, default=float("inf"))
+
     def host_rows(self):
         """Return [name, callers' address, zone, draining] rows, this host first."""
         cfg = self._cfg
@@ -98,6 +109,7 @@
             self._coordinator.rollouts.rollbacks(),
             self._coordinator.quotas.low_levels(now),
             self._coordinator.rollouts.progress_rows(),
+            self._boot,
         )
 
     def announce_draining(self):
--- a/lovagepier/entry/_host.py
+++ b/lovagepier/entry/_host.py
@@ -83,7 +83,9 @@
         if cfg.host_first_start != "true":
             # The quotas may have been used up in full before this start.
             self.coordinator.take_over(self._loop.time())
-        self.cluster = Cluster(cfg, self.view, self.coordinator, self._on_changed_keys)
+        self.cluster = Cluster(
+            cfg, self.view, self.coordinator, self._on_changed_keys, self._boot
+        )
         self.frontend = Frontend(cfg, self.view, self.cluster, self.coordinator)
         self._watcher = None
         self._registrar = None
@@ -139,7 +141,12 @@
         )
         lease = max(LEASE_TTL_S, self.cfg.store_lease_least)
         self._registrar = Registrar.start(
-            address, key, value, lease, on_loop(self._on_written)
+            address,
+            key,
+            value,
+            lease,
+            on_loop(self._on_written),
+            on_loop(self.cluster.on_registered),
         )
 
     def _reload(self):
--- a/lovagepier/entry/_links.py
+++ b/lovagepier/entry/_links.py
@@ -28,7 +28,9 @@
     peer's host name, or its HOST:PORT if it was dialed as a seed; it is empty until
     the first heartbeat on an accepted link.
     `last_frame_at` is the loop time of the last frame from the peer, in seconds.
-    `roster` are the hosts that the peer last sent. `in_use` tells whether one end
+    `roster` are the hosts that the peer last sent, `boot` the incarnation that it
+    last stated, None before its first roster. `store_age` is the time in seconds since
+    the store last answered it, as of its last roster. `in_use` tells whether one end
     is the coordinator of the other; other links are on standby.
     """
 
@@ -36,11 +38,13 @@
         "_conn",
         "_outbox",
         "_sender",
+        "boot",
         "last_frame_at",
         "in_use",
         "is_open",
         "peer",
         "roster",
+        "store_age",
     )
 
     def __init__(self, conn):
@@ -51,6 +55,8 @@
         self.is_open = True
         self.peer = ""
         self.roster = []
+        self.boot = None
+        self.store_age = float("inf")
         self.in_use = False
 
     def send(self, body):
--- a/lovagepier/entry/_messages.py
+++ b/lovagepier/entry/_messages.py
@@ -57,7 +57,8 @@
     accounts whose quotas are nearly spent to the fraction of the burst that is
     left. `rollouts` rows are [service, order revision, dispatches, dispatches
     to the new version, outcomes of the new version, failures of the new
-    version] of open rollouts.
+    version] of open rollouts. `boot` identifies the sender's incarnation, empty if
+    it does not say.
     """
 
     coordinator: str
@@ -69,6 +70,7 @@
     rollbacks: list
     quota_levels: dict
     rollouts: list
+    boot: str = ""
 
 
 @message("e.ask")
--- a/lovagepier/entry/_outgoing.py
+++ b/lovagepier/entry/_outgoing.py
@@ -39,6 +39,10 @@
             return False
         return self._loop.time() - link.last_frame_at < _timeout(link)
 
+    def is_known(self, name):
+        """Return whether a host is up and has said which incarnation it is."""
+        return self.is_up(name) and self.links[name].boot is not None
+
     def use(self, name):
         """Mark the link to the coordinator as in use and all others as standby."""
         for each, link in self.links.items():
--- a/lovagepier/entry/_store_actors.py
+++ b/lovagepier/entry/_store_actors.py
@@ -156,18 +156,21 @@
 class Registrar(pykka.ThreadingActor):
     """Keeps this host registered under a lease and makes the coordinator's writes.
 
-    `on_written(message, result)` gets the result of each `WriteKey`.
+    `on_written(message, result)` gets the result of each `WriteKey`, and
+    `on_registered(renewed_at, until)` each renewal and until when the registration is
+    valid, both in monotonic seconds.
     """
 
     use_daemon_thread = True
 
-    def __init__(self, address, key, value, lease_s, on_written):
+    def __init__(self, address, key, value, lease_s, on_written, on_registered):
         super().__init__()
         self._store = PlatformStore(address)
         self._key = key
         self._value = value
         self._lease_s = lease_s
         self._on_written = on_written
+        self._on_registered = on_registered
         self._backoff = _Backoff()
         self._lease = None
         self._renewed_at = 0.0
@@ -207,8 +210,7 @@
             self._backoff.failed()
             return
         self._lease = lease
-        self._renewed_at = called_at
-        self._backoff.succeeded()
+        self._note_renewal(called_at)
         _log.info("registered this host", key=self._key, lease=lease)
 
     def _renew(self):
@@ -221,8 +223,13 @@
                 return
             self._backoff.failed()
             return
+        self._note_renewal(called_at)
+
+    def _note_renewal(self, called_at):
+        """Count the lease from when it was asked for, as the store may have later."""
         self._backoff.succeeded()
         self._renewed_at = called_at
+        self._on_registered(called_at, called_at + self._lease_s)
 
     def leave(self):
         """Revoke the lease, which removes the registration."""
--- a/lovagepier/entry/_view.py
+++ b/lovagepier/entry/_view.py
@@ -29,7 +29,11 @@
 def _decode_host(item):
     raw = json.loads(item.value)
     return HostRecord(
-        str(raw["name"]), str(raw["peers"]), item.create_revision, int(raw["power"])
+        name=str(raw["name"]),
+        peer_address=str(raw["peers"]),
+        create_revision=item.create_revision,
+        capacity_score=int(raw["power"]),
+        boot=item.key.rpartition(".")[2],
     )
 
 
--- a/lovagepier/entry/store_types.py
+++ b/lovagepier/entry/store_types.py
@@ -37,13 +37,14 @@
     `peer_address` is the HOST:PORT for other entry hosts. `create_revision`
     is the store revision of its registration: the lowest has been registered
     longest. Hosts with a higher `capacity_score` are preferred as coordinator;
-    0 is the lowest score.
+    0 is the lowest score. `boot` identifies the incarnation that registered.
     """
 
     name: str
     peer_address: str
     create_revision: int
     capacity_score: int
+    boot: str
 
 
 @dataclass(slots=True, frozen=True)
--- a/lovagepier/peers/_codec.py
+++ b/lovagepier/peers/_codec.py
@@ -1,7 +1,7 @@
 """CBOR frames: [tag, correlation, is reply, field values...]."""
 
 import io
-from dataclasses import dataclass, fields
+from dataclasses import MISSING, dataclass, fields
 
 import cbor2
 
@@ -28,14 +28,19 @@
 def message(tag):
     """Register a message dataclass under a tag, its permanent name on the wire.
 
-    If the class has a method `check`, `decode` calls it to validate the fields.
+    If the class has a method `check`, `decode` calls it to validate the fields. A
+    field with a default value may be missing, as from a sender that does not know it.
     """
 
     def register(cls):
         if tag in _BY_TAG:
             raise ValueError(f"tag {tag} is registered twice")
         names = tuple(field.name for field in fields(cls))
-        _BY_TAG[tag] = (cls, names)
+        required = sum(
+            field.default is MISSING and field.default_factory is MISSING
+            for field in fields(cls)
+        )
+        _BY_TAG[tag] = (cls, names, required)
         _TAG_OF[cls] = (tag, names)
         return cls
 
@@ -75,10 +80,10 @@
     tag, correlation, is_reply, *values = parts
     if not isinstance(tag, str) or tag not in _BY_TAG:
         raise CodecError("the frame has an unknown tag")
-    cls, names = _BY_TAG[tag]
+    cls, names, required = _BY_TAG[tag]
     if not isinstance(correlation, int) or not isinstance(is_reply, bool):
         raise CodecError("the frame's correlation or reply flag is malformed")
-    if len(values) != len(names):
+    if not required <= len(values) <= len(names):
         raise CodecError(f"{tag} has {len(values)} fields, {len(names)} expected")
     body = cls(*values)
     check = getattr(body, "check", None)
