After a loss of all hosts, join the quotas' first fills with the shares

Now the coordinator adds the first fill of each share that it takes over, and subtracts what the joining hosts report that they spent; a host that is still alone puts such refusals off for up to 0.4 s, until it has joined. A property test holds the total to that of one coordinator. Messages with defaults carry the report.

--- a/lovagepier/decisions/quotas.py
+++ b/lovagepier/decisions/quotas.py
@@ -4,15 +4,21 @@
 
 
 class _Bucket:
-    """One account's tokens; `promised` are those that refused requests wait for."""
+    """One account's tokens; `promised` are those that refused requests wait for.
 
-    __slots__ = ("at", "burst", "level", "promised", "rate")
+    `spent` are those that admitted requests cost and that no other coordinator has
+    been told of yet. `rate` and `burst` are the fraction `share` of the quota's.
+    """
+
+    __slots__ = ("at", "burst", "level", "promised", "rate", "share", "spent")
 
     def __init__(self, rate, burst, level, now):
         self.rate = rate
         self.burst = burst
         self.level = level
         self.promised = 0.0
+        self.share = 1.0
+        self.spent = 0.0
         self.at = now
 
     def refill(self, now):
@@ -36,18 +42,28 @@
     of its burst, or with the level that the previous coordinator reported if that
     is less. If that one reported nothing, a bucket starts with `max_initial_level`
     at most.
+
+    After a loss of all coordinators each new one begins with a small share, and one
+    of them takes over the others' shares as their hosts join it: `set_share` then adds
+    what the additional share would have begun with, `debit` subtracts what the joining
+    hosts report that they spent (`take_spent`).
     """
 
     # Fraction of the burst that a bucket holds after a change of coordinator.
     INITIAL_FILL = 0.4
+    # Coordinators that start without knowing earlier levels join their shares within
+    # this time.
+    JOIN_PERIOD_S = 3.0
 
     __slots__ = (
         "_buckets",
+        "_debits",
         "_extra_burst",
         "_extra_rate",
         "_inherited_levels",
         "_max_debt",
         "_max_initial_level",
+        "_max_share",
         "_overage",
         "_taken_over_at",
         "share",
@@ -68,7 +84,9 @@
         self._max_debt = max_debt
         self._taken_over_at = float("-inf")
         self._buckets = {}
+        self._debits = {}
         self._inherited_levels = {}
+        self._max_share = 1.0
         self.share = 1.0
 
     def take_over(self, now, levels=None):
@@ -79,7 +97,52 @@
         """
         self._taken_over_at = now
         self._buckets = {}
+        self._debits = {}
         self._inherited_levels = levels
+        self._max_share = 0.0 if levels is None else 1.0
+
+    def set_share(self, share, now):
+        """Hand out the fraction `share` of every quota from now on."""
+        gained = share - max(self._max_share, self.share)
+        self.share = share
+        if gained <= 0.0 or not self._is_joining(now):
+            return
+        self._max_share = share
+        for bucket in self._buckets.values():
+            bucket.refill(now)
+            full_burst = bucket.burst / bucket.share
+            full_rate = bucket.rate / bucket.share
+            first = min(full_burst * self.INITIAL_FILL, self._max_initial_level)
+            first += full_rate * (now - self._taken_over_at)
+            bucket.share = share
+            bucket.burst = full_burst * share
+            bucket.rate = full_rate * share
+            bucket.level = min(bucket.level + gained * first, bucket.burst)
+
+    def _is_joining(self, now):
+        if self._inherited_levels is not None:
+            return False
+        return now - self._taken_over_at < self.JOIN_PERIOD_S
+
+    def take_spent(self, now):
+        """Return {account: tokens} spent since the last call by a starting coordinator.
+
+        Empty unless this one started without knowing earlier levels, and lately.
+        """
+        if not self._is_joining(now):
+            return {}
+        spent = {name: each.spent for name, each in self._buckets.items() if each.spent}
+        for bucket in self._buckets.values():
+            bucket.spent = 0.0
+        return spent
+
+    def debit(self, name, tokens):
+        """Count tokens that another coordinator of this quota has spent."""
+        bucket = self._buckets.get(name)
+        if bucket is None:
+            self._debits[name] = self._debits.get(name, 0.0) + tokens
+        else:
+            bucket.level -= tokens
 
     def low_levels(self, now):
         """Return {account: fraction of its burst that is left}.
@@ -107,10 +170,13 @@
         bucket = self._buckets.get(name)
         if bucket is None:
             level = self._initial_level(name, rate, burst, now)
+            level -= self._debits.pop(name, 0.0)
             bucket = _Bucket(rate, burst, level, now)
+            bucket.share = self.share
             self._buckets[name] = bucket
             return bucket
         bucket.refill(now)
+        bucket.share = self.share
         bucket.rate = rate
         bucket.burst = burst
         bucket.level = min(bucket.level, burst)
@@ -134,6 +200,7 @@
         least = min(cost - self._max_debt * self.share, bucket.burst)
         if bucket.level > reserve and bucket.level >= least:
             bucket.level -= cost
+            bucket.spent += cost
             return 0.0
         bucket.promised += cost
         return (bucket.promised + reserve - bucket.level) / max(bucket.rate, 1e-9)
@@ -143,3 +210,4 @@
         bucket = self._buckets.get(name)
         if bucket is not None:
             bucket.level = min(bucket.level + cost, bucket.burst)
+            bucket.spent = max(bucket.spent - cost, 0.0)
--- a/lovagepier/entry/_cluster.py
+++ b/lovagepier/entry/_cluster.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from dataclasses import replace
 
 from lovagepier.decisions.succession import rank_candidates
 from lovagepier.entry._capacity import CapacityShares
@@ -25,6 +26,7 @@
 )
 from lovagepier.entry._outgoing import STANDBY_HEARTBEAT_ROUNDS, OutgoingLinks
 from lovagepier.entry._replication import Replication
+from lovagepier.errors import ErrorKind
 from lovagepier.logs import component_logger
 
 __all__ = ["Cluster"]
@@ -40,6 +42,8 @@
 # links open one by one.
 STARTUP_SWITCH_S = 0.15
 STARTUP_REDIAL_INTERVAL_S = 0.05
+# How long a host that starts alone puts off refusals for lack of quota.
+MAX_DEFER_S = 0.4
 # A host stays linked to this many of the hosts senior to it, the coordinator included.
 MIN_SENIOR_LINKS = 2
 REDIAL_INTERVAL_S = 0.3
@@ -90,6 +94,7 @@
         )
         self._capacity = CapacityShares(view)
         self._pending = {}
+        self._deferred = set()
         self._running = {}
         self._roster = []
         self._poisoned = set()
@@ -171,12 +176,38 @@
     def send_to_host(self, entry, message):
         """Send an answer of this host's coordinator to an entry host."""
         if entry == self._cfg.host_name:
-            self._on_answer(message)
+            if not self._defers(message):
+                self._on_answer(message)
             return
         link = self.followers.links.get(entry)
         if link is not None:
             link.send(message)
 
+    def _defers(self, message):
+        """Return whether a refusal is put off until more of the quota is handed out.
+
+        A host that starts alone has a small part of each quota. Refusals for lack of
+        more wait for the hosts that it is about to join, for `MAX_DEFER_S`.
+        """
+        if not isinstance(message, Refused) or message.kind != ErrorKind.OVER_QUOTA:
+            return False
+        ends_at = self._started_at + MAX_DEFER_S
+        if self._cfg.host_first_start == "true" or self._loop.time() >= ends_at:
+            return False
+        if message.id not in self._pending or self.followers.count():
+            return False
+        if not self._deferred:
+            self._loop.call_at(ends_at, self._resend_deferred)
+        self._deferred.add(message.id)
+        return True
+
+    def _resend_deferred(self):
+        deferred, self._deferred = self._deferred, set()
+        for request_id in deferred:
+            pending = self._pending.get(request_id)
+            if pending is not None and not pending.fut.done():
+                self._send_request(pending)
+
     def on_message(self, link, message):
         """Handle a message from any link."""
         if isinstance(message, Heartbeat):
@@ -210,9 +241,8 @@
             rows = [
                 (DispatchRequest(*fields), target) for fields, target in message.running
             ]
-            coordinator.on_running_report(
-                entry, RunningReport(rows, message.poisoned, message.rollbacks), now
-            )
+            report = replace(message, running=rows)
+            coordinator.on_running_report(entry, report, now)
 
     def _on_answer(self, message):
         pending = self._pending.get(message.id)
@@ -227,6 +257,7 @@
     def _on_heartbeat(self, link, heartbeat):
         if self.followers.on_heartbeat(link, heartbeat):
             self._update_shares()
+            self._resend_deferred()
         self.replication.request_if_behind(link, heartbeat)
         link.send(self.followers.roster(link))
 
@@ -350,8 +381,12 @@
                     rows,
                     sorted(self._poisoned),
                     self._coordinator.rollouts.rollbacks(),
+                    {}
+                    if self._is_coordinator()
+                    else self._coordinator.quotas.take_spent(now),
                 )
             )
+        self._deferred.clear()
         for pending in list(self._pending.values()):
             if not pending.fut.done():
                 self._send_request(pending)
--- a/lovagepier/entry/_coordinator.py
+++ b/lovagepier/entry/_coordinator.py
@@ -204,7 +204,7 @@
 
     def set_share(self, share, quota_share, now):
         """Set the fractions of all targets and quotas that this host hands out."""
-        self.quotas.share = quota_share
+        self.quotas.set_share(quota_share, now)
         if share == self._share:
             return
         _log.info(
@@ -363,6 +363,8 @@
             self.poison_detector.merge(fingerprint, (), True, now)
         for service, revision, cause in report.rollbacks:
             self.rollouts.roll_back(service, revision, cause)
+        for account, tokens in report.spent.items():
+            self.quotas.debit(account, tokens)
         self._apply_stage_changes(now)
         for req, target in report.running:
             pool = self._pool(req.service)
--- a/lovagepier/entry/_messages.py
+++ b/lovagepier/entry/_messages.py
@@ -3,7 +3,7 @@
 A message goes out as its tag and its values in the order of its fields.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from lovagepier.peers import message
 
@@ -169,12 +169,14 @@
     """What an entry host runs, for a coordinator that may not know.
 
     `running` rows are [field values of the `DispatchRequest`, target];
-    `poisoned` are fingerprints; `rollbacks` rows are as in `Roster`.
+    `poisoned` are fingerprints; `rollbacks` rows are as in `Roster`. `spent` maps
+    accounts to what the sender's own coordinator, which has just started, admitted.
     """
 
     running: list
     poisoned: list
     rollbacks: list
+    spent: dict = field(default_factory=dict)
 
 
 @message("e.changed")
--- a/test/test_quotas.py
+++ b/test/test_quotas.py
@@ -216,3 +216,64 @@
     assert not quotas.spend("a", RATE, 10.0, 50.0, 0.0)
     assert quotas.spend("a", RATE, 10.0, 1.0, 0.3)
     assert not quotas.spend("a", RATE, 10.0, 1.0, 0.5)
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 5), st.floats(0, 0.1), st.floats(1, 40_000)),
+        max_size=80,
+    ),
+    st.lists(st.integers(0, 79), min_size=5, max_size=5),
+)
+def test_starting_coordinators_that_join_spend_no_more_than_one(rows, joins):
+    """Six start with a sixth each; at `joins` one after the other joins the first."""
+    alone = [_new_quotas() for _ in range(6)]
+    for coordinator in alone:
+        coordinator.take_over(0.0)
+        coordinator.set_share(1 / 6, 0.0)
+    total = now = 0.0
+    joined = {0}
+    for number, (entry, gap, cost) in enumerate(rows):
+        now += gap
+        for other in [n + 1 for n, at in enumerate(joins) if at == number]:
+            joined.add(other)
+            alone[0].set_share(len(joined) / 6, now)
+            for name, tokens in alone[other].take_spent(now).items():
+                alone[0].debit(name, tokens)
+        coordinator = alone[0] if entry in joined else alone[entry]
+        if not coordinator.spend("a", TOKEN_RATE, TOKEN_BURST, cost, now):
+            total += cost
+    one = _new_quotas()
+    most = one._max_initial_level + one._max_debt
+    rate = TOKEN_RATE * (1.0 + one._overage) + one._extra_rate
+    assert total <= most + rate * now + 1e-6
+
+
+def test_a_starting_coordinator_gets_the_first_fill_of_the_shares_that_it_takes_over():
+    """Replays a start of six hosts: the allowance stayed that of the first share."""
+    first = _new_quotas()
+    first.take_over(0.0)
+    first.set_share(1 / 6, 0.0)
+    first.spend("a", TOKEN_RATE, TOKEN_BURST, 1.0, 0.0)
+    first.set_share(1.0, 0.0)
+    spent = 0.0
+    while not first.spend("a", TOKEN_RATE, TOKEN_BURST, 100.0, 0.0):
+        spent += 100.0
+    assert spent >= min(SLACK * QUOTA_REFILL_FRACTION, TOKEN_BURST * 0.4)
+    # A share that was lost and regained adds nothing.
+    first.set_share(0.5, 0.0)
+    first.set_share(1.0, 0.0)
+    assert first.spend("a", TOKEN_RATE, TOKEN_BURST, 100.0, 0.0)
+
+
+def test_only_a_starting_coordinator_reports_what_it_spent():
+    known, unknown = _new_quotas(), _new_quotas()
+    known.take_over(0.0, {})
+    unknown.take_over(0.0)
+    for quotas in (known, unknown):
+        assert not quotas.spend("a", TOKEN_RATE, TOKEN_BURST, 10.0, 0.0)
+    assert known.take_spent(0.1) == {}
+    assert unknown.take_spent(0.1) == {"a": 10.0}
+    assert unknown.take_spent(0.1) == {}
+    assert not unknown.spend("a", TOKEN_RATE, TOKEN_BURST, 10.0, 9.0)
+    assert unknown.take_spent(9.0) == {}
