Refuse late requests before their callers leave

Now a request's latest start also heeds when its caller leaves (Route.patience_s, decoded from objective and event gap), and a late tier holds no more than its tier and those below start in the time left, by rates of starts that decay within a second; with nothing ahead, by all starts. Tried: a floor of slots once in 8 s (refused two requests of a small idle pool in test_entry_path); kept: 4 s.

--- a/lovagepier/decisions/scheduler.py
+++ b/lovagepier/decisions/scheduler.py
@@ -10,6 +10,7 @@
 from lovagepier.decisions.prefixes import PrefixIndex
 from lovagepier.decisions.retries import RetryBudget
 from lovagepier.decisions.shedding import ShedPause
+from lovagepier.decisions.start_rates import StartRates
 from lovagepier.decisions.waiting import WaitingRequests
 from lovagepier.decisions.work import Grant, Outcome, Refusal
 from lovagepier.errors import ErrorKind
@@ -37,6 +38,10 @@
 # Bound on queued late requests, in multiples of all slots. More of them would only
 # wait until they are refused.
 MAX_LATE_ROUNDS = 4.0
+# If fewer late requests than that can start before the first of them expires, by the
+# rate at which their tier and lower ones start, the bound is lower. At a low rate, all
+# slots are expected to be free for late requests once in this time.
+LATE_ROUND_S = 4.0
 
 
 class SchedulerOptions:
@@ -118,6 +123,7 @@
         self.old_version = None
         self._rng = rng
         self._dispatched = DispatchLog(options.finished_retention_s)
+        self._start_rates = StartRates(options.tiers)
         self._pause = ShedPause(options.shed_pause_s)
         self.last_shed = None
         self._sequence = 0
@@ -178,10 +184,10 @@
                 work.account, work.route, work.max_decode_tokens
             )
         work.latest_start = work.deadline - self._least_seconds(work, now)
+        first_s = self._least_first_seconds(work, now)
+        work.latest_start = min(work.latest_start, work.abandoned_at - first_s)
         if self.options.demote_late and work.soft_deadline:
-            work.latest_on_time_start = work.soft_deadline - self._least_first_seconds(
-                work, now
-            )
+            work.latest_on_time_start = work.soft_deadline - first_s
 
     def _least_seconds(self, work, now):
         """Return a lower bound in seconds on the service time of `work`.
@@ -257,22 +263,34 @@
     def _demote_late(self, now):
         """Move late requests to their late tiers; shed what exceeds the bound.
 
-        The bound is `MAX_LATE_ROUNDS` times all slots for each late tier.
+        Each late tier has a bound of its own; see `_late_room`.
         """
         late = self.waiting.demote_late(now)
-        room = MAX_LATE_ROUNDS * sum(
-            state.limit.value for state in self.fleet if not state.draining
-        )
+        slots = sum(state.limit.value for state in self.fleet if not state.draining)
         decisions = []
         for tier in {work.tier for work in late}:
-            while self.waiting.sizes()[tier] > room:
+            # Without work ahead the next free slots are theirs, whatever ran there.
+            is_next = self.waiting.highest_waiting_tier() == tier
+            rate = self._start_rates.rate_from(0 if is_next else tier, now)
+            while size := self.waiting.sizes()[tier]:
                 work = self.waiting.most_urgent(tier)
+                if size <= self._late_room(slots, rate, work.latest_start - now):
+                    break
                 self.waiting.remove(work.id)
                 why = "it is late already, and more such work waits than can run"
                 kind = ErrorKind.DEADLINE_WAITING
                 decisions.append(self._shed(work, now, kind, why))
         return decisions
 
+    def _late_room(self, slots, rate, remaining_s):
+        """Return how many late requests of one tier may wait.
+
+        `rate` are the starts per second that they can expect, `remaining_s` is the
+        time in which the most urgent of them must start.
+        """
+        expected = max(rate, slots / LATE_ROUND_S) * remaining_s
+        return min(expected, MAX_LATE_ROUNDS * slots)
+
     def _shed(self, work, now, kind, why):
         # With a free slot in the pool, lower tiers did not cause this refusal.
         # Pausing them would only make their requests miss deadlines in turn.
@@ -382,6 +400,7 @@
         state.last_start_at = now
         self.fleet.reindex(state)
         self._dispatched.begin(work, state.name, state.version, now)
+        self._start_rates.on_start(work.tier, now)
         if work.blocks:
             self.prefixes.add(state.name, work.blocks)
         return Grant(work, state.name, state.version, hit, why)
--- /dev/null
+++ b/lovagepier/decisions/start_rates.py
@@ -0,0 +1,38 @@
+"""How many requests of each tier have started lately."""
+
+import math
+
+__all__ = ["StartRates"]
+
+# Starts count less and less over about this time.
+DECAY_S = 1.0
+
+
+class StartRates:
+    """Exponentially decaying rates of starts, one per tier.
+
+    Answers a load in which higher tiers take all slots: what waits below them then
+    starts seldom or never, however many slots there are.
+    """
+
+    __slots__ = ("_counts", "_updated_at")
+
+    def __init__(self, tiers):
+        self._counts = [0.0] * tiers
+        self._updated_at = [0.0] * tiers
+
+    def _decay(self, tier, now):
+        elapsed = max(now - self._updated_at[tier], 0.0)
+        self._counts[tier] *= math.exp(-elapsed / DECAY_S)
+        self._updated_at[tier] = now
+
+    def on_start(self, tier, now):
+        """Count one start."""
+        self._decay(tier, now)
+        self._counts[tier] += 1.0
+
+    def rate_from(self, tier, now):
+        """Return the starts per second of a tier and all lower ones."""
+        for each in range(tier, len(self._counts)):
+            self._decay(each, now)
+        return sum(self._counts[tier:]) / DECAY_S
--- a/lovagepier/decisions/work.py
+++ b/lovagepier/decisions/work.py
@@ -15,8 +15,10 @@
     Times are seconds on the coordinator's clock:
     - `deadline`: the request must be complete by then.
     - `arrived`: when it reached the scheduler.
-    - `latest_start`: the last start at which it can still meet its deadline.
+    - `latest_start`: the last start at which it can still meet its deadline, and begin
+      before its caller leaves.
     - `soft_deadline`: after this its response is late; 0 if there is none.
+    - `abandoned_at`: when the caller leaves unless the response has begun.
     - `latest_on_time_start`: the last start at which it can still meet that.
 
     Order and place:
@@ -74,6 +76,7 @@
     may_overbook: bool = False
     cost: float = 0.0
     late_tier: int = 0
+    abandoned_at: float = float("inf")
 
     def hit_tokens(self, depth):
         """Return the prompt tokens in the first `depth` blocks."""
--- a/lovagepier/entry/_coordinator.py
+++ b/lovagepier/entry/_coordinator.py
@@ -5,6 +5,7 @@
 metrics call the coordinator the home.
 """
 
+import math
 from dataclasses import dataclass, field
 
 from lovagepier.decisions.partition import slots_for_host
@@ -294,6 +295,7 @@
             late_tier=tier * BANDS_PER_TIER + LATE_BAND,
             deadline=now + req.remaining_s,
             soft_deadline=now + req.soft_deadline_s,
+            abandoned_at=now + req.patience_s if req.patience_s else math.inf,
             route=req.route,
             prefill_tokens=req.prefill_tokens,
             max_decode_tokens=req.decode_tokens,
--- a/lovagepier/entry/_exchange.py
+++ b/lovagepier/entry/_exchange.py
@@ -162,11 +162,23 @@
             attempt=self._attempts,
             exclude=sorted(self._excluded),
             cost=account.cost(call) if account and is_first else 0.0,
+            patience_s=self._patience_left(now),
         )
         if self._frontend.cluster.is_poisoned(req.fingerprint):
             return None
         return await self._frontend.cluster.request_dispatch(req)
 
+    def _patience_left(self, now):
+        """Return the seconds until the caller abandons the call; 0 for no such limit.
+
+        A limit that has passed counts as a moment: the caller is still there.
+        """
+        route = self._call.route
+        if not route.patience_s:
+            return 0.0
+        since = self._progress_at if self._response_started else self._call.arrived_at
+        return max(since + route.patience_s - now, RESPONSE_MARGIN_S)
+
     def _report_result(self, grant, status, started_at, first=None, tokens=0):
         seconds = self._loop.time() - started_at
         total = seconds if status == "ok" else None
--- a/lovagepier/entry/_messages.py
+++ b/lovagepier/entry/_messages.py
@@ -82,7 +82,8 @@
     until the response counts as late. `prefix_blocks` are [id, tokens] rows.
     `attempt` counts the dispatches of this request that reached a target.
     `cost` is what the request counts against the account's quota, 0 if it was
-    counted before.
+    counted before. `patience_s` are the seconds until the caller abandons a request
+    without a first event, 0 if it waits until the deadline.
     """
 
     id: str
@@ -100,6 +101,7 @@
     attempt: int
     exclude: list
     cost: float
+    patience_s: float = 0.0
 
 
 @message("e.grant")
--- a/lovagepier/entry/catalog.py
+++ b/lovagepier/entry/catalog.py
@@ -16,7 +16,8 @@
 
     Times are in seconds. `tier` 0 is the highest. `services` lists (name,
     weight) pairs. A response after `latency_objective_s` is late; so is an event
-    that follows the one before it by more than `max_event_gap_s`. `retryable`
+    that follows the one before it by more than `max_event_gap_s`. Callers abandon a
+    stream after `patience_s` without an event, 0 if they wait to the end. `retryable`
     calls may run more than once. A broken stream of a `resumable` route may be
     continued on another target.
     """
@@ -30,6 +31,7 @@
     timeout_s: float
     latency_objective_s: float
     max_event_gap_s: float
+    patience_s: float
     tier: int
     services: tuple
     max_attempts: int
--- a/lovagepier/platform/_documents.py
+++ b/lovagepier/platform/_documents.py
@@ -30,6 +30,11 @@
 _ROLLOUT_STATE_PREFIX = "status/rollout/"
 # Quota cost of a call without token counts if the account names none.
 _DEFAULT_COST = 1
+# Callers abandon a stream, also before its first event, after the longest of this time
+# and these multiples of its latency objective and of its maximum event gap.
+MIN_PATIENCE_S = 2.0
+PATIENCE_OBJECTIVES = 4.0
+PATIENCE_GAPS = 8.0
 # Route kind: (retryable, streams).
 _ROUTE_KINDS = {
     "idempotent": (True, False),
@@ -66,9 +71,18 @@
     return ((str(raw["service"]), 1.0),)
 
 
+def _patience(streams, objective_s, gap_s):
+    """Return the time without an event after which callers abandon a stream."""
+    if not streams:
+        return 0.0
+    return max(MIN_PATIENCE_S, PATIENCE_OBJECTIVES * objective_s, PATIENCE_GAPS * gap_s)
+
+
 def _route(raw):
     retryable, streams = _ROUTE_KINDS[raw["kind"]]
     resumable = bool(raw.get("stream_resume", False))
+    objective_s = _seconds(raw, "target_latency_ms", 0)
+    gap_s = _seconds(raw, "gap_aim_ms", 0)
     return Route(
         name=str(raw["name"]),
         host=str(raw["host"]).lower(),
@@ -77,8 +91,9 @@
         streams=streams,
         resumable=streams and resumable,
         timeout_s=_seconds(raw, "timeout_ms", 0),
-        latency_objective_s=_seconds(raw, "target_latency_ms", 0),
-        max_event_gap_s=_seconds(raw, "gap_aim_ms", 0),
+        latency_objective_s=objective_s,
+        max_event_gap_s=gap_s,
+        patience_s=_patience(streams, objective_s, gap_s),
         tier=int(raw.get("priority", 0)),
         services=_services_of(raw),
         max_attempts=max(int(raw.get("max_attempts", 1)), 1),
--- a/test/test_entry_settings.py
+++ b/test/test_entry_settings.py
@@ -115,7 +115,8 @@
     program = (
         "import sys, lovagepier.entry._host\n"
         "others = ('peers', 'node', 'backing', 'targets', 'callers', 'standins')\n"
-        "names = {name.split('.')[1] for name in sys.modules if 'lovagepier.' in name}\n"
+        "own = [name for name in sys.modules if name.startswith('lovagepier.')]\n"
+        "names = {name.split('.')[1] for name in own}\n"
         "print(sorted(names.intersection(others)))\n"
     )
     result = subprocess.run(
--- a/test/test_platform_wire.py
+++ b/test/test_platform_wire.py
@@ -147,3 +147,12 @@
         assert platform.decode_rollout_state(data) == (7, state, 5.0)
         assert json.loads(data)["target"] == "v2"
     assert json.loads(data)["state"] == "rolled_back"
+
+
+def test_callers_patience_follows_from_the_route():
+    raw = config()
+    raw["routes"][2].update(target_latency_ms=600, gap_aim_ms=250)
+    raw["routes"][3].update(target_latency_ms=400, gap_aim_ms=600)
+    catalog = platform.decode_catalog(json.dumps(raw).encode())
+    by_name = {route.name: route.patience_s for route in catalog.routes}
+    assert by_name == {"read": 0.0, "file": 0.0, "talk": 2.4, "note": 4.8}
--- a/test/test_scheduler.py
+++ b/test/test_scheduler.py
@@ -416,6 +416,43 @@
     assert refused == [f"r{number}" for number in range(2, 12)]
 
 
+def test_a_request_is_refused_before_its_caller_leaves():
+    """Replays streams whose callers leave after 2 s without an event."""
+    scheduler = make_scheduler(slots=1.0)
+    scheduler.offer(make_work("r0"), 1.0)
+    assert scheduler.offer(make_work("r1", abandoned_at=3.0), 1.0) == []
+    assert scheduler.tick(2.9) == []
+    (refusal,) = scheduler.tick(3.1)
+    assert refusal.work.id == "r1"
+    assert refusal.kind == ErrorKind.DEADLINE_WAITING
+
+
+def _late_refusals(starting):
+    """Return how many of 60 late requests are refused early on 12 slots.
+
+    Higher tiers hold all slots unless `starting` of the late ones started lately.
+    """
+    scheduler = make_scheduler((), demote_late=True, tiers=4)
+    scheduler.set_target("e1", "a1", "v1", "i1", 0.0, slots=12)
+    for _ in range(starting):
+        scheduler._start_rates.on_start(3, 0.9)
+    for number in range(12):
+        scheduler.offer(make_work(f"held{number}", tier=0), 0.0)
+    for number in range(60):
+        work = make_work(
+            f"r{number}", tier=2, soft_deadline=0.4, abandoned_at=2.0, deadline=15.0
+        )
+        scheduler.offer(work, 0.0)
+    decisions = scheduler.tick(1.0)
+    return sum(isinstance(decision, Refusal) for decision in decisions)
+
+
+def test_late_requests_that_cannot_start_in_time_are_refused_early():
+    """Replays a burst of higher tiers: late requests waited until callers left."""
+    assert _late_refusals(starting=0) >= 55
+    assert _late_refusals(starting=100) <= 15
+
+
 def test_urgent_retries_continue_when_the_budget_is_low():
     scheduler = make_scheduler(slots=400.0, tiers=4)
     granted = {0.1: 0, 0.0: 0}
