A new coordinator refuses no late request for lack of starts

Cause of a test that failed once in five (test_requests_in_flight_survive_the_loss_of_the_coordinator): the successor had counted no start yet, so the bound on late requests was at its floor and one of three was refused.

--- a/lovagepier/decisions/scheduler.py
+++ b/lovagepier/decisions/scheduler.py
@@ -271,7 +271,9 @@
         for tier in {work.tier for work in late}:
             # Without work ahead the next free slots are theirs, whatever ran there.
             is_next = self.waiting.highest_waiting_tier() == tier
-            rate = self._start_rates.rate_from(0 if is_next else tier, now)
+            rate = float("inf")
+            if self._start_rates.is_known(now):
+                rate = self._start_rates.rate_from(0 if is_next else tier, now)
             while size := self.waiting.sizes()[tier]:
                 work = self.waiting.most_urgent(tier)
                 if size <= self._late_room(slots, rate, work.latest_start - now):
--- a/lovagepier/decisions/start_rates.py
+++ b/lovagepier/decisions/start_rates.py
@@ -15,11 +15,12 @@
     starts seldom or never, however many slots there are.
     """
 
-    __slots__ = ("_counts", "_updated_at")
+    __slots__ = ("_counts", "_first_at", "_updated_at")
 
     def __init__(self, tiers):
         self._counts = [0.0] * tiers
         self._updated_at = [0.0] * tiers
+        self._first_at = None
 
     def _decay(self, tier, now):
         elapsed = max(now - self._updated_at[tier], 0.0)
@@ -28,9 +29,15 @@
 
     def on_start(self, tier, now):
         """Count one start."""
+        if self._first_at is None:
+            self._first_at = now
         self._decay(tier, now)
         self._counts[tier] += 1.0
 
+    def is_known(self, now):
+        """Return whether starts have been counted for long enough to judge by."""
+        return self._first_at is not None and now - self._first_at >= DECAY_S
+
     def rate_from(self, tier, now):
         """Return the starts per second of a tier and all lower ones."""
         for each in range(tier, len(self._counts)):
--- a/test/test_scheduler.py
+++ b/test/test_scheduler.py
@@ -427,13 +427,15 @@
     assert refusal.kind == ErrorKind.DEADLINE_WAITING
 
 
-def _late_refusals(starting):
+def _late_refusals(starting, observed_s=10.0):
     """Return how many of 60 late requests are refused early on 12 slots.
 
     Higher tiers hold all slots unless `starting` of the late ones started lately.
+    The first start was `observed_s` ago.
     """
     scheduler = make_scheduler((), demote_late=True, tiers=4)
     scheduler.set_target("e1", "a1", "v1", "i1", 0.0, slots=12)
+    scheduler._start_rates.on_start(0, 1.0 - observed_s)
     for _ in range(starting):
         scheduler._start_rates.on_start(3, 0.9)
     for number in range(12):
@@ -453,6 +455,11 @@
     assert _late_refusals(starting=100) <= 15
 
 
+def test_a_new_coordinator_refuses_no_late_requests_for_lack_of_starts():
+    """Replays a loss of the coordinator, whose successor has seen no start yet."""
+    assert _late_refusals(starting=0, observed_s=0.5) <= 15
+
+
 def test_urgent_retries_continue_when_the_budget_is_low():
     scheduler = make_scheduler(slots=400.0, tiers=4)
     granted = {0.1: 0, 0.0: 0}
