One malformed document, message or answer ends nothing

Causes: 1. an entry of another writer with an infinite number or deep nesting raised what decoders did not expect: the whole scan was lost, no target known; an unusable address or duration broke every later round. 2. a valid JSON answer of the store of another shape ended the registrar's thread for good: no renewals from then on. 3. a peer's message with fields of other types ended the link. 4. an error in a round of link maintenance ended all further rounds. 5. an answer of the store without an end was read without an end. Now: decoders state what they may raise; addresses and durations are checked; answers are bounded (16 MiB, 3 s beyond the timeout); handlers and rounds log and go on; what nothing handled is logged by the loop's handler. Ruled out: callers' and targets' HTTP (parser errors are handled, see test_http_edges and test_endless_responses).

--- a/lovagepier/entry/_cluster.py
+++ b/lovagepier/entry/_cluster.py
@@ -396,8 +396,11 @@
     async def run(self):
         """Maintain links, send heartbeats and choose the coordinator, forever."""
         while True:
-            self._maintain()
-            self.replication.send_delta(list(self.followers.links.values()))
+            try:
+                self._maintain()
+                self.replication.send_delta(list(self.followers.links.values()))
+            except Exception as exc:  # noqa: BLE001  the next round must come
+                _log.error("maintenance of links failed", exc_info=exc)
             await self._wait_for_next_round()
 
     async def _wait_for_next_round(self):
--- a/lovagepier/entry/_host.py
+++ b/lovagepier/entry/_host.py
@@ -63,6 +63,13 @@
     return min(cores, link)
 
 
+def _log_unhandled(loop, context):
+    """Log what no task or callback handled; the loop goes on."""
+    _log.error(
+        "unexpected error", what=context["message"], exc_info=context.get("exception")
+    )
+
+
 class EntryHost:
     """Runs until SIGTERM or SIGINT, then completes the requests that it has begun.
 
@@ -102,6 +109,7 @@
         for signum in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(signum, self._stopping.set)
         self._loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._loop.set_exception_handler(_log_unhandled)
         self._start_actors()
         links = LinkServer(self.cluster.on_message, self.cluster.followers.on_closed)
         await links.start(self.cfg.peers_listen)
--- a/lovagepier/entry/_links.py
+++ b/lovagepier/entry/_links.py
@@ -85,7 +85,7 @@
         try:
             async for data in self._conn:
                 self.last_frame_at = loop.time()
-                on_message(self, decode(data).message)
+                self._handle(on_message, decode(data).message)
         except CodecError as exc:
             _log.warning("closed a link that sent a malformed frame", why=str(exc))
         except (ConnectionClosed, WebSocketException, OSError) as exc:
@@ -95,6 +95,17 @@
             self._sender.cancel()
             self.close()
 
+    def _handle(self, on_message, message):
+        try:
+            on_message(self, message)
+        except Exception as exc:  # noqa: BLE001  a message must not end the host's links
+            _log.error(
+                "could not handle a message",
+                peer=self.peer,
+                message=type(message).__name__,
+                exc_info=exc,
+            )
+
     async def _send_all(self):
         try:
             while True:
--- a/lovagepier/entry/_target_conn.py
+++ b/lovagepier/entry/_target_conn.py
@@ -348,7 +348,7 @@
                 _, conn = await loop.create_connection(
                     TargetConnection, target.host, target.port
                 )
-        except (OSError, TimeoutError) as exc:
+        except (OSError, TimeoutError, ValueError, OverflowError) as exc:
             raise ConnectFailed(type(exc).__name__)
         conn.idle_since = loop.time()
         return conn
--- a/lovagepier/entry/_view.py
+++ b/lovagepier/entry/_view.py
@@ -28,9 +28,10 @@
 
 def _decode_host(item):
     raw = json.loads(item.value)
+    host, port = platform.decode_address(raw["peers"])
     return HostRecord(
         name=str(raw["name"]),
-        peer_address=str(raw["peers"]),
+        peer_address=f"{host}:{port}",
         create_revision=item.create_revision,
         capacity_score=int(raw["power"]),
         boot=item.key.rpartition(".")[2],
@@ -132,7 +133,7 @@
             elif platform.rollout_service(key):
                 order = platform.decode_rollout(item.value, item.revision)
                 self.orders[order.service] = order
-        except (platform.DocumentError, ValueError, KeyError, TypeError) as exc:
+        except Exception as exc:  # noqa: BLE001  one entry must not hide the others
             _log.warning(
                 "could not decode a document of the store", key=key, why=str(exc)
             )
--- a/lovagepier/platform/_documents.py
+++ b/lovagepier/platform/_documents.py
@@ -1,5 +1,6 @@
 """Codecs for the JSON documents in the platform's store."""
 
+import ipaddress
 import json
 
 from lovagepier.entry.catalog import (
@@ -15,6 +16,7 @@
     "CONFIG_KEY",
     "TARGET_PREFIX",
     "DocumentError",
+    "decode_address",
     "decode_catalog",
     "decode_rollout",
     "decode_rollout_state",
@@ -46,6 +48,18 @@
 _STORED_STATES = {state: stored for stored, state in _STATES.items()}
 
 
+# What reading a document of unexpected shape may raise. Numbers may be infinite, lists
+# nested without end.
+_MALFORMED = (
+    ArithmeticError,
+    AttributeError,
+    KeyError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+
+
 class DocumentError(ValueError):
     """A document in the store that is not JSON or lacks the expected fields."""
 
@@ -53,13 +67,20 @@
 def _load(data):
     try:
         document = json.loads(data)
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         raise DocumentError(f"is not JSON: {exc}")
     if not isinstance(document, dict):
         raise DocumentError("is not an object")
     return document
 
 
+def _positive(value):
+    number = float(value)
+    if not 0.0 < number < float("inf"):
+        raise ValueError(f"{value!r} is not a positive number")
+    return number
+
+
 def _seconds(raw, name, default):
     return float(raw.get(name, default)) / 1000.0
 
@@ -141,15 +162,24 @@
             accounts=[_account(row) for row in raw.get("tenants", [])],
             limits=_limits(raw.get("limits") or {}),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except _MALFORMED as exc:
         raise DocumentError(f"is malformed: {type(exc).__name__} {exc}")
 
 
+def decode_address(text):
+    """Return (IP address, port) of HOST:PORT; raise ValueError for anything else."""
+    host, _, port = str(text).rpartition(":")
+    number = int(port)
+    if not 0 < number < 65536:
+        raise ValueError(f"port {port}")
+    return str(ipaddress.ip_address(host)), number
+
+
 def decode_target(key, data):
     """Return the `Target` stored under `key`; raise `DocumentError`."""
     raw = _load(data)
     try:
-        host, port = str(raw["address"]).rsplit(":", 1)
+        host, port = decode_address(raw["address"])
         if raw["state"] not in ("ready", "draining"):
             raise ValueError(f"state {raw['state']!r}")
         for name in ("service", "zone", "version"):
@@ -159,14 +189,14 @@
             id=key[len(TARGET_PREFIX) :],
             service=raw["service"],
             host=host,
-            port=int(port),
+            port=port,
             zone=raw["zone"],
             version=raw["version"],
             slots=max(int(raw.get("slots", 1)), 1),
             draining=raw["state"] == "draining",
             started_at_ms=int(raw.get("born") or 0),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except _MALFORMED as exc:
         raise DocumentError(f"is malformed: {type(exc).__name__} {exc}")
 
 
@@ -185,10 +215,10 @@
         return RolloutOrder(
             service=str(raw["service"]),
             version=str(raw["target"]),
-            duration_s=float(raw["duration_s"]),
+            duration_s=_positive(raw["duration_s"]),
             revision=revision,
         )
-    except (KeyError, TypeError, ValueError) as exc:
+    except _MALFORMED as exc:
         raise DocumentError(f"is malformed: {type(exc).__name__} {exc}")
 
 
@@ -226,5 +256,5 @@
     try:
         state = _STATES[raw["state"]]
         return int(raw.get("revision", 0)), state, float(raw.get("begun", 0.0))
-    except (KeyError, TypeError, ValueError) as exc:
+    except _MALFORMED as exc:
         raise DocumentError(f"is malformed: {type(exc).__name__} {exc}")
--- a/lovagepier/platform/_store.py
+++ b/lovagepier/platform/_store.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import time
 from dataclasses import dataclass
 from urllib.parse import urlencode
 
@@ -15,6 +16,11 @@
 CONNECT_TIMEOUT_S = 0.5
 # Extra time for the response to a long poll, beyond its wait time.
 WATCH_MARGIN_S = 0.6
+# A page holds about 1 MB, and a watch may report several changes of a large document.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# How long the body of an answer may take beyond the call's timeout.
+MAX_ANSWER_S = 3.0
+READ_CHUNK_BYTES = 64 * 1024
 # Bounds a scan in case the store reports more pages forever.
 MAX_PAGES = 10_000
 
@@ -38,6 +44,10 @@
     item: Item | None
 
 
+# What reading an answer of unexpected shape may raise.
+_MALFORMED = (ArithmeticError, AttributeError, KeyError, TypeError, ValueError)
+
+
 class StoreFault(Exception):
     """A failed call to the store.
 
@@ -65,6 +75,16 @@
     return Event(str(raw["key"]), int(raw["revision"]), None if deleted else _item(raw))
 
 
+def _field(result, read):
+    """Return a result with what `read` finds in it, or Err for a malformed answer."""
+    if isinstance(result, Err):
+        return result
+    try:
+        return Ok(read(result.ok_value))
+    except _MALFORMED as exc:
+        return Err(StoreFault(0, f"malformed answer: {exc}"))
+
+
 class PlatformStore:
     """Reads, watches, leases and conditional writes of the store.
 
@@ -78,6 +98,7 @@
 
     def _call(self, method, path, body=None, read_s=CALL_TIMEOUT_S):
         headers = {"Content-Type": "application/json"} if body is not None else {}
+        until = time.monotonic() + CONNECT_TIMEOUT_S + read_s + MAX_ANSWER_S
         try:
             resp = self._http.request(
                 method,
@@ -87,18 +108,33 @@
                 timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_s),
                 retries=False,
                 redirect=False,
+                preload_content=False,
             )
+            data = self._read(resp, until)
+            resp.release_conn()
         except urllib3.exceptions.HTTPError as exc:
             # The connection may be dead: the next call has to open a new one.
             self._http.clear()
             return Err(StoreFault(0, type(exc).__name__))
         if resp.status != 200:
-            return Err(StoreFault(resp.status, resp.data[:200].decode("latin-1")))
+            return Err(StoreFault(resp.status, data[:200].decode("latin-1")))
         try:
-            return Ok(json.loads(resp.data))
-        except ValueError:
+            return Ok(json.loads(data))
+        except (ValueError, RecursionError):
             return Err(StoreFault(0, "the answer is not JSON"))
 
+    def _read(self, resp, until):
+        """Return the whole body; raise ProtocolError if it is too long or too slow."""
+        parts = []
+        size = 0
+        while data := resp.read1(READ_CHUNK_BYTES):
+            parts.append(data)
+            size += len(data)
+            if size > MAX_ANSWER_BYTES or time.monotonic() > until:
+                resp.close()
+                raise urllib3.exceptions.ProtocolError("the answer does not end")
+        return b"".join(parts)
+
     def scan(self, prefix):
         """Return Ok((items, revision)) of all keys with `prefix`.
 
@@ -119,7 +155,7 @@
             try:
                 items += [_item(raw) for raw in page["items"]]
                 as_of = int(page["as_of"]) if as_of is None else as_of
-            except (KeyError, TypeError, ValueError) as exc:
+            except _MALFORMED as exc:
                 return Err(StoreFault(0, f"malformed page: {exc}"))
             if not page.get("has_more") or not page["items"]:
                 break
@@ -138,11 +174,10 @@
         )
         if isinstance(result, Err):
             return result
-        raw = result.ok_value
-        try:
-            return Ok(([_event(row) for row in raw["events"]], int(raw["as_of"])))
-        except (KeyError, TypeError, ValueError) as exc:
-            return Err(StoreFault(0, f"malformed events: {exc}"))
+        return _field(
+            result,
+            lambda raw: ([_event(row) for row in raw["events"]], int(raw["as_of"])),
+        )
 
     def put(self, key, value, expected=None, lease=0):
         """Write a key; return Ok(revision).
@@ -155,12 +190,13 @@
         text = base64.b64encode(value).decode()
         write = {"key": key, "value": text, "lease": lease}
         body = {"expected": rows, "writes": [write], "remove": []}
-        return self._call("POST", "/kv-txn", body).map(lambda raw: raw["revision"])
+        result = self._call("POST", "/kv-txn", body)
+        return _field(result, lambda raw: int(raw["revision"]))
 
     def grant_lease(self, seconds):
         """Return Ok((lease id, its actual duration in seconds))."""
         result = self._call("POST", "/kv-lease", {"ttl_ms": int(seconds * 1000)})
-        return result.map(lambda raw: (int(raw["lease"]), raw["ttl_ms"] / 1000.0))
+        return _field(result, lambda raw: (int(raw["lease"]), raw["ttl_ms"] / 1000.0))
 
     def renew_lease(self, lease):
         """Renew a lease; Err has status 404 if it has expired."""
