Take no unnamed second copy for an answer; a stop answers what it accepted

On a connection in use again a response without an id was taken for the next answer, so the late second copy of an earlier one reached another caller. It is now taken only where no other request was sent before. 2. During a stop, connections that had just been accepted, or were idle between two requests for a moment, were closed every 50 ms: 15 of a few hundred requests got no answer. They now get one with Connection: close; without a request they are closed after 0.3 s, and what the listening socket's queue holds is accepted before it is closed. Tried: accepting until the queue is empty with a pause between (callers that come back at once keep it going for ever; the test hung); kept: all that is queued, then closed.

--- a/lovagepier/entry/_caller_conn.py
+++ b/lovagepier/entry/_caller_conn.py
@@ -51,6 +51,7 @@
         "_on_close",
         "_readable",
         "_reading",
+        "_responses",
         "_serve",
         "_task",
         "_transport",
@@ -68,6 +69,8 @@
             h11.SERVER, max_incomplete_event_size=limits().max_head_bytes
         )
         self._loop = asyncio.get_running_loop()
+        self._idle_since = self._loop.time()
+        self._responses = 0
         self._transport = None
         self._task = None
         self._readable = None
@@ -193,7 +196,7 @@
     async def _wait_for_bytes(self, timeout_s):
         if self._http.trailing_data[0]:
             return True
-        if self.closing:
+        if self.closing and self._responses:
             return False
         self._readable = self._loop.create_future()
         try:
@@ -205,13 +208,14 @@
             self._readable = None
         return not self.disconnected and bool(self._http.trailing_data[0])
 
-    def close_when_idle(self):
-        """Stop waiting for another request, as in a shutdown.
+    def close_when_idle(self, min_idle_s):
+        """End the connection after its current or next response, as in a shutdown.
 
-        A request that is being served is completed.
+        It is closed without one only after `min_idle_s` without a request: the next
+        request may be on its way, the first one on a new connection above all.
         """
         self.closing = True
-        if not self.serving:
+        if not self.serving and self._loop.time() - self._idle_since >= min_idle_s:
             self._wake(self._readable)
 
     async def read_body(self):
@@ -261,6 +265,8 @@
 
     def end_response(self):
         """End the response; return whether the connection can be reused."""
+        self._responses += 1
+        self._idle_since = self._loop.time()
         self._write(self._http.send(h11.EndOfMessage()))
         if (
             self._http.our_state is not h11.DONE
--- a/lovagepier/entry/_frontend.py
+++ b/lovagepier/entry/_frontend.py
@@ -46,6 +46,16 @@
 _log = component_logger("callers")
 
 
+def _accept_established(sock):
+    """Yield the established connections in the queue of a listening socket."""
+    while True:
+        try:
+            accepted, _ = sock.accept()
+        except OSError:
+            return
+        yield accepted
+
+
 class Frontend:
     """Serves callers' connections and holds what all calls share.
 
@@ -80,7 +90,7 @@
             server = await self._loop.create_server(
                 lambda handler=handler: self._accept(handler), sock=sockets[name]
             )
-            self._servers.append(server)
+            self._servers.append((server, sockets[name], handler))
 
     def _accept(self, handler):
         async def serve(conn):
@@ -108,15 +118,20 @@
         """Refuse calls from now on that could not be completed by `stops_at`."""
         self.stops_at = stops_at
 
-    def close_idle(self):
-        """Close connections: idle ones now, others after their current request."""
+    def close_idle(self, min_idle_s):
+        """Close connections: those idle for `min_idle_s`, others after a response."""
         for conn in list(self._caller_conns):
-            conn.close_when_idle()
+            conn.close_when_idle(min_idle_s)
 
-    def close(self):
-        """Stop accepting connections."""
-        for server in self._servers:
+    async def close(self):
+        """Stop listening; accept the connections that are established already."""
+        for server, sock, handler in self._servers:
+            established = list(_accept_established(sock))
             server.close()
+            for accepted in established:
+                await self._loop.connect_accepted_socket(
+                    lambda handler=handler: self._accept(handler), accepted
+                )
 
     # Used by `Exchange`
 
--- a/lovagepier/entry/_host.py
+++ b/lovagepier/entry/_host.py
@@ -44,6 +44,8 @@
 )
 # A stopping host leaves idle connections open for this long.
 IDLE_CLOSE_DELAY_S = 1.0
+# A stopping host closes a connection without a response once it was idle this long.
+MIN_IDLE_S = 0.3
 # How often a stopping host checks whether its work is complete.
 DRAIN_POLL_S = 0.05
 # Cores and link rate per point of a host's capacity score. The coordinator of 60 hosts
@@ -198,14 +200,18 @@
             self._registrar.proxy().leave()
         await asyncio.sleep(IDLE_CLOSE_DELAY_S)
         while self._loop.time() < stops_at:
-            self.frontend.close_idle()
+            self.frontend.close_idle(MIN_IDLE_S)
             if (
                 not self.frontend.is_serving
                 and self._loop.time() - started_at >= MIN_DRAIN_S
             ):
                 break
             await asyncio.sleep(DRAIN_POLL_S)
-        self.frontend.close()
+        await self.frontend.close()
+        # Requests on connections that were accepted last are answered as well.
+        while self.frontend.open_connections and self._loop.time() < stops_at:
+            self.frontend.close_idle(MIN_IDLE_S)
+            await asyncio.sleep(DRAIN_POLL_S)
 
     # Changes in the store
 
--- a/lovagepier/entry/_target_conn.py
+++ b/lovagepier/entry/_target_conn.py
@@ -183,7 +183,8 @@
         """Return the `TargetResponse` to `request_id`.
 
         A response that echoes another id belongs to an earlier request on this
-        connection and is skipped. Raise `TargetConnectionLost` after too many.
+        connection and is skipped. One without an id is taken for the response only if
+        no other request was sent here. Raise `TargetConnectionLost` after too many.
         """
         for _ in range(MAX_STALE_RESPONSES):
             event = await self._next_final_event()
@@ -192,8 +193,13 @@
             response = decode_response(
                 event.status_code, list(event.headers), event.http_version
             )
-            if response.request_id in ("", request_id):
+            if response.request_id == request_id:
                 return response
+            if not response.request_id:
+                if not self.requests_served:
+                    return response
+                # It may be a second copy of an earlier response.
+                raise TargetConnectionLost("a response without an id on a reused link")
             _log.info(
                 "skipped a response to another request", other=response.request_id
             )
--- a/test/platform_standins.py
+++ b/test/platform_standins.py
@@ -280,6 +280,11 @@
         )
         await self._ok(writer, seal, headers, request_id)
 
+    async def _unnamed_extra(self, writer, seal, headers, request_id):
+        """Send a response without an id before the one that is due."""
+        writer.write(response_bytes(200, b"of another", seal[1:]))
+        await self._ok(writer, seal, headers, request_id)
+
     async def _short(self, writer, seal, headers, request_id):
         """Close the connection before the end of the body."""
         head = ["HTTP/1.1 200 OK", "Content-Length: 50", *seal]
--- a/test/test_http_edges.py
+++ b/test/test_http_edges.py
@@ -219,3 +219,70 @@
             assert host.frontend.target_connections.opened == 12
 
     asyncio.run(run())
+
+
+def test_a_second_copy_without_an_id_is_not_taken_for_the_next_answer():
+    """A target sends a copy of an earlier response on a connection in use again."""
+
+    async def run():
+        async with entry_fleet() as fleet:
+            host, target = fleet.hosts[0], fleet.targets["w1"]
+            assert (await call(host, "/read/x", "r1")).body == b"done r1"
+            target.mode = "unnamed_extra"
+            second = await fleet.add_target("w2", "ledger")
+            await wait_until(lambda: host.view.target("w2"))
+            for number in range(2, 6):
+                answer = await call(host, "/read/x", f"r{number}")
+                assert answer.status == 200
+                assert answer.body == b"done r%d" % number
+                target.mode = "ok"
+            assert second.runs
+            assert len(target.connections) <= MAX_IDLE_PER_TARGET
+
+    asyncio.run(run())
+
+
+def test_a_stop_under_load_answers_every_request_that_it_accepted():
+    """Callers send on new and on kept connections until the host is gone."""
+
+    async def run():
+        async with entry_fleet() as fleet:
+            host = fleet.hosts[0]
+            fleet.targets["w1"].work_s = 0.02
+            cut, answered = [], []
+
+            async def send_until_refused(name, kept):
+                number = 0
+                while True:
+                    try:
+                        reader, writer = await connect(host)
+                    except OSError:
+                        return
+                    while True:
+                        number += 1
+                        request_id = f"{name}-{number}"
+                        try:
+                            writer.write(raw_request("/file/x", request_id, "POST"))
+                            answer = await read_response(reader)
+                        except (OSError, asyncio.IncompleteReadError):
+                            cut.append(request_id)
+                            break
+                        answered.append(answer.status)
+                        if not kept or answer.headers.get("connection") == "close":
+                            break
+                    writer.close()
+
+            callers = [
+                asyncio.create_task(send_until_refused(f"c{n}", n % 2))
+                for n in range(6)
+            ]
+            await wait_until(lambda: len(answered) > 20)
+            host._stopping.set()
+            await fleet.tasks[0]
+            await asyncio.gather(*callers)
+            runs = [run[0] for run in fleet.targets["w1"].runs]
+            assert not set(cut) & set(runs)
+            assert not cut
+            assert set(answered) <= {200, 503}
+
+    asyncio.run(run())
