One list of what malformed documents raise; a link states when the store answered

The link now holds the loop time of that answer, set with each heartbeat and roster. - The product's own pools estimated a first byte that nothing used, for each request; now only where a soft deadline or the caller's patience is known. No bound, check or expectation changed.

--- a/lovagepier/decisions/scheduler.py
+++ b/lovagepier/decisions/scheduler.py
@@ -184,9 +184,12 @@
                 work.account, work.route, work.max_decode_tokens
             )
         work.latest_start = work.deadline - self._least_seconds(work, now)
+        heeds_soft_deadline = self.options.demote_late and work.soft_deadline
+        if not heeds_soft_deadline and work.abandoned_at == float("inf"):
+            return
         first_s = self._least_first_seconds(work, now)
         work.latest_start = min(work.latest_start, work.abandoned_at - first_s)
-        if self.options.demote_late and work.soft_deadline:
+        if heeds_soft_deadline:
             work.latest_on_time_start = work.soft_deadline - first_s
 
     def _least_seconds(self, work, now):
--- a/lovagepier/entry/_cluster.py
+++ b/lovagepier/entry/_cluster.py
@@ -265,7 +265,7 @@
 
     def _on_roster(self, link, roster):
         self.replication.request_if_behind(link, roster)
-        link.store_age = roster.store_age
+        link.store_answered_at = self._loop.time() - roster.store_age
         if roster.hosts is not None:
             link.roster = roster.hosts
         if link.boot != roster.boot:
@@ -325,15 +325,11 @@
         can't reach the store does not learn so. If the store answers no host, all
         registrations lapse alike and the order stays.
         """
-        now = self._loop.time()
-        if self._renewed_at is None or now < self._registered_until:
+        if self._renewed_at is None or self._loop.time() < self._registered_until:
             return False
-        ages = [self.followers.least_store_age()]
-        ages += [
-            link.store_age + now - link.last_frame_at
-            for link in self._outgoing.links.values()
-        ]
-        return now - min(ages) > self._renewed_at + MISSED_RENEWAL_S
+        links = [*self._outgoing.links.values(), *self.followers.links.values()]
+        due_at = self._renewed_at + MISSED_RENEWAL_S
+        return any(link.store_answered_at > due_at for link in links)
 
     def choose_coordinator(self):
         """Switch to the most senior host that can be reached, possibly this one."""
--- a/lovagepier/entry/_followers.py
+++ b/lovagepier/entry/_followers.py
@@ -40,6 +40,7 @@
         if not link.peer:
             self._register_link(link, heartbeat.name)
         link.in_use = heartbeat.is_follower
+        link.store_answered_at = self._loop.time() - heartbeat.store_age
         known = self._heartbeats.get(heartbeat.name)
         self._heartbeats[heartbeat.name] = heartbeat
         if known is None or known.draining != heartbeat.draining:
@@ -70,16 +71,6 @@
         """Return how many other hosts use this host's coordinator now."""
         return sum(beat.is_follower for beat in self._heartbeats.values())
 
-    def least_store_age(self):
-        """Return the least time in seconds since the store answered a linked host."""
-        now = self._loop.time()
-        ages = [
-            self._heartbeats[name].store_age + now - link.last_frame_at
-            for name, link in self.links.items()
-            if name in self._heartbeats
-        ]
-        return min(ages, default=float("inf"))
-
     def host_rows(self):
         """Return [name, callers' address, zone, draining] rows, this host first."""
         cfg = self._cfg
--- a/lovagepier/entry/_links.py
+++ b/lovagepier/entry/_links.py
@@ -29,9 +29,9 @@
     the first heartbeat on an accepted link.
     `last_frame_at` is the loop time of the last frame from the peer, in seconds.
     `roster` are the hosts that the peer last sent, `boot` the incarnation that it
-    last stated, None before its first roster. `store_age` is the time in seconds since
-    the store last answered it, as of its last roster. `in_use` tells whether one end
-    is the coordinator of the other; other links are on standby.
+    last stated, None before its first roster. `store_answered_at` is the loop time at
+    which the store last answered the peer, by its last heartbeat or roster. `in_use`
+    tells whether one end is the coordinator of the other; other links are on standby.
     """
 
     __slots__ = (
@@ -44,7 +44,7 @@
         "is_open",
         "peer",
         "roster",
-        "store_age",
+        "store_answered_at",
     )
 
     def __init__(self, conn):
@@ -56,7 +56,7 @@
         self.peer = ""
         self.roster = []
         self.boot = None
-        self.store_age = float("inf")
+        self.store_answered_at = float("-inf")
         self.in_use = False
 
     def send(self, body):
--- a/lovagepier/platform/_documents.py
+++ b/lovagepier/platform/_documents.py
@@ -11,6 +11,7 @@
     Service,
 )
 from lovagepier.entry.store_types import RolloutOrder, Target
+from lovagepier.platform._malformed import MALFORMED
 
 __all__ = [
     "CONFIG_KEY",
@@ -48,18 +49,6 @@
 _STORED_STATES = {state: stored for stored, state in _STATES.items()}
 
 
-# What reading a document of unexpected shape may raise. Numbers may be infinite, lists
-# nested without end.
-_MALFORMED = (
-    ArithmeticError,
-    AttributeError,
-    KeyError,
-    RecursionError,
-    TypeError,
-    ValueError,
-)
-
-
 class DocumentError(ValueError):
     """A document in the store that is not JSON or lacks the expected fields."""
 
@@ -162,7 +151,7 @@
             accounts=[_account(row) for row in raw.get("tenants", [])],
             limits=_limits(raw.get("limits") or {}),
         )
-    except _MALFORMED as exc:
+    except MALFORMED as exc:
         raise DocumentError(f"is malformed: {type(exc).__name__} {exc}")
 
 
@@ -196,7 +185,7 @@
             draining=raw["state"] == "draining",
             started_at_ms=int(raw.get("born") or 0),
         )
-    except _MALFORMED as exc:
+    except MALFORMED as exc:
         raise DocumentError(f"is malformed: {type(exc).__name__} {exc}")
 
 
@@ -218,7 +207,7 @@
             duration_s=_positive(raw["duration_s"]),
             revision=revision,
         )
-    except _MALFORMED as exc:
+    except MALFORMED as exc:
         raise DocumentError(f"is malformed: {type(exc).__name__} {exc}")
 
 
@@ -256,5 +245,5 @@
     try:
         state = _STATES[raw["state"]]
         return int(raw.get("revision", 0)), state, float(raw.get("begun", 0.0))
-    except _MALFORMED as exc:
+    except MALFORMED as exc:
         raise DocumentError(f"is malformed: {type(exc).__name__} {exc}")
--- a/lovagepier/platform/_store.py
+++ b/lovagepier/platform/_store.py
@@ -9,6 +9,8 @@
 import urllib3
 from result import Err, Ok
 
+from lovagepier.platform._malformed import MALFORMED
+
 __all__ = ["Event", "Item", "PlatformStore", "StoreFault"]
 
 # After a timeout the call may still have been executed; see `StoreFault`.
@@ -44,10 +46,6 @@
     item: Item | None
 
 
-# What reading an answer of unexpected shape may raise.
-_MALFORMED = (ArithmeticError, AttributeError, KeyError, TypeError, ValueError)
-
-
 class StoreFault(Exception):
     """A failed call to the store.
 
@@ -81,7 +79,7 @@
         return result
     try:
         return Ok(read(result.ok_value))
-    except _MALFORMED as exc:
+    except MALFORMED as exc:
         return Err(StoreFault(0, f"malformed answer: {exc}"))
 
 
@@ -155,7 +153,7 @@
             try:
                 items += [_item(raw) for raw in page["items"]]
                 as_of = int(page["as_of"]) if as_of is None else as_of
-            except _MALFORMED as exc:
+            except MALFORMED as exc:
                 return Err(StoreFault(0, f"malformed page: {exc}"))
             if not page.get("has_more") or not page["items"]:
                 break
--- a/test/test_malformed_inputs.py
+++ b/test/test_malformed_inputs.py
@@ -119,7 +119,7 @@
         self.is_open = True
         self.last_frame_at = 0.0
         self.roster = []
-        self.store_age = 0.0
+        self.store_answered_at = 0.0
 
     def send(self, body):
         return True
