A late delta does not bring back a key that was removed since

Cause: a view has no memory of removed keys, and applied any change of a key that it lacked, also one from before its own revision: a former coordinator's delta brought back its registration, or a target that had left. Changes up to the view's revision are passed over now.

--- a/lovagepier/entry/_view.py
+++ b/lovagepier/entry/_view.py
@@ -79,7 +79,10 @@
         return self._apply_events(events, as_of, now)
 
     def _apply_events(self, events, as_of, now):
-        changed = [event.key for event in events if self._apply(event, now)]
+        # Changes up to `as_of` are applied already. A late delta that repeats one must
+        # not bring back a key that was removed since.
+        newer = [event for event in events if event.revision > self.as_of]
+        changed = [event.key for event in newer if self._apply(event, now)]
         self.as_of = max(self.as_of, as_of)
         return changed
 
--- a/test/test_entry_view.py
+++ b/test/test_entry_view.py
@@ -49,6 +49,16 @@
     assert view.target("w1").draining
 
 
+def test_a_late_delta_does_not_bring_back_a_removed_key():
+    """Replays a former coordinator whose delta arrives after a target was removed."""
+    view = StoreView()
+    put(view, "servers/w1", target(), 5)
+    view.on_events([Event("servers/w1", 8, None)], 8, 0.0)
+    late = [Event("servers/w1", 5, item("servers/w1", target(), 5))]
+    assert view.on_delta(late, 6, 0.0) == []
+    assert view.target("w1") is None
+
+
 def test_a_scan_drops_deleted_targets():
     view = StoreView()
     put(view, "servers/w1", target(), 5)
