Budgets of the coordinator in a module of their own; labels of targets once

_coordinator.py worked out each target's label twice at a refresh and held how quotas and retry budgets are made; _budgets.py has that now, with its constants. Moves only; the tests of quotas take the constants from there.

--- a/lovagepier/entry/_coordinator.py
+++ b/lovagepier/entry/_coordinator.py
@@ -12,9 +12,9 @@
 from lovagepier.decisions.poison import PoisonDetector
 from lovagepier.decisions.quotas import Quotas
 from lovagepier.decisions.rendezvous import hash_fraction
-from lovagepier.decisions.retries import RetryBudget
 from lovagepier.decisions.scheduler import PoolScheduler, SchedulerOptions
 from lovagepier.decisions.work import Grant, Outcome, Refusal, Work
+from lovagepier.entry._budgets import make_quotas, make_retry_budget
 from lovagepier.entry._messages import Granted, Refused
 from lovagepier.entry._rollouts import Rollouts
 from lovagepier.entry.catalog import ROUTE_TIERS
@@ -34,29 +34,13 @@
 BANDS_PER_TIER = 3
 OVER_QUOTA_BAND = 1
 LATE_BAND = 2
-# Fraction of the allowed retries that is used. The rest allows for other hosts that see
-# the time window differently and for a change of the coordinator within it.
-RETRY_FRACTION = 0.85
 # A route leaves this fraction of the retry budget to more urgent routes, times the
 # number of route tiers above its own.
 RETRY_RESERVE_FRACTION = 0.05
-# Retries that an idle pool earns per second, whatever its load.
-MIN_RETRIES_PER_S = 0.5
-# Fractions of the configured quota slack that may be used beyond rate and burst when
-# no other work needs the capacity: as extra rate, as extra burst, and as debt that one
-# large request may leave.
-QUOTA_RATE_FRACTION = 0.45
-QUOTA_BURST_FRACTION = 0.05
-QUOTA_DEBT_FRACTION = 0.2
-# Fraction of the quota slack that bounds an account's first burst at a new coordinator
-# that does not know how much was spent, as after the loss of all hosts.
-QUOTA_REFILL_FRACTION = 0.3
 # A request leaves this many times its own cost in its account's quota for each route
 # tier above its own. An account over its quota then keeps its most urgent work, and
 # small requests still pass.
 QUOTA_RESERVE_COSTS = 10.0
-# Fraction of the configured quota overage that is used.
-QUOTA_OVERAGE_FRACTION = 0.8
 # Finished requests are remembered this long, for results that arrive late.
 FINISHED_RETENTION_S = 30.0
 # Entry hosts end all work at its deadline; a result that is later than this is lost.
@@ -102,24 +86,10 @@
         self._pools = {}
         self._share = 1.0
         self.poison_detector = PoisonDetector()
-        slack = cfg.budgets_quota_slack
-        self.quotas = Quotas(
-            overage=cfg.budgets_quota_overage * QUOTA_OVERAGE_FRACTION,
-            extra_burst=slack * QUOTA_BURST_FRACTION,
-            extra_rate=slack * QUOTA_RATE_FRACTION / cfg.budgets_quota_window,
-            max_debt=slack * QUOTA_DEBT_FRACTION,
-            max_initial_level=slack * QUOTA_REFILL_FRACTION,
-        )
+        self.quotas = make_quotas(cfg)
         self.base_quotas = Quotas()
         self.rollouts = Rollouts(cfg, view, write_state)
 
-    def _make_retry_budget(self):
-        return RetryBudget(
-            ratio=self._cfg.budgets_retry_ratio * RETRY_FRACTION,
-            floor_rate=MIN_RETRIES_PER_S,
-            capacity=self._cfg.budgets_retry_slack * RETRY_FRACTION,
-        )
-
     def _pool(self, service):
         pool = self._pools.get(service)
         if pool is None:
@@ -131,7 +101,7 @@
                 max_waiting=self._cfg.scheduling_max_waiting,
                 shed_pause_s=SHED_PAUSE_S,
                 finished_retention_s=FINISHED_RETENTION_S,
-                make_retry_budget=self._make_retry_budget,
+                make_retry_budget=lambda: make_retry_budget(self._cfg),
             )
             pool = _Pool(PoolScheduler(options, self._rng))
             pool.scheduler.poison_detector = self.poison_detector
@@ -168,21 +138,27 @@
             pool.scheduler.remove_target(name, now)
             del pool.incarnations[name]
         slots = self._usable_slots(targets.values())
-        for target in targets.values():
-            label = self.rollouts.version_label(target)
-            pool.scheduler.set_draining(target.id, target.draining or label is None)
+        labels = {
+            target.id: self.rollouts.version_label(target)
+            for target in targets.values()
+        }
+        draining = {
+            target.id: target.draining or labels[target.id] is None
+            for target in targets.values()
+        }
+        for name, is_draining in draining.items():
+            pool.scheduler.set_draining(name, is_draining)
         # Each update may grant waiting requests, so all draining targets are excluded
         # before the first one.
         for target in targets.values():
-            label = self.rollouts.version_label(target)
             decisions = pool.scheduler.set_target(
                 target.id,
                 target.zone,
-                label or "",
+                labels[target.id] or "",
                 target.incarnation,
                 now,
                 slots=slots[target.id],
-                draining=target.draining or label is None,
+                draining=draining[target.id],
             )
             if pool.incarnations.get(target.id) != target.incarnation:
                 pool.incarnations[target.id] = target.incarnation
--- a/test/test_quotas.py
+++ b/test/test_quotas.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from lovagepier.decisions.quotas import Quotas
-from lovagepier.entry._coordinator import (
+from lovagepier.entry._budgets import (
     QUOTA_BURST_FRACTION,
     QUOTA_DEBT_FRACTION,
     QUOTA_OVERAGE_FRACTION,
