Log crashes of targets with their suspects and verdicts

The coordinator now logs each crash it records, and a broken-off dispatch names its body's fingerprint.

--- a/lovagepier/decisions/poison.py
+++ b/lovagepier/decisions/poison.py
@@ -1,10 +1,27 @@
 """Detection of poison requests: request bodies that crash targets."""
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 
-__all__ = ["PoisonDetector"]
+__all__ = ["Crash", "PoisonDetector"]
 
 _MAX_SUSPECTS = 10_000
+# Crashes kept for the log until they are taken.
+_MAX_UNREAD_CRASHES = 100
+
+
+class Crash:
+    """A target's crash as it was recorded, for the log.
+
+    `id` identifies the target and its incarnation, `suspects` are the fingerprints
+    that it made or kept suspects, `poisoned` those that it proved poisonous.
+    """
+
+    __slots__ = ("id", "poisoned", "suspects")
+
+    def __init__(self, crash_id, suspects, poisoned):
+        self.id = crash_id
+        self.suspects = suspects
+        self.poisoned = poisoned
 
 
 class _Suspect:
@@ -28,12 +45,13 @@
     out `age_seconds` after their last crash, checked whenever a crash is recorded.
     """
 
-    __slots__ = ("_age", "_max_crashes", "_suspects")
+    __slots__ = ("_age", "_crashes", "_max_crashes", "_suspects")
 
     def __init__(self, max_crashes=3, age_seconds=3600.0):
         self._max_crashes = max_crashes
         self._age = age_seconds
         self._suspects = OrderedDict()
+        self._crashes = deque(maxlen=_MAX_UNREAD_CRASHES)
 
     def is_suspect(self, fingerprint):
         """Return whether a fingerprint must not run beside other suspects."""
@@ -65,7 +83,15 @@
                 suspect.poisoned = True
         while len(self._suspects) > _MAX_SUSPECTS:
             self._suspects.popitem(last=False)
-        return sorted(poisoned)
+        poisoned.sort()
+        self._crashes.append(Crash(crash_id, sorted(fingerprints), poisoned))
+        return poisoned
+
+    def take_crashes(self):
+        """Return the crashes recorded since the last call, oldest first."""
+        crashes = list(self._crashes)
+        self._crashes.clear()
+        return crashes
 
     def on_success(self, fingerprint):
         """Clear a suspect that completed; a poisoned one stays."""
--- a/lovagepier/entry/_coordinator.py
+++ b/lovagepier/entry/_coordinator.py
@@ -55,6 +55,8 @@
 # when the quota will suffice, without these bounds.
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 5.0
+# Fingerprints named in the log line of a crash.
+MAX_LOGGED_SUSPECTS = 8
 
 _log = component_logger("pool")
 
@@ -124,6 +126,17 @@
         targets = self._targets_by_service()
         for service in set(targets) | set(self._pools):
             self._refresh_pool(service, targets.get(service, {}), now)
+        self._log_crashes()
+
+    def _log_crashes(self):
+        for crash in self.poison_detector.take_crashes():
+            _log.warning(
+                "a target crashed",
+                target=crash.id,
+                suspects=crash.suspects[:MAX_LOGGED_SUSPECTS],
+                suspect_count=len(crash.suspects),
+                poisoned=crash.poisoned,
+            )
 
     def _targets_by_service(self):
         by_service = {}
@@ -316,6 +329,7 @@
             self.rollouts.observe(service, version, work, outcome, now)
             self._apply_stage_changes(now)
             self._send_decisions(pool.scheduler.finish(outcome, now))
+            self._log_crashes()
             return
 
     def _record_target_outcome(self, pool, target, outcome, now):
--- a/lovagepier/entry/_exchange.py
+++ b/lovagepier/entry/_exchange.py
@@ -277,6 +277,7 @@
                 request=self._call.request_id,
                 target=grant.target,
                 why=str(exc),
+                fingerprint=fingerprint(self._call),
                 reused=tconn.requests_served,
             )
             return _Outcome.FAILED
--- a/test/test_strikes.py
+++ b/test/test_strikes.py
@@ -87,3 +87,14 @@
                 scheduler.remove_target("e1", 1.5)
         scheduler.set_target("e1", "a1", "v1", "i4", 2.0)
         assert scheduler.poison_detector.is_poison("poison")
+
+
+def test_a_recorded_crash_names_its_suspects_once():
+    poison_detector = PoisonDetector()
+    poison_detector.on_crash("e1/1", ["bad", "x"], 1.0)
+    (crash,) = poison_detector.take_crashes()
+    assert (crash.id, crash.suspects, crash.poisoned) == ("e1/1", ["bad", "x"], [])
+    poison_detector.on_crash("e2/1", ["bad"], 2.0)
+    (crash,) = poison_detector.take_crashes()
+    assert crash.poisoned == ["bad"]
+    assert poison_detector.take_crashes() == []
