--- a/test/platform_standins.py
+++ b/test/platform_standins.py
@@ -255,6 +255,11 @@
         writer.transport.abort()
         raise ConnectionError
 
+    async def _crash(self, writer, seal, headers, request_id):
+        """Abort all connections and accept no more."""
+        await self.stop()
+        raise ConnectionError
+
     async def _mute(self, writer, seal, headers, request_id):
         """Keep the connection open without a response."""
         await asyncio.sleep(30)
--- /dev/null
+++ b/test/test_crashes.py
@@ -0,0 +1,80 @@
+"""Entry hosts and targets that crash under a request."""
+
+import asyncio
+
+from lovagepier.entry.call import Call, fingerprint
+from test.entry_builders import HOST, call, entry_fleet, wait_until
+
+
+def run_scenario(scenario, hosts=1):
+    async def run():
+        async with entry_fleet(hosts=hosts) as fleet:
+            await wait_until(
+                lambda: {h.cluster.coordinator_name for h in fleet.hosts} == {"n1"}
+            )
+            await scenario(fleet)
+
+    asyncio.run(run())
+
+
+def fingerprint_of(host, path):
+    """Return the fingerprint of what `call(host, path, ...)` sends."""
+    account = next(iter(host.view.catalog.accounts.values()))
+    return fingerprint(
+        Call("r", "GET", path, HOST, "", None, None, 0, (), "", [], account=account)
+    )
+
+
+def test_a_target_that_ends_under_a_request_counts_as_crashed_at_once():
+    """Nobody else connects to it, and its entry stays in the store for seconds."""
+
+    async def scenario(fleet):
+        (host,) = fleet.hosts
+        fleet.targets["m1"].mode = "crash"
+        assert (await call(host, "/note/x", "r1")).status == 502
+        detector = host.coordinator.poison_detector
+        await wait_until(lambda: detector.is_suspect(fingerprint_of(host, "/note/x")))
+
+    run_scenario(scenario)
+
+
+def test_a_target_that_only_breaks_off_an_answer_has_not_crashed():
+    async def scenario(fleet):
+        (host,) = fleet.hosts
+        fleet.targets["m1"].mode = "reset"
+        assert (await call(host, "/note/x", "r1")).status == 502
+        fleet.targets["m1"].mode = "ok"
+        opened = host.frontend.target_connections.opened
+        assert (await call(host, "/note/y", "r2")).status == 200
+        assert host.frontend.target_connections.opened > opened
+        detector = host.coordinator.poison_detector
+        assert not detector.is_suspect(fingerprint_of(host, "/note/x"))
+
+    run_scenario(scenario)
+
+
+def test_suspects_and_verdicts_outlive_the_coordinator():
+    async def scenario(fleet):
+        first, second = fleet.hosts
+        detector = first.coordinator.poison_detector
+        detector.on_crash("m8/1", ["bad", "suspected"], 1.0)
+        detector.on_crash("m9/1", ["bad"], 2.0)
+        heard = second.coordinator.poison_detector
+        await wait_until(lambda: heard.is_poison("bad"))
+        await wait_until(lambda: heard.is_suspect("suspected"))
+        detector.on_success("suspected")
+        await wait_until(lambda: not heard.is_suspect("suspected"))
+
+    run_scenario(scenario, hosts=2)
+
+
+def test_a_new_coordinator_learns_suspects_from_the_hosts_that_join_it():
+    async def scenario(fleet):
+        first, second = fleet.hosts
+        second.cluster._switch_to("n2")
+        second.coordinator.poison_detector.on_crash("m8/1", ["suspected"], 1.0)
+        second.cluster._switch_to("n1")
+        detector = first.coordinator.poison_detector
+        await wait_until(lambda: detector.is_suspect("suspected"))
+
+    run_scenario(scenario, hosts=2)
--- a/test/test_strikes.py
+++ b/test/test_strikes.py
@@ -98,3 +98,52 @@
     (crash,) = poison_detector.take_crashes()
     assert crash.poisoned == ["bad"]
     assert poison_detector.take_crashes() == []
+
+
+def _crash(scheduler, grants, now):
+    """End the runs of `grants` and their targets, as a body does that crashes them."""
+    decisions = []
+    for grant in grants:
+        broken_off = ended(grant.work, grant.target, "vanished")
+        decisions += scheduler.finish(broken_off, now)
+        scheduler.target_crashed(grant.target, f"{grant.target}/i1", now)
+    return decisions
+
+
+def test_copies_that_wait_when_a_body_proves_poisonous_are_not_granted():
+    """Replays BUDGET at 72.913 s: four waiting copies crashed four new targets."""
+    scheduler = make_scheduler(("e1", "e2", "e3"), slots=1.0)
+    copies = [make_work(f"r{number}", fingerprint="bad") for number in range(7)]
+    decisions = [d for work in copies for d in scheduler.offer(work, 1.0)]
+    assert len(decisions) == 3
+    decisions = _crash(scheduler, decisions, 1.2)
+    for name in ("n1", "n2", "n3", "n4"):
+        decisions += scheduler.set_target(name, "a1", "v1", "i1", 4.5)
+    assert sorted(d.work.id for d in decisions) == ["r3", "r4", "r5", "r6"]
+    assert {getattr(d, "kind", "granted") for d in decisions} == {"suspect-request"}
+
+
+def test_one_copy_of_a_suspect_runs_at_a_time():
+    scheduler = make_scheduler(("e1", "e2", "e3", "e4"), slots=2.0)
+    first = scheduler.offer(make_work("r0", fingerprint="bad"), 1.0)
+    _crash(scheduler, first, 1.2)
+    copies = [make_work(f"r{number}", fingerprint="bad") for number in (1, 2, 3)]
+    granted = [d for work in copies for d in scheduler.offer(work, 2.0)]
+    assert [grant.work.id for grant in granted] == ["r1"]
+    # Other work does not wait for them.
+    (other,) = scheduler.offer(make_work("other"), 2.0)
+    assert other.work.id == "other"
+    later = scheduler.finish(ended(granted[0].work, granted[0].target), 2.5)
+    assert sorted(grant.work.id for grant in later) == ["r2", "r3"]
+
+
+def test_a_request_that_was_refused_a_connection_is_no_suspect():
+    scheduler = make_scheduler(("e1", "e2"), slots=2.0)
+    ran, refused = make_work("r1", exclude=frozenset(("e2",))), make_work("r2")
+    scheduler.offer(ran, 1.0)
+    scheduler.offer(refused, 1.0)
+    scheduler.adopt_running(refused, "e1", 1.0)
+    scheduler.finish(ended(ran, "e1", "vanished"), 1.1)
+    scheduler.finish(ended(refused, "e1", "unreachable"), 1.2)
+    assert scheduler.poison_detector.is_suspect(ran.fingerprint)
+    assert not scheduler.poison_detector.is_suspect(refused.fingerprint)
