Refuse waiting copies of a body once it proves poisonous

The verdict was asked for when a request was offered, never again while it waited, so copies that arrived before it ran as soon as targets joined. The scheduler now removes them at the first pass over its queue after a verdict.

The test failed before (granted in place of refused).

--- a/lovagepier/decisions/poison.py
+++ b/lovagepier/decisions/poison.py
@@ -43,15 +43,18 @@
     One that takes part in a second crash as the only suspect there, or in
     `max_crashes` crashes in all, is poisoned, which means refused. Fingerprints age
     out `age_seconds` after their last crash, checked whenever a crash is recorded.
+
+    `verdicts` counts the fingerprints that became poisoned.
     """
 
-    __slots__ = ("_age", "_crashes", "_max_crashes", "_suspects")
+    __slots__ = ("_age", "_crashes", "_max_crashes", "_suspects", "verdicts")
 
     def __init__(self, max_crashes=3, age_seconds=3600.0):
         self._max_crashes = max_crashes
         self._age = age_seconds
         self._suspects = OrderedDict()
         self._crashes = deque(maxlen=_MAX_UNREAD_CRASHES)
+        self.verdicts = 0
 
     def is_suspect(self, fingerprint):
         """Return whether a fingerprint must not run beside other suspects."""
@@ -80,7 +83,7 @@
             if alone or len(suspect.crashes) >= self._max_crashes:
                 if not suspect.poisoned:
                     poisoned.append(name)
-                suspect.poisoned = True
+                self._convict(suspect)
         while len(self._suspects) > _MAX_SUSPECTS:
             self._suspects.popitem(last=False)
         poisoned.sort()
@@ -103,7 +106,13 @@
         """Merge a peer's record of a suspect; never clears anything."""
         suspect = self._suspects.setdefault(fingerprint, _Suspect(now))
         suspect.crashes.update(crashes)
-        suspect.poisoned = suspect.poisoned or poisoned
+        if poisoned:
+            self._convict(suspect)
+
+    def _convict(self, suspect):
+        if not suspect.poisoned:
+            suspect.poisoned = True
+            self.verdicts += 1
 
     def poisoned(self):
         """Return the poisoned fingerprints."""
--- a/lovagepier/decisions/scheduler.py
+++ b/lovagepier/decisions/scheduler.py
@@ -129,6 +129,7 @@
         self._sequence = 0
         self._explored_at = float("-inf")
         self._has_outcomes = False
+        self._seen_verdicts = 0
 
     # Requests
 
@@ -162,8 +163,7 @@
 
     def _refuse_at_once(self, work, now):
         if self.poison_detector.is_poison(work.fingerprint):
-            why = "targets died each time this body ran"
-            return Refusal(work, ErrorKind.SUSPECT_REQUEST, why, retry_after=0)
+            return _refuse_poison(work)
         if not len(self.fleet):
             return Refusal(work, ErrorKind.NO_TARGET, "the pool has no targets")
         if work.exclude and not self.fleet.has_target_besides(work.exclude):
@@ -263,6 +263,21 @@
             decisions.append(self._shed(work, now, kind, why))
         return decisions
 
+    def _remove_poison(self):
+        """Refuse queued requests that have proved poisonous since the last call."""
+        verdicts = self.poison_detector.verdicts
+        if verdicts == self._seen_verdicts:
+            return []
+        self._seen_verdicts = verdicts
+        poison = [
+            work
+            for work in self.waiting.works()
+            if self.poison_detector.is_poison(work.fingerprint)
+        ]
+        for work in poison:
+            self.waiting.remove(work.id)
+        return [_refuse_poison(work) for work in poison]
+
     def _demote_late(self, now):
         """Move late requests to their late tiers; shed what exceeds the bound.
 
@@ -309,7 +324,7 @@
         self._pause.on_shed(tier, now)
 
     def _drain(self, now):
-        decisions = self._expire(now)
+        decisions = self._remove_poison() + self._expire(now)
         if self.options.demote_late:
             decisions += self._demote_late(now)
         while len(self.waiting):
@@ -676,3 +691,8 @@
             return
         self.prefixes.add(name, stored)
         self.prefixes.remove(name, evicted)
+
+
+def _refuse_poison(work):
+    why = "targets died each time this body ran"
+    return Refusal(work, ErrorKind.SUSPECT_REQUEST, why, retry_after=0)
--- a/test/test_strikes.py
+++ b/test/test_strikes.py
@@ -104,9 +104,9 @@
     """End the runs of `grants` and their targets, as a body does that crashes them."""
     decisions = []
     for grant in grants:
+        scheduler.target_crashed(grant.target, f"{grant.target}/i1", now)
         broken_off = ended(grant.work, grant.target, "vanished")
         decisions += scheduler.finish(broken_off, now)
-        scheduler.target_crashed(grant.target, f"{grant.target}/i1", now)
     return decisions
 
 
