Tell a crashed target at once by a connection that it refuses

Cause: a lost run counted as a crash only when some later request was refused a connection or when the target's entry left the store, 3.6 s and more after. A host whose dispatch broke off now opens a connection to the target: refused means that the target is down, which counts the crash, spares other requests a refused attempt and keeps the verdict close to the third crash. An answer that was merely lost costs one connection, which is kept for reuse; a check that times out says nothing, as the target may only be cut off.

--- a/lovagepier/entry/_cluster.py
+++ b/lovagepier/entry/_cluster.py
@@ -22,6 +22,7 @@
     SnapshotRequest,
     StoreDelta,
     StoreSnapshot,
+    TargetDown,
     Withdraw,
 )
 from lovagepier.entry._outgoing import STANDBY_HEARTBEAT_ROUNDS, OutgoingLinks
@@ -165,6 +166,8 @@
             coordinator.on_first_event(entry, message, now)
         elif isinstance(message, DispatchResult):
             coordinator.on_result(entry, message, now)
+        elif isinstance(message, TargetDown):
+            coordinator.on_target_down(message, now)
         elif isinstance(message, Withdraw):
             coordinator.on_withdraw(entry, message.id, now)
         elif isinstance(message, RunningReport):
--- a/lovagepier/entry/_coordinator.py
+++ b/lovagepier/entry/_coordinator.py
@@ -332,14 +332,27 @@
             self._log_crashes()
             return
 
+    def on_target_down(self, message, now):
+        """Record that a target crashed; reports of earlier incarnations are ignored."""
+        pool = self._pool(message.service)
+        state = pool.scheduler.fleet.get(message.target)
+        if state is None or state.down or state.incarnation != message.incarnation:
+            return
+        self._back_off(pool, message.target, now)
+        pool.scheduler.target_crashed(message.target, state.incarnation_id, now)
+        self._log_crashes()
+
+    def _back_off(self, pool, target, now):
+        pause = min(
+            pool.down_backoff_s.get(target, DOWN_BACKOFF_BASE_S) * 2,
+            MAX_DOWN_BACKOFF_S,
+        )
+        pool.down_backoff_s[target] = pause
+        pool.down_until[target] = now + pause
+
     def _record_target_outcome(self, pool, target, outcome, now):
         if outcome.status == "unreachable":
-            pause = min(
-                pool.down_backoff_s.get(target, DOWN_BACKOFF_BASE_S) * 2,
-                MAX_DOWN_BACKOFF_S,
-            )
-            pool.down_backoff_s[target] = pause
-            pool.down_until[target] = now + pause
+            self._back_off(pool, target, now)
         elif outcome.status == "ok":
             pool.down_backoff_s.pop(target, None)
 
--- a/lovagepier/entry/_exchange.py
+++ b/lovagepier/entry/_exchange.py
@@ -218,8 +218,7 @@
             tconn = await self._connect(target)
         except ConnectFailed as exc:
             self._excluded.add(grant.target)
-            refused = "Refused" in str(exc)
-            status = "unreachable" if refused else "not-run"
+            status = "unreachable" if exc.refused else "not-run"
             self._report_result(grant, status, started_at)
             return _Outcome.NOT_EXECUTED
         except BaseException:
@@ -273,6 +272,7 @@
             return self._handle_response(response, body)
         except TargetConnectionLost as exc:
             status = "vanished"
+            self._frontend.target_checks.start(target)
             _log.info(
                 "a target broke off",
                 request=self._call.request_id,
--- a/lovagepier/entry/_frontend.py
+++ b/lovagepier/entry/_frontend.py
@@ -4,6 +4,7 @@
 
 from lovagepier.entry._caller_conn import BadRequest, CallerConnection
 from lovagepier.entry._exchange import Exchange
+from lovagepier.entry._target_checks import TargetChecks
 from lovagepier.entry._target_conn import TargetConnectionPool
 from lovagepier.entry.catalog import ROUTE_TIERS, CallerLimits
 from lovagepier.errors import ErrorKind, error_spec
@@ -70,6 +71,9 @@
         self.cluster = cluster
         self.coordinator = coordinator
         self.target_connections = TargetConnectionPool(CONNECT_TIMEOUT_S)
+        self.target_checks = TargetChecks(
+            self.target_connections, cluster.requests.report_target_down
+        )
         self.metrics = Metrics()
         self.stops_at = None
         self.has_catalog = asyncio.Event()
--- a/lovagepier/entry/_messages.py
+++ b/lovagepier/entry/_messages.py
@@ -19,6 +19,7 @@
     "SnapshotRequest",
     "StoreDelta",
     "StoreSnapshot",
+    "TargetDown",
     "Withdraw",
 ]
 
@@ -153,6 +154,16 @@
     tokens: int
 
 
+@message("e.down")
+@dataclass(slots=True)
+class TargetDown:
+    """A target of `service` broke off a response and refuses connections since."""
+
+    service: str
+    target: str
+    incarnation: str
+
+
 @message("e.withdraw")
 @dataclass(slots=True)
 class Withdraw:
--- a/lovagepier/entry/_requests.py
+++ b/lovagepier/entry/_requests.py
@@ -70,6 +70,10 @@
         self._running.pop(result.id, None)
         self._send(result)
 
+    def report_target_down(self, message):
+        """Report a `TargetDown`."""
+        self._send(message)
+
     def on_answer(self, message):
         """Hand a `Granted` or `Refused` to the request that waits for it."""
         waiting = self._waiting.get(message.id)
--- a/lovagepier/entry/_target_conn.py
+++ b/lovagepier/entry/_target_conn.py
@@ -42,7 +42,14 @@
 
 
 class ConnectFailed(Exception):
-    """No connection could be opened: nothing of the request was sent."""
+    """No connection could be opened: nothing of the request was sent.
+
+    `refused` tells whether the target's host answered that nobody listens.
+    """
+
+    def __init__(self, why, refused=False):
+        super().__init__(why)
+        self.refused = refused
 
 
 class TargetConnectionLost(Exception):
@@ -355,7 +362,8 @@
                     TargetConnection, target.host, target.port
                 )
         except (OSError, TimeoutError, ValueError, OverflowError) as exc:
-            raise ConnectFailed(type(exc).__name__)
+            refused = isinstance(exc, ConnectionRefusedError)
+            raise ConnectFailed(type(exc).__name__, refused)
         conn.idle_since = loop.time()
         return conn
 
