Run one copy of a suspected body at a time

A copy now waits while another one runs, for two seconds at most so that a long sound answer does not hold up its repeats. Waiting copies no longer count as passed over: five of them at the head of the queue kept all other requests from starting.

--- a/lovagepier/decisions/scheduler.py
+++ b/lovagepier/decisions/scheduler.py
@@ -1,6 +1,7 @@
 """The scheduler of one pool: dispatch, queueing, admission and load shedding."""
 
 from dataclasses import replace
+from itertools import islice
 
 from lovagepier.decisions.dispatch_log import DispatchLog
 from lovagepier.decisions.estimates import LengthEstimates
@@ -21,6 +22,10 @@
 FINISHED_RETENTION_S = 600.0
 # Queued requests that a later one may overtake in one pass over the queue.
 MAX_PASSED_OVER = 4
+# Queued requests looked at in one pass, with the suspects that wait for a trial.
+MAX_SCANNED = 64
+# A trial that takes longer than this no longer holds up the suspect's other copies.
+MAX_TRIAL_S = 2.0
 # Added to the expected service time when the latest start of a request is computed.
 DEADLINE_MARGIN_S = 0.02
 # An idle pool runs one seemingly infeasible request per period, to correct its
@@ -335,9 +340,12 @@
         return decisions
 
     def _start_next(self, now):
-        for number, work in enumerate(self.waiting.candidates()):
-            if number >= MAX_PASSED_OVER or self._pause.is_paused(work.tier, now):
+        passed_over = 0
+        for work in islice(self.waiting.candidates(), MAX_SCANNED):
+            if passed_over >= MAX_PASSED_OVER or self._pause.is_paused(work.tier, now):
                 return None
+            if self._awaits_trial(work, now):
+                continue
             grant = self._place(work, now)
             if grant is not None:
                 self.waiting.take(work, self._cost(work, grant))
@@ -345,8 +353,22 @@
             # Later requests may overtake only one that a free slot can't help.
             if not self._may_be_passed_over(work):
                 return None
+            passed_over += 1
         return None
 
+    def _awaits_trial(self, work, now):
+        """Return whether a suspect waits for the trial of another copy.
+
+        If all copies ran at once, each of them could crash a target.
+        """
+        if not self.poison_detector.is_suspect(work.fingerprint):
+            return False
+        return any(
+            item.work.fingerprint == work.fingerprint
+            and now - item.granted_at < MAX_TRIAL_S
+            for item in self._dispatched.values()
+        )
+
     def _may_be_passed_over(self, work):
         if work.exclude or work.awaits_cache:
             return True
