Share suspects with all hosts, not only verdicts

Cause: crashes were counted by the coordinator alone. A host that took its place knew the verdicts but none of the evidence, and the hosts' own detectors not even the verdicts, so each change of the coordinator gave a body three more crashes. The roster now carries the suspects with their crashes when they changed, a host hands its evidence to the coordinator that it joins, and both are kept in one place.

--- a/lovagepier/decisions/poison.py
+++ b/lovagepier/decisions/poison.py
@@ -5,6 +5,8 @@
 __all__ = ["Crash", "PoisonDetector"]
 
 _MAX_SUSPECTS = 10_000
+# Suspects told to other hosts.
+MAX_SUSPECT_ROWS = 200
 # Crashes kept for the log until they are taken.
 _MAX_UNREAD_CRASHES = 100
 
@@ -44,10 +46,17 @@
     `max_crashes` crashes in all, is poisoned, which means refused. Fingerprints age
     out `age_seconds` after their last crash, checked whenever a crash is recorded.
 
-    `verdicts` counts the fingerprints that became poisoned.
+    `verdicts` counts the fingerprints that became poisoned, `revision` all changes.
     """
 
-    __slots__ = ("_age", "_crashes", "_max_crashes", "_suspects", "verdicts")
+    __slots__ = (
+        "_age",
+        "_crashes",
+        "_max_crashes",
+        "_suspects",
+        "revision",
+        "verdicts",
+    )
 
     def __init__(self, max_crashes=3, age_seconds=3600.0):
         self._max_crashes = max_crashes
@@ -55,6 +64,7 @@
         self._suspects = OrderedDict()
         self._crashes = deque(maxlen=_MAX_UNREAD_CRASHES)
         self.verdicts = 0
+        self.revision = 0
 
     def is_suspect(self, fingerprint):
         """Return whether a fingerprint must not run beside other suspects."""
@@ -73,6 +83,7 @@
         poisoned fingerprints.
         """
         self._drop_aged(now)
+        self.revision += 1
         fingerprints = {name for name in running if name}
         known = {name for name in (*fingerprints, *beside) if name in self._suspects}
         poisoned = []
@@ -102,11 +113,13 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is not None and not suspect.poisoned:
             del self._suspects[fingerprint]
+            self.revision += 1
 
     def merge(self, fingerprint, crashes, poisoned, now):
         """Merge a peer's record of a suspect; never clears anything."""
         suspect = self._suspects.setdefault(fingerprint, _Suspect(now))
         suspect.crashes.update(crashes)
+        self.revision += 1
         if poisoned:
             self._convict(suspect)
 
@@ -119,6 +132,26 @@
         """Return the poisoned fingerprints."""
         return [name for name, item in self._suspects.items() if item.poisoned]
 
+    def suspect_rows(self):
+        """Return [fingerprint, crash ids] rows of the latest unproven suspects."""
+        rows = [
+            [name, sorted(item.crashes)]
+            for name, item in self._suspects.items()
+            if not item.poisoned
+        ]
+        return rows[-MAX_SUSPECT_ROWS:]
+
+    def merge_rows(self, rows, now):
+        """Merge the `suspect_rows` of another host."""
+        for name, crashes in rows:
+            self.merge(name, crashes, False, now)
+
+    def replace_rows(self, rows, now):
+        """Replace the unproven suspects by another host's, which decides for this."""
+        for name in [n for n, item in self._suspects.items() if not item.poisoned]:
+            del self._suspects[name]
+        self.merge_rows(rows, now)
+
     def _drop_aged(self, now):
         old = [n for n, item in self._suspects.items() if now - item.at > self._age]
         for name in old:
--- a/lovagepier/entry/_cluster.py
+++ b/lovagepier/entry/_cluster.py
@@ -81,7 +81,6 @@
         self.requests = Requests(self._send_to_coordinator)
         self._capacity = CapacityShares(view)
         self._roster = []
-        self._poisoned = set()
         self._coordinator_store_age = 0.0
         self._rounds = 0
         self._quota_levels = None
@@ -93,7 +92,7 @@
 
     def is_poisoned(self, fingerprint):
         """Return whether no host may run a request with this fingerprint."""
-        return fingerprint in self._poisoned
+        return self._coordinator.poison_detector.is_poison(fingerprint)
 
     def live_hosts(self):
         """Return [name, callers' address, zone, draining] rows of live hosts."""
@@ -200,10 +199,20 @@
         self._roster = link.roster
         self._quota_levels = roster.quota_levels
         self._coordinator.rollouts.merge_progress(roster.rollouts)
-        self._poisoned.update(roster.poisoned)
+        self._merge_evidence(roster)
         for service, revision, cause in roster.rollbacks:
             self._coordinator.rollouts.roll_back(service, revision, cause)
 
+    def _merge_evidence(self, roster):
+        """Know what the coordinator knows of suspects, to continue if it is lost."""
+        detector = self._coordinator.poison_detector
+        now = self._loop.time()
+        for fingerprint in roster.poisoned:
+            if not detector.is_poison(fingerprint):
+                detector.merge(fingerprint, (), True, now)
+        if roster.suspects is not None:
+            detector.replace_rows(roster.suspects, now)
+
     def should_watch(self):
         """Return whether this host must watch the store itself."""
         if self.coordinator_name is None or self._is_coordinator():
@@ -262,11 +271,12 @@
             self._send_to_coordinator(
                 RunningReport(
                     rows,
-                    sorted(self._poisoned),
+                    self._coordinator.poison_detector.poisoned(),
                     self._coordinator.rollouts.rollbacks(),
                     {}
                     if self._is_coordinator()
                     else self._coordinator.quotas.take_spent(now),
+                    self._coordinator.poison_detector.suspect_rows(),
                 )
             )
         self.requests.resend_all()
--- a/lovagepier/entry/_coordinator.py
+++ b/lovagepier/entry/_coordinator.py
@@ -366,6 +366,7 @@
         """Adopt work that an entry host runs and another coordinator granted."""
         for fingerprint in report.poisoned:
             self.poison_detector.merge(fingerprint, (), True, now)
+        self.poison_detector.merge_rows(report.suspects, now)
         for service, revision, cause in report.rollbacks:
             self.rollouts.roll_back(service, revision, cause)
         for account, tokens in report.spent.items():
--- a/lovagepier/entry/_followers.py
+++ b/lovagepier/entry/_followers.py
@@ -25,6 +25,7 @@
         self._loop = asyncio.get_running_loop()
         self._heartbeats = {}
         self._sent_hosts = {}
+        self._sent_suspects = {}
         self._rosters_due = False
         self.links = {}
         self.draining = False
@@ -62,6 +63,7 @@
             return
         del self.links[link.peer]
         self._sent_hosts.pop(link.peer, None)
+        self._sent_suspects.pop(link.peer, None)
         self._heartbeats.pop(link.peer, None)
         self._coordinator.on_entry_lost(link.peer, self._loop.time())
         _log.info("the link from an entry host ended", host=link.peer)
@@ -101,8 +103,16 @@
             self._coordinator.quotas.low_levels(now),
             self._coordinator.rollouts.progress_rows(),
             self._boot,
+            self._changed_suspects(link),
         )
 
+    def _changed_suspects(self, link):
+        detector = self._coordinator.poison_detector
+        if self._sent_suspects.get(link.peer) == (link, detector.revision):
+            return None
+        self._sent_suspects[link.peer] = (link, detector.revision)
+        return detector.suspect_rows()
+
     def announce_draining(self):
         """Tell all linked hosts at once that this host is draining."""
         self.draining = True
--- a/lovagepier/entry/_messages.py
+++ b/lovagepier/entry/_messages.py
@@ -53,13 +53,13 @@
     `hosts` rows are [name, callers' address, zone, draining]; None if they are
     the same as in the last roster on this link. `store_age` is the time since
     the store last answered the coordinator. `poisoned` are the fingerprints of
-    requests that no host may run. `rollbacks` rows are [service, order
-    revision, cause] of rollouts that were rolled back. `quota_levels` maps
-    accounts whose quotas are nearly spent to the fraction of the burst that is
-    left. `rollouts` rows are [service, order revision, dispatches, dispatches
-    to the new version, outcomes of the new version, failures of the new
-    version] of open rollouts. `boot` identifies the sender's incarnation, empty if
-    it does not say.
+    requests that no host may run, `suspects` the `PoisonDetector.suspect_rows`, None
+    if they did not change. `rollbacks` rows are [service, order revision, cause] of
+    rollouts that were rolled back. `quota_levels` maps accounts whose quotas are
+    nearly spent to the fraction of the burst that is left. `rollouts` rows are
+    [service, order revision, dispatches, dispatches to the new version, outcomes of
+    the new version, failures of the new version] of open rollouts. `boot` identifies
+    the sender's incarnation, empty if it does not say.
     """
 
     coordinator: str
@@ -72,6 +72,7 @@
     quota_levels: dict
     rollouts: list
     boot: str = ""
+    suspects: list | None = None
 
 
 @message("e.ask")
@@ -184,12 +185,14 @@
     `running` rows are [field values of the `DispatchRequest`, target];
     `poisoned` are fingerprints; `rollbacks` rows are as in `Roster`. `spent` maps
     accounts to what the sender's own coordinator, which has just started, admitted.
+    `suspects` are the sender's `PoisonDetector.suspect_rows`.
     """
 
     running: list
     poisoned: list
     rollbacks: list
     spent: dict = field(default_factory=dict)
+    suspects: list = field(default_factory=list)
 
 
 @message("e.changed")
