--- a/lovagepier/decisions/work.py
+++ b/lovagepier/decisions/work.py
@@ -42,6 +42,7 @@
 
     Identity and budgets:
     - `fingerprint`: identifies the body, for poison requests and reused ids.
+    - `parts`: ids of the prompt's parts that other requests may share, for poison parts.
     - `attempt`: 0 for the first; `nonce` identifies the attempt.
     - `retry_reserve`: the fraction of the retry budget that a retry leaves to others.
     - `cost`: what was charged to the account's quota.
@@ -59,6 +60,7 @@
     blocks: tuple = ()
     draw: float = 0.0
     fingerprint: str = ""
+    parts: tuple = ()
     zone: str = ""
     body_bytes: int = 0
     exclude: frozenset = frozenset()
--- a/test/test_crashes.py
+++ b/test/test_crashes.py
@@ -78,3 +78,17 @@
         await wait_until(lambda: detector.is_suspect("suspected"))
 
     run_scenario(scenario, hosts=2)
+
+
+def test_all_parts_of_a_prompt_but_the_last_are_suspected():
+    async def scenario(fleet):
+        (host,) = fleet.hosts
+        fleet.targets["m1"].mode = "crash"
+        parts = "X-Prompt-Prefix: a1:60,b2:200,c3:10"
+        await call(host, "/note/x", "r1", headers=(parts,))
+        detector = host.coordinator.poison_detector
+        await wait_until(lambda: detector.is_suspect("part:b2"))
+        assert detector.is_suspect("part:a1")
+        assert not detector.is_suspect("part:c3")
+
+    run_scenario(scenario)
