--- a/lovagepier/decisions/poison.py
+++ b/lovagepier/decisions/poison.py
@@ -90,7 +90,7 @@
     Poisoned, which means refused, is a body that takes part in a second crash as the
     only suspect there, or in `max_crashes` crashes in all, and a part that fails
     `MIN_FAILED_TRIALS` trials. That clears others of the same crashes. Names age out
-    `age_seconds` after their last crash, checked whenever a crash is recorded.
+    `age_seconds` after their last crash.
 
     `verdicts` counts the names that became poisoned, `revision` all changes.
     """
@@ -139,7 +139,7 @@
         several times, each time with other runs, and counts once for a name. `beside`
         are runs that may have been there, too. Returns the newly poisoned names.
         """
-        self._drop_aged(now)
+        self.drop_aged(now)
         blamed, explained = self._blame(crash_id, running, beside)
         known = [r for r in (*running, *beside) if self._is_known(r, crash_id)]
         alone = len(known) == 1
@@ -260,7 +260,8 @@
         self._crashes.clear()
         return crashes
 
-    def _drop_aged(self, now):
+    def drop_aged(self, now):
+        """Drop the names whose last crash is too long ago."""
         old = [n for n, item in self._suspects.items() if now - item.at > self._age]
         for name in old:
             del self._suspects[name]
--- a/lovagepier/entry/_coordinator.py
+++ b/lovagepier/entry/_coordinator.py
@@ -395,6 +395,7 @@
         Rollouts advance only on the host that is the coordinator in use
         (`is_coordinator`), because only that one has the evidence.
         """
+        self.poison_detector.drop_aged(now)
         if is_coordinator:
             self.rollouts.step(self._running_on_old_version, now)
         self._apply_stage_changes(now)
--- a/lovagepier/entry/_host.py
+++ b/lovagepier/entry/_host.py
@@ -14,6 +14,7 @@
 from lovagepier.entry._links import LinkServer
 from lovagepier.entry._settings import parse_entry_settings
 from lovagepier.entry._store_actors import LEASE_TTL_S, Registrar, Watcher, WriteKey
+from lovagepier.entry._verdicts import Verdicts
 from lovagepier.entry._view import HOST_PREFIX, StoreView, encode_host
 from lovagepier.errors import UserError
 from lovagepier.logs import component_logger
@@ -28,6 +29,8 @@
 # A stopping host accepts connections for at least this long: callers with a cached
 # directory response still use it.
 MIN_DRAIN_S = 2.2
+# The longest lease that the store grants.
+VERDICT_LEASE_S = 600.0
 # The settings file may change without a signal, so it is also polled.
 SETTINGS_POLL_S = 5.0
 # Settings that take effect only at a start: names and addresses in use.
@@ -90,6 +93,9 @@
         self.coordinator = Coordinator(
             cfg, self.view, random.Random(self._boot), self._send, self._write_state
         )
+        self._verdicts = Verdicts(
+            self.view, self.coordinator.poison_detector, self._write_verdict
+        )
         if cfg.host_first_start != "true":
             # The quotas may have been used up in full before this start.
             now = self._loop.time()
@@ -235,6 +241,7 @@
             self.frontend.has_catalog.set()
 
     def _refresh(self):
+        self._verdicts.read(self._loop.time())
         self.coordinator.refresh(self._loop.time())
         self.cluster.choose_coordinator()
         incarnations = {target.incarnation for target in self.view.targets.values()}
@@ -243,6 +250,9 @@
     def _write_state(self, key, value, expected):
         self._registrar.tell(WriteKey(key, value, expected))
 
+    def _write_verdict(self, key, value):
+        self._registrar.tell(WriteKey(key, value, None, VERDICT_LEASE_S))
+
     def _on_written(self, message, result):
         if isinstance(result, Err):
             _log.warning(
@@ -266,6 +276,7 @@
                 self.coordinator.tick(now, is_coordinator)
                 if is_coordinator:
                     self.coordinator.rollouts.write_states(now)
+                    self._verdicts.write(now)
                 self.cluster.followers.push_rosters()
                 self._set_watching()
             except Exception as exc:  # noqa: BLE001  a failing tick must not end the host
--- a/lovagepier/entry/_store_actors.py
+++ b/lovagepier/entry/_store_actors.py
@@ -46,11 +46,15 @@
 
 @dataclass(slots=True, frozen=True)
 class WriteKey:
-    """Asks to write a key if it is at revision `expected`, None for any revision."""
+    """Asks to write a key if it is at revision `expected`, None for any revision.
+
+    The key is removed after `lease_s` seconds, unless that is 0.
+    """
 
     key: str
     value: bytes
     expected: int | None
+    lease_s: float = 0.0
 
 
 class _Backoff:
@@ -183,9 +187,7 @@
     def on_receive(self, message):
         """Make the write of a `WriteKey`, else register or renew if it is time."""
         if isinstance(message, WriteKey):
-            self._on_written(
-                message, self._store.put(message.key, message.value, message.expected)
-            )
+            self._on_written(message, self._write(message))
             return
         if self._key is None:
             return
@@ -197,6 +199,15 @@
             time.sleep(REGISTRAR_IDLE_S)
         self.actor_ref.tell(_Step())
 
+    def _write(self, message):
+        lease = 0
+        if message.lease_s:
+            granted = self._store.grant_lease(message.lease_s)
+            if isinstance(granted, Err):
+                return granted
+            lease, _ = granted.ok_value
+        return self._store.put(message.key, message.value, message.expected, lease)
+
     def _register(self):
         called_at = time.monotonic()
         granted = self._store.grant_lease(self._lease_s)
--- a/lovagepier/entry/_view.py
+++ b/lovagepier/entry/_view.py
@@ -3,6 +3,7 @@
 import json
 
 from lovagepier import platform
+from lovagepier.entry._verdicts import POISON_PREFIX, decode_verdict
 from lovagepier.entry.store_types import HostRecord
 from lovagepier.logs import component_logger
 
@@ -41,6 +42,8 @@
 class StoreView:
     """The catalog, targets, hosts and rollout orders that this host works with.
 
+    `poisoned` holds the names that were proved poisonous, by key.
+
     The catalog's version only increases. `as_of` is the newest store revision
     applied. `last_answer_at` is when the store last answered this host, None before
     the first answer. Times are in seconds on the event loop's clock.
@@ -56,6 +59,7 @@
         self.hosts = {}
         self.orders = {}
         self.states = {}
+        self.poisoned = {}
         self._lapsed = {}
 
     # Updates
@@ -133,6 +137,8 @@
                 self._put_target(key, item)
             elif key.startswith(HOST_PREFIX):
                 self.hosts[key] = _decode_host(item)
+            elif key.startswith(POISON_PREFIX):
+                self.poisoned[key] = decode_verdict(item.value)
             elif platform.rollout_service(key):
                 order = platform.decode_rollout(item.value, item.revision)
                 self.orders[order.service] = order
@@ -166,6 +172,8 @@
                 self.targets.pop(key, None)
         elif key.startswith(HOST_PREFIX):
             self.hosts.pop(key, None)
+        elif key.startswith(POISON_PREFIX):
+            self.poisoned.pop(key, None)
         elif platform.rollout_service(key):
             self.orders.pop(platform.rollout_service(key), None)
 
--- a/test/test_crashes.py
+++ b/test/test_crashes.py
@@ -94,3 +94,36 @@
         assert not detector.is_suspect("part:c3")
 
     run_scenario(scenario)
+
+
+def test_verdicts_outlive_the_loss_of_all_hosts():
+    """Replays a loss of all hosts after a verdict: it took three crashes again."""
+
+    async def scenario(fleet):
+        (host,) = fleet.hosts
+        detector = host.coordinator.poison_detector
+        for number in range(3):
+            detector.on_crash(f"m{number}/1", [Run("bad")], host._loop.time())
+        await wait_until(lambda: any("poison" in key for key in fleet.store.items))
+        for actor in (host._watcher, host._registrar):
+            actor.stop(block=False)
+        fleet.tasks.pop().cancel()
+        next_host = await fleet.host("n9")
+        await wait_until(lambda: next_host.coordinator.poison_detector.is_poison("bad"))
+
+    run_scenario(scenario)
+
+
+def test_a_verdict_is_written_again_until_the_store_has_it():
+    async def scenario(fleet):
+        (host,) = fleet.hosts
+        fleet.store.fault = "busy"
+        detector = host.coordinator.poison_detector
+        for number in range(3):
+            detector.on_crash(f"m{number}/1", [Run("bad")], host._loop.time())
+        calls = len(fleet.store.calls)
+        await wait_until(lambda: ("POST", "/kv-lease") in fleet.store.calls[calls:])
+        fleet.store.fault = None
+        await wait_until(lambda: any("poison" in key for key in fleet.store.items))
+
+    run_scenario(scenario)
