Tell other hosts what a rollout's new version is compared with

Cause: followers learnt the counts of outcomes but not the old version's times nor the state of the tests. A successor moved all traffic by the counts and had nothing to compare with, as no old version answered any more. Rosters now carry both for open rollouts and followers adopt them.

Two tests of test_rollout_evidence.py failed before.

--- a/lovagepier/decisions/rollback.py
+++ b/lovagepier/decisions/rollback.py
@@ -41,6 +41,12 @@
         self.seen += seen
         self.bad += bad
 
+    def state(self):
+        return [self.seen, self.bad]
+
+    def adopt(self, state):
+        self.seen, self.bad = state
+
     def upper(self):
         """Return the base rate: an upper bound of the rate, plus a margin."""
         weight = self.seen + PRIOR_OUTCOMES
@@ -65,6 +71,13 @@
     def value(self):
         return max(self._values)
 
+    def state(self):
+        return list(self._values)
+
+    def adopt(self, state):
+        for i, value in enumerate(state[: len(self._values)]):
+            self._values[i] = value
+
     def add(self, seen, bad, base):
         good = seen - bad
         for i, gap in enumerate(ALTERNATIVE_GAPS):
@@ -101,6 +114,18 @@
         self._failed.add(counts.seen, counts.failed, self._old_failed.upper())
         self._slow.add(counts.seen, counts.slow, self._old_slow.upper())
 
+    def _tests(self):
+        return self._failed, self._slow, self._old_failed, self._old_slow
+
+    def state(self):
+        """Return what was learnt, as lists of numbers for `adopt`."""
+        return [test.state() for test in self._tests()]
+
+    def adopt(self, state):
+        """Replace what was learnt by another host's `state`."""
+        for test, values in zip(self._tests(), state, strict=True):
+            test.adopt(values)
+
     def suspicion(self):
         """Return (level, reason); a level of 1.0 or more triggers a rollback."""
         failed = self._failed.value / ROLLBACK_LOG_RATIO
@@ -156,6 +181,21 @@
                 return f"{reason} on {scope}"
         return None
 
+    def state(self):
+        """Return {route: `RouteComparison.state`}, "" for all routes together."""
+        return {
+            "": self._all.state(),
+            **{route: test.state() for route, test in self._routes.items()},
+        }
+
+    def adopt(self, state):
+        """Continue from the `state` of another host, which observed more."""
+        for route, values in state.items():
+            if route:
+                self._routes.setdefault(route, RouteComparison()).adopt(values)
+            else:
+                self._all.adopt(values)
+
     def suspicion(self):
         """Return the highest suspicion of any route; 1.0 or more sets the trigger."""
         levels = [test.suspicion()[0] for test in self._routes.values()]
--- a/lovagepier/decisions/slowness.py
+++ b/lovagepier/decisions/slowness.py
@@ -19,9 +19,10 @@
 class _Quantile:
     """The threshold for one key, from a sliding window of the old version's times."""
 
-    __slots__ = ("_order", "_sorted")
+    __slots__ = ("_adopted", "_order", "_sorted")
 
-    def __init__(self):
+    def __init__(self, adopted=None):
+        self._adopted = adopted
         self._order = deque()
         self._sorted = SortedList()
 
@@ -33,7 +34,7 @@
 
     def threshold(self):
         if len(self._order) < _MIN_SAMPLES:
-            return None
+            return self._adopted
         return self._sorted[int(len(self._sorted) * _QUANTILE)] * _THRESHOLD_FACTOR
 
 
@@ -69,6 +70,23 @@
                 quantile.add(value)
         return slow
 
+    def thresholds(self):
+        """Return {key: thresholds}, a list of three, None where none is known."""
+        tables = (self._first, self._pace, self._unstreamed)
+        keys = {key for table in tables for key in table}
+        return {
+            key: [table[key].threshold() if key in table else None for table in tables]
+            for key in keys
+        }
+
+    def adopt(self, thresholds):
+        """Use the `thresholds` of another host until there are enough outcomes."""
+        tables = (self._first, self._pace, self._unstreamed)
+        for key, values in thresholds.items():
+            for table, value in zip(tables, values, strict=True):
+                if value is not None:
+                    table[key] = _Quantile(value)
+
 
 def _normalize(work, outcome):
     """Return (first-byte time, seconds per decoded token, seconds per token).
--- a/lovagepier/entry/_messages.py
+++ b/lovagepier/entry/_messages.py
@@ -58,8 +58,9 @@
     rollouts that were rolled back. `quota_levels` maps accounts whose quotas are
     nearly spent to the fraction of the burst that is left. `rollouts` rows are
     [service, order revision, dispatches, dispatches to the new version, outcomes of
-    the new version, failures of the new version] of open rollouts. `boot` identifies
-    the sender's incarnation, empty if it does not say.
+    the new version, failures of the new version, comparisons] of open rollouts; the
+    last are the `SlownessDetector.thresholds` and the `RollbackTrigger.state`.
+    `boot` identifies the sender's incarnation, empty if it does not say.
     """
 
     coordinator: str
--- a/lovagepier/entry/_rollouts.py
+++ b/lovagepier/entry/_rollouts.py
@@ -217,7 +217,7 @@
         ]
 
     def progress_rows(self):
-        """Return the counts of open rollouts as the rows of a `Roster`."""
+        """Return the evidence of open rollouts as the rows of a `Roster`."""
         return [
             [
                 service,
@@ -226,13 +226,14 @@
                 rollout.progress.sent_new,
                 rollout.progress.outcomes_new,
                 rollout.progress.failed_new,
+                [rollout.slowness.thresholds(), rollout.trigger.state()],
             ]
             for service, rollout in self._rollouts.items()
             if self._open(service) is not None
         ]
 
     def merge_progress(self, rows):
-        """Merge the coordinator's counts, so that a successor continues from them."""
+        """Adopt the coordinator's evidence, so that a successor continues from it."""
         for service, revision, *counts in rows:
             rollout = self._open(service)
             if rollout is None or rollout.order.revision != revision:
@@ -242,6 +243,10 @@
             known.sent_new = max(known.sent_new, counts[1])
             known.outcomes_new = max(known.outcomes_new, counts[2])
             known.failed_new = max(known.failed_new, counts[3])
+            if len(counts) > 4:
+                thresholds, comparisons = counts[4]
+                rollout.slowness.adopt(thresholds)
+                rollout.trigger.adopt(comparisons)
 
     # Work of the coordinator in use
 
--- /dev/null
+++ b/test/test_rollout_evidence.py
@@ -0,0 +1,79 @@
+"""What a coordinator that takes over in the middle of a rollout knows of it."""
+
+from types import SimpleNamespace
+
+from lovagepier.entry._messages import Roster
+from lovagepier.entry._rollouts import Rollouts
+from lovagepier.entry.store_types import RolloutOrder
+from lovagepier.frames import decode, encode
+from test.builders import ended, make_work
+
+OLD_FIRST_S = 0.1
+SLOW_FIRST_S = 0.8
+# A slow version is seen by one coordinator within this many outcomes.
+ENOUGH_OUTCOMES = 20
+
+
+def make_rollouts():
+    order = RolloutOrder("model", "v2", 15.0, 18)
+    view = SimpleNamespace(
+        orders={"model": order},
+        rollout_state=lambda service: None,
+        targets={},
+        last_answer_at=None,
+    )
+    cfg = SimpleNamespace(moves_exposure_share=0.1, moves_exposure_slack=50)
+    rollouts = Rollouts(cfg, view, lambda *args: None)
+    rollouts.refresh(0.0)
+    return rollouts
+
+
+def observe(rollouts, version, first_s, count, now=1.0):
+    """Observe outcomes of a version; return after how many it was rolled back."""
+    for number in range(count):
+        work = make_work(f"{version}-{number}", route=("talk", "note")[number % 2])
+        outcome = ended(work, first_seconds=first_s, total_seconds=first_s + 0.4)
+        rollouts.observe("model", version, work, outcome, now)
+        if rollouts.rollbacks():
+            return number + 1
+    return None
+
+
+def take_over(rollouts):
+    """Return what a follower of `rollouts` knows, by way of a roster on the wire."""
+    follower = make_rollouts()
+    rows = rollouts.progress_rows()
+    roster = Roster("n1", None, 1, 1, 0.0, [], [], {}, rows)
+    follower.merge_progress(decode(encode(roster)).message.rollouts)
+    return follower
+
+
+def test_one_coordinator_sees_a_slow_version():
+    rollouts = make_rollouts()
+    assert observe(rollouts, "old", OLD_FIRST_S, 60) is None
+    assert observe(rollouts, "new", SLOW_FIRST_S, ENOUGH_OUTCOMES) is not None
+
+
+def test_a_successor_knows_how_fast_the_old_version_was():
+    """Replays EXPOSURE: a kill as all traffic moved, and no old outcomes after it."""
+    rollouts = make_rollouts()
+    observe(rollouts, "old", OLD_FIRST_S, 60)
+    successor = take_over(rollouts)
+    assert observe(successor, "new", SLOW_FIRST_S, ENOUGH_OUTCOMES) is not None
+
+
+def test_a_successor_goes_on_from_the_outcomes_seen_so_far():
+    rollouts = make_rollouts()
+    observe(rollouts, "old", OLD_FIRST_S, 60)
+    alike = make_rollouts()
+    observe(alike, "old", OLD_FIRST_S, 60)
+    needed = observe(alike, "new", SLOW_FIRST_S, ENOUGH_OUTCOMES)
+    assert observe(rollouts, "new", SLOW_FIRST_S, needed - 1) is None
+    assert observe(take_over(rollouts), "new", SLOW_FIRST_S, 1) == 1
+
+
+def test_a_good_version_is_not_rolled_back_by_a_successor():
+    rollouts = make_rollouts()
+    observe(rollouts, "old", OLD_FIRST_S, 60)
+    observe(rollouts, "new", OLD_FIRST_S, 10)
+    assert observe(take_over(rollouts), "new", OLD_FIRST_S, 200) is None
