Watch a switched rollout before it is done

Cause: a rollout was done as soon as the old version ran nothing, 0.75 to 1.5 s after the switch. The slow answers were not in yet, and the end is final, since the old targets stop. It is now done after 0.8 of its time at the earliest; the limit of 0.93 stays.

The test that asked for an early end is replaced by two: no end before the old version is drained and the time is up, and a rollback up to then.

--- a/lovagepier/decisions/rollout_plan.py
+++ b/lovagepier/decisions/rollout_plan.py
@@ -20,8 +20,11 @@
 # back: without outcomes, or if more than `MAX_FAILED_FRACTION` of them failed.
 MAX_SWITCH_FRACTION = 0.7
 MAX_FAILED_FRACTION = 0.3
-# At this fraction of the time the rollout is done. Requests that still run on the
-# old version are cut off by the platform.
+# Before this fraction of the time the rollout is not done: answers of a slow version
+# come late, and after the end there is no way back.
+MIN_END_FRACTION = 0.8
+# At this fraction of the time the rollout is done in any case. Requests that still run
+# on the old version are cut off by the platform.
 MAX_END_FRACTION = 0.93
 
 
@@ -100,7 +103,7 @@
                 else:
                     self.roll_back("too little good evidence in time")
         elif self.stage == Stage.SWITCHED:
-            ended = not progress.old_running and fraction >= MIN_CANARY_FRACTION
+            ended = not progress.old_running and fraction >= MIN_END_FRACTION
             if ended or fraction >= MAX_END_FRACTION:
                 self.stage = Stage.DONE
         return self.stage
--- a/test/test_rollout_plan.py
+++ b/test/test_rollout_plan.py
@@ -58,13 +58,23 @@
     assert not progress.sent_new
 
 
+def test_a_rollout_is_watched_before_it_is_done():
+    """Replays EXPOSURE: done 0.75 s after the switch, before slow answers were in."""
+    plan = RolloutPlan(10.0, SHARE, SLACK, 0.0)
+    progress = RolloutProgress(100, 20, 20, True, old_running=0)
+    assert plan.step(progress, 5.0) == Stage.SWITCHED
+    assert plan.step(progress, 6.1) == Stage.SWITCHED
+    plan.roll_back("slowness on all routes")
+    assert plan.stage == Stage.ROLLED_BACK
+
+
 def test_a_rollout_is_done_once_the_old_version_runs_no_requests():
     plan = RolloutPlan(10.0, SHARE, SLACK, 0.0)
     progress = RolloutProgress(100, 20, 20, True, old_running=3)
     assert plan.step(progress, 5.0) == Stage.SWITCHED
-    assert plan.step(progress, 6.0) == Stage.SWITCHED
+    assert plan.step(progress, 8.5) == Stage.SWITCHED
     progress.old_running = 0
-    assert plan.step(progress, 6.1) == Stage.DONE
+    assert plan.step(progress, 8.6) == Stage.DONE
 
 
 def test_a_version_that_is_rolled_back_gets_nothing_from_then_on():
