Share retry budgets between coordinators, and hand them on

Each successor began with a fresh fifth of the budget, and each of several coordinators that can't reach each other allowed the whole of it. With three kills in one window that passes the bound at 35 requests/s (46 + 60 + 27 of 124, worked out from the settings). A coordinator now holds its share, as of the quotas, rosters carry the levels, and a successor adopts them.

--- a/lovagepier/entry/_budgets.py
+++ b/lovagepier/entry/_budgets.py
@@ -35,10 +35,11 @@
     )
 
 
-def make_retry_budget(cfg):
-    """Return the `RetryBudget` of one service."""
+def make_retry_budget(cfg, share):
+    """Return this host's share of the `RetryBudget` of one service."""
     return RetryBudget(
         ratio=cfg.budgets_retry_ratio * RETRY_FRACTION,
         floor_rate=MIN_RETRIES_PER_S,
         capacity=cfg.budgets_retry_slack * RETRY_FRACTION,
+        share=share,
     )
--- a/lovagepier/entry/_cluster.py
+++ b/lovagepier/entry/_cluster.py
@@ -84,6 +84,7 @@
         self._coordinator_store_age = 0.0
         self._rounds = 0
         self._quota_levels = None
+        self._retry_levels = {}
         self._switched_at = 0.0
         self._started_at = self._loop.time()
         self.coordinator_name = None
@@ -198,6 +199,7 @@
         self._coordinator_store_age = roster.store_age
         self._roster = link.roster
         self._quota_levels = roster.quota_levels
+        self._retry_levels = roster.retry_levels
         self._coordinator.rollouts.merge_progress(roster.rollouts)
         self._merge_evidence(roster)
         for service, revision, cause in roster.rollbacks:
@@ -260,7 +262,7 @@
             self._outgoing.links[name].send(self._heartbeat(True))
         now = self._loop.time()
         if name == self._cfg.host_name and self.coordinator_name is not None:
-            self._coordinator.take_over(now, self._quota_levels)
+            self._coordinator.take_over(now, self._quota_levels, self._retry_levels)
         elif self._is_coordinator():
             self._coordinator.on_entry_lost(self._cfg.host_name, now)
         self.coordinator_name = name
--- a/lovagepier/entry/_coordinator.py
+++ b/lovagepier/entry/_coordinator.py
@@ -87,6 +87,7 @@
         self._send = send
         self._pools = {}
         self._share = 1.0
+        self._quota_share = 1.0
         self.poison_detector = PoisonDetector()
         self.quotas = make_quotas(cfg)
         self.base_quotas = Quotas()
@@ -103,7 +104,9 @@
                 max_waiting=self._cfg.scheduling_max_waiting,
                 shed_pause_s=SHED_PAUSE_S,
                 finished_retention_s=FINISHED_RETENTION_S,
-                make_retry_budget=lambda: make_retry_budget(self._cfg),
+                make_retry_budget=lambda: make_retry_budget(
+                    self._cfg, self._quota_share
+                ),
             )
             pool = _Pool(PoolScheduler(options, self._rng))
             pool.scheduler.poison_detector = self.poison_detector
@@ -196,6 +199,9 @@
     def set_share(self, share, quota_share, now):
         """Set the fractions of all targets and quotas that this host hands out."""
         self.quotas.set_share(quota_share, now)
+        self._quota_share = quota_share
+        for pool in self._pools.values():
+            pool.scheduler.retry_budget.set_share(quota_share, now)
         if share == self._share:
             return
         _log.info(
@@ -218,13 +224,22 @@
         slots = {target.id: target.slots for target in targets}
         return slots_for_host(self._cfg.host_name, slots, self._share)
 
-    def take_over(self, now, quota_levels=None):
+    def take_over(self, now, quota_levels=None, retry_levels=None):
         """Start to decide for hosts that used another coordinator until now.
 
         `quota_levels` are the last levels that it sent of its `Quotas`, None if
-        they are unknown.
+        they are unknown. `retry_levels` are those of its `RetryBudget`s.
         """
         self.quotas.take_over(now, quota_levels)
+        for service, level in (retry_levels or {}).items():
+            self._pool(service).scheduler.retry_budget.adopt(level)
+
+    def retry_levels(self):
+        """Return {service: tokens left in its retry budget}."""
+        return {
+            service: round(pool.scheduler.retry_budget.level, 1)
+            for service, pool in self._pools.items()
+        }
 
     # Messages from entry hosts
 
--- a/lovagepier/entry/_followers.py
+++ b/lovagepier/entry/_followers.py
@@ -104,6 +104,7 @@
             self._coordinator.rollouts.progress_rows(),
             self._boot,
             self._changed_suspects(link),
+            self._coordinator.retry_levels(),
         )
 
     def _changed_suspects(self, link):
--- a/lovagepier/entry/_messages.py
+++ b/lovagepier/entry/_messages.py
@@ -61,6 +61,7 @@
     the new version, failures of the new version, comparisons] of open rollouts; the
     last are the `SlownessDetector.thresholds` and the `RollbackTrigger.state`.
     `boot` identifies the sender's incarnation, empty if it does not say.
+    `retry_levels` maps services to the tokens left in their `RetryBudget`s.
     """
 
     coordinator: str
@@ -74,6 +75,7 @@
     rollouts: list
     boot: str = ""
     suspects: list | None = None
+    retry_levels: dict = field(default_factory=dict)
 
 
 @message("e.ask")
