--- a/test/platform_standins.py
+++ b/test/platform_standins.py
@@ -187,6 +187,7 @@
     `arrivals` lists (request id, headers) of all requests, `runs` those that it
     executed, `cancelled` the ids whose caller disconnected during `work_s`. A
     stream has `events` events, `gap_s` apart; `sent` counts the bytes of a flood.
+    A request with the part `crash_part` in its prompt ends the target.
     """
 
     def __init__(self, target_id, service, slots=4, version="v1", zone="a1"):
@@ -202,6 +203,7 @@
         self.events = 4
         self.gap_s = 0.0
         self.work_s = 0.0
+        self.crash_part = ""
         self.cancelled = []
         self.sent = 0
         self.born = 1
@@ -229,6 +231,8 @@
             writer.write(response_bytes(503, b"", ["X-Not-Executed: 1"]))
             return
         self.runs.append((request_id, method, path, headers, body))
+        if self.crash_part and self.crash_part in headers.get("x-prompt-prefix", ""):
+            await self._crash(writer, (), headers, request_id)
         seal = [f"X-Request-Id: {request_id}", f"X-Server-Seal: s.{self.id}"]
         if self.work_s and not await self._work(reader, request_id):
             return
--- a/test/test_crashes.py
+++ b/test/test_crashes.py
@@ -127,3 +127,44 @@
         await wait_until(lambda: any("poison" in key for key in fleet.store.items))
 
     run_scenario(scenario)
+
+
+async def replace_crashed(fleet):
+    """Start a target for each one that has crashed; return how many that were."""
+    crashed = [
+        target
+        for target in fleet.targets.values()
+        if target.service == "model" and not target._server.is_serving()
+    ]
+    for target in crashed:
+        del fleet.targets[target.id]
+        await fleet.store.remove(f"servers/{target.id}")
+        number = int(target.id[1:]) + 10
+        new = await fleet.add_target(f"m{number}", "model")
+        new.crash_part = target.crash_part
+    return len(crashed)
+
+
+def test_a_part_is_refused_over_hosts_and_sound_requests_go_on():
+    """Replays second1 over several hosts: each body is new, one part is the same."""
+
+    async def scenario(fleet):
+        for name in ("m2", "m3"):
+            await fleet.add_target(name, "model")
+        for target in fleet.targets.values():
+            target.crash_part = "bad:"
+        crashes = 0
+        statuses = []
+        for number in range(12):
+            host = fleet.hosts[number % len(fleet.hosts)]
+            for part in ("bad", "good"):
+                parts = f"X-Prompt-Prefix: a1:60,{part}:200,{part}{number}:10"
+                path = f"/note/{part}-{number}"
+                response = await call(host, path, f"{part}{number}", headers=(parts,))
+                statuses.append((part, response.status))
+            crashes += await replace_crashed(fleet)
+        assert crashes <= 5
+        assert statuses[-2] == ("bad", 422)
+        assert {status for part, status in statuses if part == "good"} == {200}
+
+    run_scenario(scenario, hosts=3)
