Part the trials of suspects from the scheduler

decisions/trials.py holds which requests are suspects, what waits for a trial and what a lost run tells; the scheduler keeps order and placement.

--- a/lovagepier/decisions/scheduler.py
+++ b/lovagepier/decisions/scheduler.py
@@ -6,12 +6,12 @@
 from lovagepier.decisions.dispatch_log import DispatchLog
 from lovagepier.decisions.estimates import LengthEstimates
 from lovagepier.decisions.fleet import Fleet, TargetState
-from lovagepier.decisions.poison import PoisonDetector, Run, part_key
 from lovagepier.decisions.policies import POLICIES
 from lovagepier.decisions.prefixes import PrefixIndex
 from lovagepier.decisions.retries import RetryBudget
 from lovagepier.decisions.shedding import ShedPause
 from lovagepier.decisions.start_rates import StartRates
+from lovagepier.decisions.trials import Trials
 from lovagepier.decisions.waiting import WaitingRequests
 from lovagepier.decisions.work import Grant, Outcome, Refusal
 from lovagepier.errors import ErrorKind
@@ -24,11 +24,6 @@
 MAX_PASSED_OVER = 4
 # Queued requests looked at in one pass, with the suspects that wait for a trial.
 MAX_SCANNED = 64
-# A trial that takes longer than this no longer holds up the suspect's other requests.
-MAX_TRIAL_S = 2.0
-# Targets crash soon after they began an answer. If it began longer ago than this, the
-# request is less likely to be the cause.
-ANSWER_SETTLED_S = 1.0
 # Added to the expected service time when the latest start of a request is computed.
 DEADLINE_MARGIN_S = 0.02
 # An idle pool runs one seemingly infeasible request per period, to correct its
@@ -36,11 +31,6 @@
 MIN_EXPLORE_PERIOD_S = 1.0
 # Speed estimates of a target without requests are relaxed after this time.
 RELAX_AFTER_S = 2.0
-# Vanished requests remembered for each target.
-MAX_VANISHED = 64
-# Requests that a target lost this long before it was seen to restart count as
-# running when it crashed.
-VANISHED_WINDOW_S = 5.0
 # Time past the deadline after which a missing outcome is taken as lost.
 LOST_AFTER_S = 90.0
 # Bound on queued late requests, in multiples of all slots. More of them would only
@@ -125,19 +115,27 @@
         self.waiting = WaitingRequests(options.tiers, options.max_waiting)
         self.lengths = LengthEstimates()
         self.prefixes = PrefixIndex()
-        self.poison_detector = PoisonDetector()
         self.retry_budget = options.make_retry_budget()
         self.share = {}
         self.old_version = None
         self._rng = rng
         self._dispatched = DispatchLog(options.finished_retention_s)
+        self._trials = Trials(self._dispatched)
         self._start_rates = StartRates(options.tiers)
         self._pause = ShedPause(options.shed_pause_s)
         self.last_shed = None
         self._sequence = 0
         self._explored_at = float("-inf")
         self._has_outcomes = False
-        self._seen_verdicts = 0
+
+    @property
+    def poison_detector(self):
+        """The `PoisonDetector`, which several pools may share."""
+        return self._trials.detector
+
+    @poison_detector.setter
+    def poison_detector(self, detector):
+        self._trials.detector = detector
 
     # Requests
 
@@ -170,7 +168,7 @@
         return decisions + self._drain(now)
 
     def _refuse_at_once(self, work, now):
-        if self._is_poison(work):
+        if self._trials.is_poison(work):
             return _refuse_poison(work)
         if not len(self.fleet):
             return Refusal(work, ErrorKind.NO_TARGET, "the pool has no targets")
@@ -273,11 +271,9 @@
 
     def _remove_poison(self):
         """Refuse queued requests that have proved poisonous since the last call."""
-        verdicts = self.poison_detector.verdicts
-        if verdicts == self._seen_verdicts:
+        if not self._trials.has_new_verdicts():
             return []
-        self._seen_verdicts = verdicts
-        poison = [work for work in self.waiting.works() if self._is_poison(work)]
+        poison = [work for work in self.waiting.works() if self._trials.is_poison(work)]
         for work in poison:
             self.waiting.remove(work.id)
         return [_refuse_poison(work) for work in poison]
@@ -343,7 +339,7 @@
         for work in islice(self.waiting.candidates(), MAX_SCANNED):
             if passed_over >= MAX_PASSED_OVER or self._pause.is_paused(work.tier, now):
                 return None
-            if self._awaits_trial(work, now):
+            if self._trials.awaits_trial(work, now):
                 continue
             grant = self._place(work, now)
             if grant is not None:
@@ -355,35 +351,10 @@
             passed_over += 1
         return None
 
-    def _awaits_trial(self, work, now):
-        """Return whether a suspect waits for the trial of another request with it.
-
-        If all of them ran at once, each could crash a target.
-        """
-        suspects = set(self._suspect_names(work))
-        if not suspects:
-            return False
-        return any(
-            now - item.granted_at < MAX_TRIAL_S
-            and not suspects.isdisjoint(_names(item.work))
-            for item in self._dispatched.values()
-        )
-
-    def _suspect_names(self, work):
-        """Return the names under which `work` is an active suspect."""
-        if not len(self.poison_detector):
-            return []
-        return [name for name in _names(work) if self.poison_detector.is_suspect(name)]
-
-    def _is_poison(self, work):
-        if not len(self.poison_detector):
-            return False
-        return any(self.poison_detector.is_poison(name) for name in _names(work))
-
     def _may_be_passed_over(self, work):
         if work.exclude or work.awaits_cache:
             return True
-        return bool(self._suspect_names(work))
+        return self._trials.is_suspect(work)
 
     def _cost(self, work, grant):
         """Return the seconds charged to the account in fair queueing."""
@@ -392,8 +363,8 @@
 
     def _place(self, work, now):
         excluded = work.exclude
-        if self._suspect_names(work):
-            work.exclude = excluded | self._targets_with_suspects()
+        if self._trials.is_suspect(work):
+            work.exclude = excluded | self._trials.targets_with_suspects()
         try:
             return self._place_on_any(work, now)
         finally:
@@ -411,14 +382,6 @@
                 return self._start(work, state, hit, why, now)
         return None
 
-    def _targets_with_suspects(self):
-        # If a target with two suspects crashed, the culprit would stay unknown.
-        return {
-            item.target
-            for item in self._dispatched.values()
-            if self._suspect_names(item.work)
-        }
-
     def _versions(self, work):
         """Return the versions `work` may go to, preferred first."""
         if self.old_version is None:
@@ -452,7 +415,7 @@
         state.start(work, hit)
         state.last_start_at = now
         self.fleet.reindex(state)
-        on_trial = bool(self._suspect_names(work))
+        on_trial = self._trials.is_suspect(work)
         self._dispatched.begin(work, state.name, state.version, now, on_trial)
         self._start_rates.on_start(work.tier, now)
         if work.blocks:
@@ -511,8 +474,7 @@
     def _learn_outcome(self, state, work, outcome, now):
         if outcome.status == "ok":
             state.on_success()
-            parts = [part_key(part) for part in work.parts]
-            self.poison_detector.on_success(work.fingerprint, parts)
+            self._trials.on_success(work)
             self._learn_lengths(state, work, outcome)
         elif outcome.status in ("failed", "not-run", "vanished"):
             state.on_failure(now, self.fleet.may_eject(now, state))
@@ -524,12 +486,11 @@
         may report their loss after the crash is known.
         """
         if outcome.status in ("vanished", "died"):
-            state.vanished = state.vanished[-MAX_VANISHED:]
-            state.vanished.append((_run_of(running, now), now))
+            self._trials.on_lost(state, running, now)
         if outcome.status in ("died", "unreachable") and not state.down:
             self.target_crashed(state.name, state.incarnation_id, now)
         elif outcome.status in ("vanished", "died") and state.down:
-            self._count_crash(state, state.incarnation_id, now)
+            self._trials.on_crash(state, state.incarnation_id, now)
 
     def _learn_lengths(self, state, work, outcome):
         if outcome.total_seconds is None:
@@ -665,23 +626,7 @@
         Requests that vanished shortly before are the evidence of the crash.
         """
         if not state.down:
-            self._count_crash(state, state.incarnation_id, now)
-
-    def _count_crash(self, state, crash_id, now):
-        """Record the requests that a target lost in a crash, if any.
-
-        Returns the newly poisoned fingerprints.
-        """
-        lost = [item for item, at in state.vanished if now - at <= VANISHED_WINDOW_S]
-        state.vanished = []
-        if not lost:
-            return []
-        beside = [
-            _run_of(running, now)
-            for running in map(self._dispatched.get, state.running)
-            if running is not None
-        ]
-        return self.poison_detector.on_crash(crash_id, lost, now, beside)
+            self._trials.on_crash(state, state.incarnation_id, now)
 
     def set_draining(self, name, draining):
         """Stop or resume granting new requests to a target."""
@@ -699,7 +644,7 @@
         state.limit.restart()
         self.prefixes.forget(name)
         self.fleet.reindex(state)
-        return self._count_crash(state, crash_id, now)
+        return self._trials.on_crash(state, crash_id, now)
 
     def begin_probing(self, name):
         """Return a target that was down to service with one request at a time.
@@ -749,22 +694,6 @@
         self.prefixes.remove(name, evicted)
 
 
-def _names(work):
-    """Return the names under which `work` can be a suspect of a crash."""
-    return [work.fingerprint, *(part_key(part) for part in work.parts)]
-
-
-def _run_of(running, now):
-    """Return the `Run` that a crash may blame for a `Running` entry."""
-    began_at = running.first_byte_at
-    return Run(
-        running.work.fingerprint,
-        [part_key(part) for part in running.work.parts],
-        running.on_trial,
-        began_at is not None and now - began_at >= ANSWER_SETTLED_S,
-    )
-
-
 def _refuse_poison(work):
     why = "targets died each time this body, or a part of its prompt, ran"
     return Refusal(work, ErrorKind.SUSPECT_REQUEST, why, retry_after=0)
