--- a/lovagepier/decisions/quotas.py
+++ b/lovagepier/decisions/quotas.py
@@ -37,6 +37,8 @@
     unit. Over any time T an account gets at most (rate x T + burst) of the widened
     values, plus a debt of `max_debt`.
 
+    `window_s` is the time over which an account's use is bounded.
+
     `share` is the fraction of every quota that this coordinator may admit, while
     others may admit the rest. After `take_over` a bucket starts with `INITIAL_FILL`
     of its burst, or with the level that the previous coordinator reported if that
@@ -66,6 +68,7 @@
         "_max_share",
         "_overage",
         "_taken_over_at",
+        "_window_s",
         "share",
     )
 
@@ -76,12 +79,14 @@
         extra_rate=0.0,
         max_debt=float("inf"),
         max_initial_level=float("inf"),
+        window_s=0.0,
     ):
         self._max_initial_level = max_initial_level
         self._overage = overage
         self._extra_burst = extra_burst
         self._extra_rate = extra_rate
         self._max_debt = max_debt
+        self._window_s = window_s
         self._taken_over_at = float("-inf")
         self._buckets = {}
         self._debits = {}
@@ -147,8 +152,13 @@
     def low_levels(self, now):
         """Return {account: fraction of its burst that is left}.
 
-        Accounts with at least `INITIAL_FILL` left are omitted.
+        Accounts with at least `INITIAL_FILL` left are omitted. None for `window_s`
+        after a start without earlier levels: accounts that were not seen since may
+        have spent theirs before.
         """
+        since = now - self._taken_over_at
+        if self._inherited_levels is None and since < self._window_s:
+            return None
         levels = {}
         for name, bucket in self._buckets.items():
             bucket.refill(now)
--- a/lovagepier/entry/_budgets.py
+++ b/lovagepier/entry/_budgets.py
@@ -32,6 +32,7 @@
         extra_rate=slack * QUOTA_RATE_FRACTION / cfg.budgets_quota_window,
         max_debt=slack * QUOTA_DEBT_FRACTION,
         max_initial_level=slack * QUOTA_REFILL_FRACTION,
+        window_s=cfg.budgets_quota_window,
     )
 
 
--- a/lovagepier/entry/_messages.py
+++ b/lovagepier/entry/_messages.py
@@ -56,11 +56,12 @@
     requests that no host may run, `suspects` the `PoisonDetector.suspect_rows`, None
     if they did not change. `rollbacks` rows are [service, order revision, cause] of
     rollouts that were rolled back. `quota_levels` maps accounts whose quotas are
-    nearly spent to the fraction of the burst that is left. `rollouts` rows are
-    [service, order revision, dispatches, dispatches to the new version, outcomes of
-    the new version, failures of the new version, comparisons] of open rollouts; the
-    last are the `SlownessDetector.thresholds` and the `RollbackTrigger.state`.
-    `boot` identifies the sender's incarnation, empty if it does not say.
+    nearly spent to the fraction of the burst that is left, None if it is unknown.
+    `rollouts` rows are [service, order revision, dispatches, dispatches to the new
+    version, outcomes of the new version, failures of the new version, comparisons] of
+    open rollouts; the last are the `SlownessDetector.thresholds` and the
+    `RollbackTrigger.state`. `boot` identifies the sender's incarnation, empty if it
+    does not say.
     `retry_levels` maps services to the tokens left in their `RetryBudget`s.
     """
 
@@ -71,7 +72,7 @@
     store_age: float
     poisoned: list
     rollbacks: list
-    quota_levels: dict
+    quota_levels: dict | None
     rollouts: list
     boot: str = ""
     suspects: list | None = None
--- a/test/test_quotas.py
+++ b/test/test_quotas.py
@@ -95,6 +95,7 @@
         extra_rate=SLACK * QUOTA_RATE_FRACTION / WINDOW,
         max_debt=SLACK * QUOTA_DEBT_FRACTION,
         max_initial_level=SLACK * QUOTA_REFILL_FRACTION,
+        window_s=WINDOW,
     )
 
 
@@ -286,3 +287,24 @@
     while not quotas.spend("a", TOKEN_RATE, TOKEN_BURST, 100.0, 10.5):
         spent += 100.0
     assert spent >= TOKEN_BURST * 0.4 + TOKEN_RATE * 0.5
+
+
+def test_a_successor_of_a_coordinator_that_knows_no_levels_knows_none_either():
+    """Replays QUOTA after a loss of 195 hosts: accounts that had sent nothing yet
+    counted as untouched, and a second change of the coordinator filled them."""
+    burst = 400_000.0
+    first, second = _new_quotas(), _new_quotas()
+    first.take_over(0.0)
+    second.take_over(1.0, first.low_levels(1.0))
+    spent = 0.0
+    while not second.spend("a", TOKEN_RATE, burst, 1000.0, 1.0):
+        spent += 1000.0
+    assert spent <= SLACK * (QUOTA_REFILL_FRACTION + QUOTA_DEBT_FRACTION)
+
+
+def test_levels_are_known_again_a_window_after_a_loss_of_all_hosts():
+    quotas = _new_quotas()
+    quotas.take_over(0.0)
+    quotas.spend("a", TOKEN_RATE, TOKEN_BURST, 1.0, 0.0)
+    assert quotas.low_levels(WINDOW / 2) is None
+    assert quotas.low_levels(WINDOW) is not None
