--- a/test/test_crashes.py
+++ b/test/test_crashes.py
@@ -58,9 +58,10 @@
     async def scenario(fleet):
         first, second = fleet.hosts
         detector = first.coordinator.poison_detector
-        detector.on_crash("m7/1", [Run("bad")], 1.0)
-        detector.on_crash("m8/1", [Run("bad")], 2.0)
-        detector.on_crash("m9/1", [Run("suspected")], 3.0)
+        now = first._loop.time()
+        detector.on_crash("m7/1", [Run("bad")], now)
+        detector.on_crash("m8/1", [Run("bad")], now)
+        detector.on_crash("m9/1", [Run("suspected")], now)
         heard = second.coordinator.poison_detector
         await wait_until(lambda: heard.is_poison("bad"))
         await wait_until(lambda: heard.is_suspect("suspected"))
@@ -74,7 +75,8 @@
     async def scenario(fleet):
         first, second = fleet.hosts
         second.cluster._switch_to("n2")
-        second.coordinator.poison_detector.on_crash("m8/1", [Run("suspected")], 1.0)
+        now = second._loop.time()
+        second.coordinator.poison_detector.on_crash("m8/1", [Run("suspected")], now)
         second.cluster._switch_to("n1")
         detector = first.coordinator.poison_detector
         await wait_until(lambda: detector.is_suspect("suspected"))
