A starting host takes its share of the quotas as soon as it knows the others

Cause: shares were computed each round (0.25 s) only. Shares now follow each change of the store, before the host serves. The test failed before (0.125 with 100 hosts registered).

--- a/lovagepier/entry/_cluster.py
+++ b/lovagepier/entry/_cluster.py
@@ -179,7 +179,7 @@
 
     def _on_heartbeat(self, link, heartbeat):
         if self.followers.on_heartbeat(link, heartbeat):
-            self._update_shares()
+            self.update_shares()
             self.requests.resend_deferred()
         self.replication.request_if_behind(link, heartbeat)
         link.send(self.followers.roster(link))
@@ -267,7 +267,7 @@
             self._coordinator.on_entry_lost(self._cfg.host_name, now)
         self.coordinator_name = name
         self._switched_at = now
-        self._update_shares()
+        self.update_shares()
         rows = self.requests.running_rows()
         if not self._is_coordinator() or rows:
             self._send_to_coordinator(
@@ -339,7 +339,7 @@
                 link.close()
             elif link.in_use or self._rounds % STANDBY_HEARTBEAT_ROUNDS == 0:
                 link.send(self._heartbeat(link.in_use))
-        self._update_shares()
+        self.update_shares()
 
     def _heartbeat(self, is_follower):
         return Heartbeat(
@@ -362,7 +362,8 @@
         for link in self._outgoing.links.values():
             link.send(self._heartbeat(link.in_use))
 
-    def _update_shares(self):
+    def update_shares(self):
+        """Set the fractions that this host hands out, by the hosts that follow it."""
         host_count = self.followers.count() + self._is_coordinator()
         starting = self._is_starting() and self._cfg.host_first_start != "true"
         now = self._loop.time()
--- a/lovagepier/entry/_host.py
+++ b/lovagepier/entry/_host.py
@@ -242,6 +242,8 @@
 
     def _refresh(self):
         self._verdicts.read(self._loop.time())
+        # The number of hosts decides how much of each quota this one may admit.
+        self.cluster.update_shares()
         self.coordinator.refresh(self._loop.time())
         self.cluster.choose_coordinator()
         incarnations = {target.incarnation for target in self.view.targets.values()}
--- a/test/test_quotas.py
+++ b/test/test_quotas.py
@@ -1,5 +1,7 @@
 """Tests of quotas: nothing within them is refused, and what is admitted is bounded."""
 
+import asyncio
+
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -11,6 +13,8 @@
     QUOTA_RATE_FRACTION,
     QUOTA_REFILL_FRACTION,
 )
+from lovagepier.entry._view import encode_host
+from test.entry_builders import entry_fleet
 
 RATE, BURST = 100.0, 300.0
 steps = st.lists(st.tuples(st.floats(0, 2), st.floats(1, 120)), max_size=60)
@@ -308,3 +312,18 @@
     quotas.spend("a", TOKEN_RATE, TOKEN_BURST, 1.0, 0.0)
     assert quotas.low_levels(WINDOW / 2) is None
     assert quotas.low_levels(WINDOW) is not None
+
+
+def test_a_starting_host_knows_its_share_before_it_serves():
+    """Replays a loss of 195 hosts: each admitted an eighth until its next round."""
+
+    async def scenario():
+        async with entry_fleet() as fleet:
+            for number in range(100):
+                value = encode_host(f"n{number}", "127.0.0.1:9")
+                await fleet.store.write(f"lovagepier/hosts/n{number}.before", value)
+            host = await fleet.host("n200", host={"first_start": "false"})
+            await host.frontend.has_catalog.wait()
+            assert host.coordinator.quotas.share <= 1 / 100
+
+    asyncio.run(scenario())
