--- a/lovagepier/decisions/poison.py
+++ b/lovagepier/decisions/poison.py
@@ -147,7 +147,8 @@
             suspect = self._suspects.setdefault(name, _Suspect(now))
             suspect.crashes.add(crash_id)
             suspect.at = now
-            suspect.active = not run.settled or len(suspect.crashes) > 1
+            if not run.settled or len(suspect.crashes) > 1:
+                suspect.active = True
             if run.on_trial:
                 suspect.failed_trials.add(crash_id)
         poisoned = [
--- a/test/test_strikes.py
+++ b/test/test_strikes.py
@@ -150,3 +150,12 @@
     scheduler.finish(ended(refused, "e1", "unreachable"), 1.2)
     assert scheduler.poison_detector.is_suspect(ran.fingerprint)
     assert not scheduler.poison_detector.is_suspect(refused.fingerprint)
+
+
+def test_a_late_report_of_a_crash_leaves_its_suspects_active():
+    detector = PoisonDetector()
+    detector.on_crash("e1/1", [Run("body-1", ("part:a",))], 1.0)
+    settled = Run("body-2", ("part:a",), settled=True)
+    detector.on_crash("e1/1", [settled], 1.1)
+    assert detector.is_suspect("part:a")
+    assert not detector.is_suspect("body-2")
