--- a/lovagepier/decisions/poison.py
+++ b/lovagepier/decisions/poison.py
@@ -279,6 +279,12 @@
         if poisoned:
             self._convict(suspect)
 
+    def merge_poisoned(self, names, now):
+        """Merge verdicts of other hosts or of the store."""
+        for name in names:
+            if not self.is_poison(name):
+                self.merge(name, (), True, now)
+
     def poisoned(self):
         """Return the poisoned names."""
         return [name for name, item in self._suspects.items() if item.poisoned]
--- a/lovagepier/entry/_cluster.py
+++ b/lovagepier/entry/_cluster.py
@@ -209,9 +209,7 @@
         """Know what the coordinator knows of suspects, to continue if it is lost."""
         detector = self._coordinator.poison_detector
         now = self._loop.time()
-        for fingerprint in roster.poisoned:
-            if not detector.is_poison(fingerprint):
-                detector.merge(fingerprint, (), True, now)
+        detector.merge_poisoned(roster.poisoned, now)
         if roster.suspects is not None:
             detector.replace_rows(roster.suspects, now)
 
--- a/lovagepier/entry/_coordinator.py
+++ b/lovagepier/entry/_coordinator.py
@@ -382,8 +382,7 @@
 
     def on_running_report(self, entry, report, now):
         """Adopt work that an entry host runs and another coordinator granted."""
-        for fingerprint in report.poisoned:
-            self.poison_detector.merge(fingerprint, (), True, now)
+        self.poison_detector.merge_poisoned(report.poisoned, now)
         self.poison_detector.merge_rows(report.suspects, now)
         for service, revision, cause in report.rollbacks:
             self.rollouts.roll_back(service, revision, cause)
--- a/lovagepier/entry/_verdicts.py
+++ b/lovagepier/entry/_verdicts.py
@@ -35,9 +35,7 @@
 
     def read(self, now):
         """Merge the verdicts that the store holds."""
-        for name in self._view.poisoned.values():
-            if not self._detector.is_poison(name):
-                self._detector.merge(name, (), True, now)
+        self._detector.merge_poisoned(self._view.poisoned.values(), now)
 
     def write(self, now):
         """Write verdicts that the store lacks, a few at a time."""
