--- a/test/platform_standins.py
+++ b/test/platform_standins.py
@@ -187,7 +187,9 @@
     `arrivals` lists (request id, headers) of all requests, `runs` those that it
     executed, `cancelled` the ids whose caller disconnected during `work_s`. A
     stream has `events` events, `gap_s` apart; `sent` counts the bytes of a flood.
-    A request with the part `crash_part` in its prompt ends the target.
+    A request with the part `crash_part` in its prompt ends the target. With `limit`
+    it names that many requests a second as its limit in each answer. `arrived_at`
+    lists the loop times of `arrivals`.
     """
 
     def __init__(self, target_id, service, slots=4, version="v1", zone="a1"):
@@ -200,6 +202,8 @@
         self.mode = "ok"
         self.runs = []
         self.arrivals = []
+        self.arrived_at = []
+        self.limit = None
         self.events = 4
         self.gap_s = 0.0
         self.work_s = 0.0
@@ -224,16 +228,18 @@
     async def respond(self, method, path, headers, body, writer, reader):
         request_id = headers.get("x-request-id", "")
         self.arrivals.append((request_id, headers))
+        self.arrived_at.append(asyncio.get_running_loop().time())
         if headers.get("x-expect-instance") != self.id:
             writer.write(response_bytes(421, b"", [f"X-Instance-Id: {self.id}"]))
             return
+        limit = [] if self.limit is None else [f"Server-Limit: {self.limit}"]
         if self.mode == "shed":
-            writer.write(response_bytes(503, b"", ["X-Not-Executed: 1"]))
+            writer.write(response_bytes(503, b"", ["X-Not-Executed: 1", *limit]))
             return
         self.runs.append((request_id, method, path, headers, body))
         if self.crash_part and self.crash_part in headers.get("x-prompt-prefix", ""):
             await self._crash(writer, (), headers, request_id)
-        seal = [f"X-Request-Id: {request_id}", f"X-Server-Seal: s.{self.id}"]
+        seal = [f"X-Request-Id: {request_id}", f"X-Server-Seal: s.{self.id}", *limit]
         if self.work_s and not await self._work(reader, request_id):
             return
         await getattr(self, f"_{self.mode}")(writer, seal, headers, request_id)
