--- a/lovagepier/entry/_exchange.py
+++ b/lovagepier/entry/_exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 import enum
 import itertools
+import math
 
 from lovagepier.entry._events import EventSplitter, EventTooLong
 from lovagepier.entry._messages import DispatchRequest, DispatchResult, Granted
@@ -248,6 +249,7 @@
         try:
             self._send(tconn, target)
             response = await self._read_head(tconn)
+            self._note_rate_limit(grant, response)
             if response.not_executed:
                 status = "not-run"
                 self._maybe_executed = executed_before
@@ -319,6 +321,17 @@
         finally:
             reading.cancel()
 
+    def _note_rate_limit(self, grant, response):
+        if response.rate_limit == math.inf:
+            return
+        _log.info(
+            "a target stated a rate limit",
+            request=self._call.request_id,
+            target=grant.target,
+            incarnation=grant.incarnation,
+            rate=response.rate_limit,
+        )
+
     def _failover_delay(self):
         delay_s = self._call.route.latency_objective_s * FAILOVER_DELAY_OBJECTIVES
         return min(max(delay_s, MIN_FAILOVER_DELAY_S), MAX_FAILOVER_DELAY_S)
--- a/lovagepier/platform/_headers.py
+++ b/lovagepier/platform/_headers.py
@@ -1,5 +1,6 @@
 """Codecs for the headers between callers, entry hosts and targets."""
 
+import math
 from dataclasses import dataclass
 
 from lovagepier.entry.call import Call
@@ -20,6 +21,7 @@
 _LENGTH_HINT = b"x-length-hint"
 _MODEL = b"x-model"
 _LAST_EVENT_ID = b"last-event-id"
+_RATE_LIMIT = b"server-limit"
 _KEY_SCHEME = "token "
 
 # Hop-by-hop headers (RFC 9110, section 7.6.1).
@@ -71,7 +73,9 @@
     has a content coding, which a target must not apply. `event_stream`
     tells whether the body is one of server-sent events, `closes_connection`
     whether the connection ends after the response. `idle_timeout_s` is how long
-    the target keeps an idle connection, None if unspecified.
+    the target keeps an idle connection, None if unspecified. `rate_limit` are the
+    requests per second that the target takes from all hosts together, infinite
+    unless it states a limit, None if what it states can't be read.
     """
 
     status: int
@@ -82,6 +86,7 @@
     event_stream: bool
     closes_connection: bool
     idle_timeout_s: float | None
+    rate_limit: float | None
     headers: list
 
 
@@ -220,6 +225,7 @@
         ),
         closes_connection=b"close" in connection or http_version == b"1.0",
         idle_timeout_s=_idle_timeout(_first(headers, b"keep-alive")),
+        rate_limit=_rate_limit(_first(headers, _RATE_LIMIT)),
         headers=headers,
     )
 
@@ -232,6 +238,16 @@
     return None
 
 
+def _rate_limit(value):
+    if value is None:
+        return math.inf
+    try:
+        rate = float(_text(value))
+    except ValueError:
+        return None
+    return rate if 0 <= rate < math.inf else None
+
+
 def relayed_headers(response):
     """Return a target's headers for the caller, without those of the framing."""
     return [pair for pair in _end_to_end(response.headers) if pair[0] not in _FRAMING]
--- a/test/test_platform_wire.py
+++ b/test/test_platform_wire.py
@@ -1,6 +1,7 @@
 """Wire formats of the platform: headers and stored documents."""
 
 import json
+import math
 
 import pytest
 from hypothesis import given
@@ -54,6 +55,18 @@
     assert decoded.output_tokens_hint == 0
 
 
+@pytest.mark.parametrize(
+    "stated, rate",
+    [(b"3.2", 3.2), (b"0", 0.0), (b"nan", None), (b"-1", None), (b"few", None)],
+)
+def test_a_targets_rate_limit_is_decoded(stated, rate):
+    assert platform.decode_response(200, [(b"server-limit", stated)]).rate_limit == rate
+
+
+def test_a_response_without_a_rate_limit_states_none():
+    assert platform.decode_response(200, []).rate_limit == math.inf
+
+
 def test_a_repeated_request_id_counts_as_missing():
     assert call([(b"x-request-id", b"r2")]).request_id == ""
 
