--- a/lovagepier/decisions/fleet.py
+++ b/lovagepier/decisions/fleet.py
@@ -6,6 +6,7 @@
 
 from lovagepier.decisions.estimates import SpeedEstimate
 from lovagepier.decisions.limits import FixedLimit, InFlightLimit
+from lovagepier.decisions.rate_limits import RateLimit
 
 __all__ = ["Fleet", "TargetState"]
 
@@ -29,7 +30,8 @@
     is `down` accepts no connections, and a `probing` one runs a single request at a
     time. `vanished` lists (`Run`, time) of requests that were lost there.
     `prefilling` maps running requests before their first byte to the tokens of their
-    prefill. `key` is the target's place in the `Fleet` index, None outside of it.
+    prefill. `rate_limit` is the `RateLimit` that the target states. `key` is the
+    target's place in the `Fleet` index, None outside of it.
     """
 
     __slots__ = (
@@ -46,6 +48,7 @@
         "prefilling",
         "probing",
         "queued_prefill",
+        "rate_limit",
         "reported",
         "reported_at",
         "running",
@@ -77,6 +80,7 @@
         self.reported_at = float("-inf")
         self.last_start_at = float("-inf")
         self.vanished = []
+        self.rate_limit = RateLimit()
         self.key = None
 
     @property
@@ -98,7 +102,9 @@
             return False
         if now < self.ejected_until:
             return False
-        return not (self.probing and self.running)
+        if self.probing and self.running:
+            return False
+        return self.rate_limit.allows(now)
 
     def has_room(self, extra=0):
         """Return whether one more request fits.
@@ -109,6 +115,10 @@
             return not self.running
         return self.limit.has_room(self.in_flight - extra * self.limit.overbook_slots)
 
+    def slots_within(self, seconds):
+        """Return how many requests may start in a time in which each slot is freed."""
+        return min(self.limit.value, self.rate_limit.starts_within(seconds))
+
     def wait_seconds(self):
         """Return the expected seconds until a new prefill would start."""
         return self.queued_prefill / self.speed.prefill_rate
--- a/lovagepier/decisions/scheduler.py
+++ b/lovagepier/decisions/scheduler.py
@@ -8,6 +8,7 @@
 from lovagepier.decisions.fleet import Fleet, TargetState
 from lovagepier.decisions.policies import POLICIES
 from lovagepier.decisions.prefixes import PrefixIndex
+from lovagepier.decisions.rate_limits import RateLimit
 from lovagepier.decisions.retries import RetryBudget
 from lovagepier.decisions.shedding import ShedPause
 from lovagepier.decisions.start_rates import StartRates
@@ -118,6 +119,7 @@
         self.retry_budget = options.make_retry_budget()
         self.share = {}
         self.old_version = None
+        self._rate_share = 1.0
         self._rng = rng
         self._dispatched = DispatchLog(options.finished_retention_s)
         self._trials = Trials(self._dispatched)
@@ -284,7 +286,11 @@
         Each late tier has a bound of its own; see `_late_room`.
         """
         late = self.waiting.demote_late(now)
-        slots = sum(state.limit.value for state in self.fleet if not state.draining)
+        slots = sum(
+            state.slots_within(LATE_ROUND_S)
+            for state in self.fleet
+            if not state.draining
+        )
         decisions = []
         for tier in {work.tier for work in late}:
             # Without work ahead the next free slots are theirs, whatever ran there.
@@ -413,6 +419,7 @@
 
     def _start(self, work, state, hit, why, now):
         state.start(work, hit)
+        state.rate_limit.spend(now)
         state.last_start_at = now
         self.fleet.reindex(state)
         on_trial = self._trials.is_suspect(work)
@@ -466,16 +473,23 @@
             if outcome.first_seconds is not None:
                 self._learn_first(state, outcome.id, outcome.first_seconds, now)
             state.finish(outcome.id)
-            self._learn_outcome(state, running.work, outcome, now)
+            self._learn_outcome(state, running, outcome, now)
             self._learn_crash(state, running, outcome, now)
             self.fleet.reindex(state)
         return self._drain(now)
 
-    def _learn_outcome(self, state, work, outcome, now):
+    def _learn_outcome(self, state, running, outcome, now):
         if outcome.status == "ok":
             state.on_success()
-            self._trials.on_success(work)
-            self._learn_lengths(state, work, outcome)
+            self._trials.on_success(running.work)
+            self._learn_lengths(state, running.work, outcome)
+        elif outcome.status in ("returned", "unreachable"):
+            state.rate_limit.refund(now)
+        elif (
+            outcome.status == "not-run" and running.granted_at < state.rate_limit.since
+        ):
+            # The target refused what exceeded a limit that was not known here yet.
+            return
         elif outcome.status in ("failed", "not-run", "vanished"):
             state.on_failure(now, self.fleet.may_eject(now, state))
 
@@ -576,8 +590,11 @@
         if not ahead:
             return 0.0
         rate = sum(
-            max(state.limit.value, 1.0)
-            / max(state.speed.token_seconds * self.lengths.typical(), 1e-3)
+            min(
+                max(state.limit.value, 1.0)
+                / max(state.speed.token_seconds * self.lengths.typical(), 1e-3),
+                state.rate_limit.starts_within(1.0),
+            )
             for state in self.fleet
             if not state.draining and not state.down
         )
@@ -600,6 +617,7 @@
                 name, zone, version, incarnation, self.options.initial_limit, slots
             )
             state.draining = bool(draining)
+            state.rate_limit = RateLimit(self._rate_share)
             self.fleet.add(state)
             return self._drain(now)
         if state.incarnation != incarnation and incarnation:
@@ -618,6 +636,7 @@
         state.draining = False
         state.down = False
         state.limit.restart()
+        state.rate_limit = RateLimit(self._rate_share)
         self.prefixes.forget(state.name)
 
     def _count_restart(self, state, now):
@@ -646,6 +665,25 @@
         self.fleet.reindex(state)
         return self._trials.on_crash(state, crash_id, now)
 
+    def set_rate_limit(self, name, incarnation, rate, request_id, now):
+        """Apply the limit that a target stated; return whether that changed anything.
+
+        It was in the response to a request, whose grant tells how old it may be. The
+        rate is infinite if the response stated no limit.
+        """
+        state = self.fleet.get(name)
+        if state is None or state.incarnation != incarnation:
+            return False
+        running = self._dispatched.get(request_id)
+        started_at = running.granted_at if running else float("-inf")
+        return state.rate_limit.state(rate, started_at, now)
+
+    def set_rate_share(self, share, now):
+        """Use a fraction of the rate limits of all targets from now on."""
+        self._rate_share = share
+        for state in self.fleet:
+            state.rate_limit.set_share(share, now)
+
     def begin_probing(self, name):
         """Return a target that was down to service with one request at a time.
 
--- a/lovagepier/entry/_cluster.py
+++ b/lovagepier/entry/_cluster.py
@@ -16,6 +16,7 @@
     FirstEvent,
     Granted,
     Heartbeat,
+    RateLimitStated,
     Refused,
     Roster,
     RunningReport,
@@ -95,6 +96,16 @@
         """Return whether no host may run a request with this fingerprint."""
         return self._coordinator.poison_detector.is_poison(fingerprint)
 
+    def report_rate_limit(self, grant, rate):
+        """Report the rate limit in the response to a granted request, None for none.
+
+        A response without a limit is only of interest if the target had one.
+        """
+        if rate is not None or self._coordinator.rate_limits.is_limited(grant.target):
+            self._send_to_coordinator(
+                RateLimitStated(grant.id, grant.target, grant.incarnation, rate)
+            )
+
     def live_hosts(self):
         """Return [name, callers' address, zone, draining] rows of live hosts."""
         if self._is_coordinator():
@@ -168,6 +179,9 @@
             coordinator.on_result(entry, message, now)
         elif isinstance(message, TargetDown):
             coordinator.on_target_down(message, now)
+        elif isinstance(message, RateLimitStated):
+            work_id = f"{entry}/{message.id}"
+            coordinator.rate_limits.on_stated(message, work_id, now)
         elif isinstance(message, Withdraw):
             coordinator.on_withdraw(entry, message.id, now)
         elif isinstance(message, RunningReport):
@@ -175,6 +189,7 @@
                 (DispatchRequest(*fields), target) for fields, target in message.running
             ]
             report = replace(message, running=rows)
+            self.followers.on_joined(entry)
             coordinator.on_running_report(entry, report, now)
 
     def _on_heartbeat(self, link, heartbeat):
@@ -202,6 +217,8 @@
         self._retry_levels = roster.retry_levels
         self._coordinator.rollouts.merge_progress(roster.rollouts)
         self._merge_evidence(roster)
+        if roster.rate_limits is not None:
+            self._coordinator.rate_limits.replace(roster.rate_limits, self._loop.time())
         for service, revision, cause in roster.rollbacks:
             self._coordinator.rollouts.roll_back(service, revision, cause)
 
@@ -277,6 +294,7 @@
                     if self._is_coordinator()
                     else self._coordinator.quotas.take_spent(now),
                     self._coordinator.poison_detector.suspect_rows(),
+                    self._coordinator.rate_limits.rows,
                 )
             )
         self.requests.resend_all()
--- a/lovagepier/entry/_coordinator.py
+++ b/lovagepier/entry/_coordinator.py
@@ -16,6 +16,7 @@
 from lovagepier.decisions.work import Grant, Outcome, Refusal, Work
 from lovagepier.entry._budgets import make_quotas, make_retry_budget
 from lovagepier.entry._messages import Granted, Refused
+from lovagepier.entry._rate_limits import RateLimits
 from lovagepier.entry._rollouts import Rollouts
 from lovagepier.entry.catalog import ROUTE_TIERS
 from lovagepier.errors import ErrorKind
@@ -76,7 +77,8 @@
 
     `send(entry, message)` sends an answer to an entry host, `write_state` writes a
     rollout's state to the store (see `Rollouts`). `quotas` decides what passes;
-    `base_quotas` are the quotas without slack and overage. Times (`now`) are in
+    `base_quotas` are the quotas without slack and overage. `rate_limits` are those that
+    targets state. Times (`now`) are in
     seconds on the event loop's clock.
     """
 
@@ -92,6 +94,9 @@
         self.quotas = make_quotas(cfg)
         self.base_quotas = Quotas()
         self.rollouts = Rollouts(cfg, view, write_state)
+        self.rate_limits = RateLimits(
+            lambda: [pool.scheduler for pool in self._pools.values()]
+        )
 
     def _pool(self, service):
         pool = self._pools.get(service)
@@ -110,6 +115,7 @@
             )
             pool = _Pool(PoolScheduler(options, self._rng))
             pool.scheduler.poison_detector = self.poison_detector
+            pool.scheduler.set_rate_share(self._quota_share, 0.0)
             self._pools[service] = pool
         return pool
 
@@ -129,6 +135,7 @@
         targets = self._targets_by_service()
         for service in set(targets) | set(self._pools):
             self._refresh_pool(service, targets.get(service, {}), now)
+        self.rate_limits.apply(now)
         self._log_crashes()
 
     def _log_crashes(self):
@@ -153,7 +160,7 @@
         self._apply_rollout(service, pool, now)
         for name in [name for name in pool.incarnations if name not in targets]:
             pool.scheduler.remove_target(name, now)
-            del pool.incarnations[name]
+            self.rate_limits.drop(name, pool.incarnations.pop(name))
         slots = self._usable_slots(targets.values())
         labels = {
             target.id: self.rollouts.version_label(target)
@@ -177,8 +184,10 @@
                 slots=slots[target.id],
                 draining=draining[target.id],
             )
-            if pool.incarnations.get(target.id) != target.incarnation:
+            known = pool.incarnations.get(target.id)
+            if known != target.incarnation:
                 pool.incarnations[target.id] = target.incarnation
+                self.rate_limits.drop(target.id, known)
                 pool.down_until.pop(target.id, None)
             self._send_decisions(decisions)
 
@@ -202,6 +211,7 @@
         self._quota_share = quota_share
         for pool in self._pools.values():
             pool.scheduler.retry_budget.set_share(quota_share, now)
+            pool.scheduler.set_rate_share(quota_share, now)
         if share == self._share:
             return
         _log.info(
@@ -231,6 +241,7 @@
         they are unknown. `retry_levels` are those of its `RetryBudget`s.
         """
         self.quotas.take_over(now, quota_levels)
+        self.rate_limits.take_over(now)
         for service, level in (retry_levels or {}).items():
             self._pool(service).scheduler.retry_budget.adopt(level)
 
@@ -388,6 +399,7 @@
             self.rollouts.roll_back(service, revision, cause)
         for account, tokens in report.spent.items():
             self.quotas.debit(account, tokens)
+        self.rate_limits.merge(report.rate_limits, now)
         self._apply_stage_changes(now)
         for req, target in report.running:
             pool = self._pool(req.service)
--- a/lovagepier/entry/_exchange.py
+++ b/lovagepier/entry/_exchange.py
@@ -32,6 +32,9 @@
 SILENCE_TIMEOUT_GAPS = 2.0
 MIN_SILENCE_TIMEOUT_S = 0.8
 
+# Status of another target that has taken over the address.
+MISDIRECTED = 421
+
 _log = component_logger("callers")
 _ids = itertools.count(1)
 
@@ -322,15 +325,16 @@
             reading.cancel()
 
     def _note_rate_limit(self, grant, response):
-        if response.rate_limit == math.inf:
-            return
-        _log.info(
-            "a target stated a rate limit",
-            request=self._call.request_id,
-            target=grant.target,
-            incarnation=grant.incarnation,
-            rate=response.rate_limit,
-        )
+        """Report the target's rate limit; one that can't be read changes nothing."""
+        rate = response.rate_limit
+        if rate is None:
+            _log.warning(
+                "a target stated a rate limit that can't be read", target=grant.target
+            )
+        elif response.status != MISDIRECTED:
+            self._frontend.cluster.report_rate_limit(
+                grant, rate if rate < math.inf else None
+            )
 
     def _failover_delay(self):
         delay_s = self._call.route.latency_objective_s * FAILOVER_DELAY_OBJECTIVES
--- a/lovagepier/entry/_followers.py
+++ b/lovagepier/entry/_followers.py
@@ -26,6 +26,7 @@
         self._heartbeats = {}
         self._sent_hosts = {}
         self._sent_suspects = {}
+        self._sent_rate_limits = {}
         self._rosters_due = False
         self.links = {}
         self.draining = False
@@ -64,11 +65,19 @@
         del self.links[link.peer]
         self._sent_hosts.pop(link.peer, None)
         self._sent_suspects.pop(link.peer, None)
+        self._sent_rate_limits.pop(link.peer, None)
         self._heartbeats.pop(link.peer, None)
         self._coordinator.on_entry_lost(link.peer, self._loop.time())
         _log.info("the link from an entry host ended", host=link.peer)
         self._rosters_due = True
 
+    def on_joined(self, name):
+        """Send all state again to a host that has begun to use this coordinator.
+
+        What it was sent before it may have dropped, or replaced by another's.
+        """
+        self._sent_rate_limits.pop(name, None)
+
     def count(self):
         """Return how many other hosts use this host's coordinator now."""
         return sum(beat.is_follower for beat in self._heartbeats.values())
@@ -105,6 +114,7 @@
             self._boot,
             self._changed_suspects(link),
             self._coordinator.retry_levels(),
+            self._changed_rate_limits(link),
         )
 
     def _changed_suspects(self, link):
@@ -114,6 +124,13 @@
         self._sent_suspects[link.peer] = (link, detector.revision)
         return detector.suspect_rows()
 
+    def _changed_rate_limits(self, link):
+        rows = self._coordinator.rate_limits.rows
+        if self._sent_rate_limits.get(link.peer) == (link, rows):
+            return None
+        self._sent_rate_limits[link.peer] = (link, rows)
+        return rows
+
     def announce_draining(self):
         """Tell all linked hosts at once that this host is draining."""
         self.draining = True
--- a/lovagepier/entry/_messages.py
+++ b/lovagepier/entry/_messages.py
@@ -13,6 +13,7 @@
     "FirstEvent",
     "Granted",
     "Heartbeat",
+    "RateLimitStated",
     "Refused",
     "Roster",
     "RunningReport",
@@ -63,6 +64,7 @@
     `RollbackTrigger.state`. `boot` identifies the sender's incarnation, empty if it
     does not say.
     `retry_levels` maps services to the tokens left in their `RetryBudget`s.
+    `rate_limits` are the `Coordinator.rate_limits`, None if they did not change.
     """
 
     coordinator: str
@@ -77,6 +79,7 @@
     boot: str = ""
     suspects: list | None = None
     retry_levels: dict = field(default_factory=dict)
+    rate_limits: list | None = None
 
 
 @message("e.ask")
@@ -169,6 +172,20 @@
     incarnation: str
 
 
+@message("e.limit")
+@dataclass(slots=True)
+class RateLimitStated:
+    """A target's response to request `id` stated a limit, or none (`rate` None).
+
+    `rate` are the requests per second that it takes from all hosts together.
+    """
+
+    id: str
+    target: str
+    incarnation: str
+    rate: float | None
+
+
 @message("e.withdraw")
 @dataclass(slots=True)
 class Withdraw:
@@ -189,7 +206,8 @@
     `running` rows are [field values of the `DispatchRequest`, target];
     `poisoned` are fingerprints; `rollbacks` rows are as in `Roster`. `spent` maps
     accounts to what the sender's own coordinator, which has just started, admitted.
-    `suspects` are the sender's `PoisonDetector.suspect_rows`.
+    `suspects` are the sender's `PoisonDetector.suspect_rows`, `rate_limits` its
+    `Coordinator.rate_limits`.
     """
 
     running: list
@@ -197,6 +215,7 @@
     rollbacks: list
     spent: dict = field(default_factory=dict)
     suspects: list = field(default_factory=list)
+    rate_limits: list = field(default_factory=list)
 
 
 @message("e.changed")
--- a/test/test_target_limits.py
+++ b/test/test_target_limits.py
@@ -52,3 +52,33 @@
             assert most_in_a_window(limited.arrived_at) <= allowed(2.9)
 
     asyncio.run(scenario())
+
+
+def test_hosts_know_limits_in_case_their_coordinator_is_lost():
+    async def scenario():
+        async with entry_fleet(hosts=2) as fleet:
+            _, second = fleet.hosts
+            await wait_until(lambda: second.cluster.coordinator_name == "n1")
+            heard = second.coordinator.rate_limits
+            fleet.targets["m1"].limit = 50
+            assert (await call(second, "/note/x", "r1")).status == 200
+            await wait_until(lambda: heard.rows == [["m1", "m1/1", 50.0]])
+            second.cluster._switch_to("n2")
+            heard.replace([], second._loop.time())
+            second.cluster._switch_to("n1")
+            await wait_until(lambda: heard.is_limited("m1"))
+            fleet.targets["m1"].limit = None
+            assert (await call(second, "/note/x", "r2")).status == 200
+            await wait_until(lambda: not heard.is_limited("m1"))
+
+    asyncio.run(scenario())
+
+
+def test_a_target_that_names_a_limit_that_cannot_be_read_is_used_as_before():
+    async def scenario():
+        async with entry_fleet() as fleet:
+            fleet.targets["m1"].limit = "some"
+            statuses = await send_to_all(fleet, "/note/x", per_second=50, seconds=1)
+            assert set(statuses) == {200}
+
+    asyncio.run(scenario())
