--- a/lovagepier/entry/_followers.py
+++ b/lovagepier/entry/_followers.py
@@ -77,6 +77,7 @@
         What it was sent before it may have dropped, or replaced by another's.
         """
         self._sent_rate_limits.pop(name, None)
+        self._sent_suspects.pop(name, None)
 
     def count(self):
         """Return how many other hosts use this host's coordinator now."""
--- a/test/test_crashes.py
+++ b/test/test_crashes.py
@@ -84,6 +84,23 @@
     run_scenario(scenario, hosts=2)
 
 
+def test_a_host_that_joins_a_coordinator_again_learns_its_suspects():
+    """Its rosters are sent what changed only, and were not applied meanwhile."""
+
+    async def scenario(fleet):
+        first, second = fleet.hosts
+        detector = first.coordinator.poison_detector
+        heard = second.coordinator.poison_detector
+        detector.on_crash("m8/1", [Run("suspected")], first._loop.time())
+        await wait_until(lambda: heard.is_suspect("suspected"))
+        second.cluster._switch_to("n2")
+        heard.replace_rows([], second._loop.time())
+        second.cluster._switch_to("n1")
+        await wait_until(lambda: heard.is_suspect("suspected"))
+
+    run_scenario(scenario, hosts=2)
+
+
 def test_all_parts_of_a_prompt_but_the_last_are_suspected():
     async def scenario(fleet):
         (host,) = fleet.hosts
