--- a/lovagepier/decisions/scheduler.py
+++ b/lovagepier/decisions/scheduler.py
@@ -157,6 +157,11 @@
             kind = ErrorKind.DEADLINE_INFEASIBLE
             why = "an idle target could not finish by the deadline"
             return [Refusal(work, kind, why, retry_after=0)]
+        excess_s = now + self._limited_wait(work.tier) - work.latest_start
+        if self.policy.sheds and excess_s > 0:
+            kind = ErrorKind.DEADLINE_WAITING
+            why = "the rate limits of all targets leave it no time"
+            return [Refusal(work, kind, why, retry_after=excess_s)]
         if not self.policy.queues:
             grant = self._place(work, now)
             if grant is None:
@@ -581,6 +586,21 @@
         if request_id not in self._dispatched:
             self._dispatched.remember(request_id, target, "", now)
 
+    def _limited_wait(self, tier):
+        """Return the seconds that rate limits alone let a new request of a tier wait.
+
+        0 while any target that takes requests has no limit.
+        """
+        rate = 0.0
+        for state in self.fleet:
+            if state.draining or state.down:
+                continue
+            if not state.rate_limit.is_stated:
+                return 0.0
+            rate += state.rate_limit.starts_within(1.0)
+        ahead = sum(self.waiting.sizes()[: tier + 1])
+        return ahead / rate if rate else 0.0
+
     def expected_wait(self, tier):
         """Return the expected queueing time in seconds of a new request of a tier.
 
--- a/test/test_rate_limits.py
+++ b/test/test_rate_limits.py
@@ -162,3 +162,28 @@
     assert not scheduler.offer(make_work("r1", deadline=2.0), 0.0)
     (refusal,) = scheduler.tick(2.1)
     assert refusal.kind == ErrorKind.DEADLINE_WAITING
+
+
+def test_what_the_limits_of_all_targets_leave_no_time_is_refused_at_once():
+    scheduler = make_scheduler(("e1", "e2"), slots=8.0)
+    for name in ("e1", "e2"):
+        scheduler.set_rate_limit(name, "i1", 1.0, "", 0.0)
+    decisions = []
+    for number in range(6):
+        work = make_work(f"r{number}", deadline=2.0)
+        decisions += scheduler.offer(work, 0.0)
+    assert {decision.kind for decision in decisions} == {ErrorKind.DEADLINE_WAITING}
+    assert len(scheduler.waiting) == 5
+    assert 0 < decisions[0].retry_after < 1.0
+    urgent = make_work("urgent", deadline=2.0, tier=0)
+    assert not scheduler.offer(urgent, 0.0)
+
+
+def test_a_target_without_a_limit_keeps_others_waiting():
+    scheduler = make_scheduler(("e1", "e2"), slots=1.0)
+    scheduler.set_rate_limit("e1", "i1", 1.0, "", 0.0)
+    for number in range(6):
+        work = make_work(f"r{number}", deadline=2.0)
+        assert not any(
+            hasattr(decision, "kind") for decision in scheduler.offer(work, 0.0)
+        )
