--- a/test/platform_standins.py
+++ b/test/platform_standins.py
@@ -66,7 +66,8 @@
 class StoreStandin(_Http):
     """Keeps items, conditional writes, leases and watches in memory.
 
-    With `fault` "silent" it does not respond; with "busy" it responds 503.
+    With `fault` "silent" it does not respond; with "busy" it responds 503. `copy`
+    returns what `restore` brings back as the next era.
     """
 
     def __init__(self):
@@ -77,6 +78,7 @@
         self.oldest_revision = 10
         self.leases = {}
         self.fault = None
+        self.era = 1
         self.calls = []
         self._changed = asyncio.Condition()
 
@@ -108,6 +110,23 @@
         self.history = []
         self.oldest_revision = self.revision
 
+    def copy(self):
+        return {key: dict(item) for key, item in self.items.items()}, self.revision
+
+    def restore(self, copy):
+        """Return to a copy; what was written since is lost, open watches are cut."""
+        items, self.revision = copy
+        self.items = {key: dict(item) for key, item in items.items()}
+        self.leases = {
+            item["lease"]: self.leases[item["lease"]]
+            for item in self.items.values()
+            if item["lease"] in self.leases
+        }
+        self.compact()
+        self.era += 1
+        for writer in list(self.connections):
+            writer.transport.abort()
+
     def value(self, key):
         item = self.items.get(key)
         return json.loads(base64.b64decode(item["value"])) if item else None
@@ -116,13 +135,14 @@
         url = urlsplit(path)
         query = {key: rows[0] for key, rows in parse_qs(url.query).items()}
         self.calls.append((method, url.path))
+        era = [f"Store-Era: {self.era}"]
         if self.fault == "silent":
             await asyncio.sleep(30)
         if self.fault == "busy":
-            writer.write(response_bytes(503))
+            writer.write(response_bytes(503, b"", era))
             return
         status, result = await self._call(method, url.path, query, body)
-        writer.write(response_bytes(status, json.dumps(result).encode()))
+        writer.write(response_bytes(status, json.dumps(result).encode(), era))
 
     async def _call(self, method, path, query, body):
         raw = json.loads(body) if body else {}
@@ -156,7 +176,7 @@
 
     async def _watch(self, query):
         after = int(query["after"])
-        if after < self.oldest_revision:
+        if not self.oldest_revision <= after <= self.revision:
             return 410, {}
         try:
             async with asyncio.timeout(int(query["wait_ms"]) / 1000):
