--- a/lovagepier/entry/_frontend.py
+++ b/lovagepier/entry/_frontend.py
@@ -10,7 +10,13 @@
 from lovagepier.errors import ErrorKind, error_spec
 from lovagepier.logs import component_logger
 from lovagepier.metrics import Metrics
-from lovagepier.platform import decode_call, decode_lookup, encode_addresses
+from lovagepier.platform import (
+    decode_call,
+    decode_lookup,
+    encode_addresses,
+    era_of,
+    number_of,
+)
 
 __all__ = ["Frontend"]
 
@@ -213,7 +219,7 @@
             async with asyncio.timeout(CONFIG_WAIT_S):
                 await self.has_catalog.wait()
         except TimeoutError:
-            _log.info("no configuration yet", as_of=self.view.as_of)
+            _log.info("no configuration yet", as_of=number_of(self.view.as_of))
 
     def _check(self, call):
         """Set a call's route and account; return an `ErrorKind` if it is refused."""
@@ -275,7 +281,8 @@
         now = self._loop.time()
         return {
             "config_version": self.view.version,
-            "store_revision": self.view.as_of,
+            "store_era": era_of(self.view.as_of),
+            "store_revision": number_of(self.view.as_of),
             "store_age_seconds": round(self.view.store_age(now), 3),
             "targets": len(self.view.targets),
             "hosts": len(self.view.members()),
--- a/lovagepier/entry/_host.py
+++ b/lovagepier/entry/_host.py
@@ -18,6 +18,7 @@
 from lovagepier.entry._view import HOST_PREFIX, StoreView, encode_host
 from lovagepier.errors import UserError
 from lovagepier.logs import component_logger
+from lovagepier.platform import number_of
 from lovagepier.settings import read_settings_file
 
 __all__ = ["EntryHost"]
@@ -263,7 +264,11 @@
                 why=str(result.err_value),
             )
         else:
-            _log.info("wrote to the store", key=message.key, revision=result.ok_value)
+            _log.info(
+                "wrote to the store",
+                key=message.key,
+                revision=number_of(result.ok_value),
+            )
 
     async def _tick_forever(self):
         while True:
--- a/lovagepier/entry/_rollouts.py
+++ b/lovagepier/entry/_rollouts.py
@@ -17,6 +17,9 @@
 
 # A state that the store does not show yet is written again after this.
 REWRITE_INTERVAL_S = 0.4
+# How long after the store came back from an older copy its writers write again what
+# the copy lacks.
+RESTORE_PERIOD_S = 10.0
 _FAILED_STATUSES = ("failed", "vanished", "late")
 _SUCCESS_STATUSES = ("ok",)
 _STATE_BY_STAGE = {
@@ -29,6 +32,17 @@
 _log = component_logger("moves")
 
 
+def _is_state_of(order, revision, version):
+    """Return whether a stored state is that of an order.
+
+    The order may have been written again in a later era, with another revision.
+    """
+    if revision == order.revision:
+        return True
+    earlier = platform.era_of(revision) < platform.era_of(order.revision)
+    return earlier and version == order.version
+
+
 class _Rollout:
     """One ordered rollout.
 
@@ -78,10 +92,27 @@
         """Begin newly ordered rollouts and adopt the states found in the store."""
         for service, order in self._view.orders.items():
             rollout = self._rollouts.get(service)
-            if rollout is None or rollout.order.revision < order.revision:
+            if rollout is not None and self._is_written_again(rollout, order, now):
+                rollout.order = order
+                rollout.stored_state = None
+            elif rollout is None or rollout.order.revision < order.revision:
                 self._rollouts[service] = self._begin(order, now)
             self._read_state(self._rollouts[service])
 
+    def _is_written_again(self, rollout, order, now):
+        """Return whether an order is the known one, from a copy of the store.
+
+        Its revision is of a later era: it was in the copy, or is written again because
+        the copy lacks it.
+        """
+        restored_at = self._view.restored_at
+        if restored_at is None or now - restored_at >= RESTORE_PERIOD_S:
+            return False
+        known = rollout.order
+        return known.revision < order.revision and (
+            (known.version, known.duration_s) == (order.version, order.duration_s)
+        )
+
     def _begin(self, order, now):
         _log.info(
             "rollout ordered",
@@ -101,15 +132,17 @@
     def _read_state(self, rollout):
         item = self._view.rollout_state(rollout.order.service)
         if item is None:
+            rollout.stored_state = None
             return
         try:
-            revision, state, begun = platform.decode_rollout_state(item.value)
+            revision, version, state, begun = platform.decode_rollout_state(item.value)
         except platform.DocumentError as exc:
             _log.warning("could not decode the state of a rollout", why=str(exc))
             return
-        if revision != rollout.order.revision:
+        if not _is_state_of(rollout.order, revision, version):
             return
-        rollout.stored_state = state
+        if revision == rollout.order.revision:
+            rollout.stored_state = state
         if state == "done":
             rollout.plan.stage = Stage.DONE
         elif state == "taken-back":
--- a/lovagepier/entry/_store_actors.py
+++ b/lovagepier/entry/_store_actors.py
@@ -12,7 +12,7 @@
 from result import Err
 
 from lovagepier.logs import component_logger
-from lovagepier.platform import PlatformStore
+from lovagepier.platform import PlatformStore, number_of
 
 __all__ = ["LEASE_TTL_S", "Registrar", "Watcher", "WriteKey"]
 
@@ -128,7 +128,7 @@
         items, self._after = answer.ok_value
         self._must_rescan = False
         if self._backoff.succeeded():
-            _log.info("the store answers again", revision=self._after)
+            _log.info("the store answers again", revision=number_of(self._after))
         self._on_scan(items, self._after)
 
     def _watch(self):
@@ -136,8 +136,9 @@
         if isinstance(answer, Err):
             if answer.err_value.status == _HTTP_GONE:
                 _log.info(
-                    "the store compacted the revision that the watch was at",
-                    after=self._after,
+                    "the store no longer has the revision that the watch was at",
+                    after=number_of(self._after),
+                    era=self._store.era,
                 )
                 self._must_rescan = True
                 return
@@ -145,7 +146,7 @@
             return
         events, self._after = answer.ok_value
         if self._backoff.succeeded():
-            _log.info("the store answers again", revision=self._after)
+            _log.info("the store answers again", revision=number_of(self._after))
         self._on_events(events, self._after)
         if events:
             time.sleep(WATCH_BATCH_PAUSE_S)
@@ -177,6 +178,7 @@
         self._on_registered = on_registered
         self._backoff = _Backoff()
         self._lease = None
+        self._era = 0
         self._renewed_at = 0.0
 
     def on_start(self):
@@ -200,29 +202,32 @@
         self.actor_ref.tell(_Step())
 
     def _write(self, message):
-        lease = 0
-        if message.lease_s:
-            granted = self._store.grant_lease(message.lease_s)
-            if isinstance(granted, Err):
-                return granted
-            lease, _ = granted.ok_value
-        return self._store.put(message.key, message.value, message.expected, lease)
+        if not message.lease_s:
+            return self._store.put(message.key, message.value, message.expected)
+        return self._put_leased(
+            message.key, message.value, message.lease_s, message.expected
+        ).map(lambda written: written[1])
+
+    def _put_leased(self, key, value, lease_s, expected=None):
+        """Write a key under a new lease; return Ok((lease, revision))."""
+        granted = self._store.grant_lease(lease_s)
+        if isinstance(granted, Err):
+            return granted
+        lease, _ = granted.ok_value
+        written = self._store.put(key, value, expected, lease)
+        return written.map(lambda revision: (lease, revision))
 
     def _register(self):
         called_at = time.monotonic()
-        granted = self._store.grant_lease(self._lease_s)
-        if isinstance(granted, Err):
-            self._backoff.failed()
-            return
-        lease, _ = granted.ok_value
-        written = self._store.put(self._key, self._value, lease=lease)
+        written = self._put_leased(self._key, self._value, self._lease_s)
         if isinstance(written, Err):
             _log.warning("could not register this host", why=str(written.err_value))
             self._backoff.failed()
             return
-        self._lease = lease
+        self._lease, _ = written.ok_value
+        self._era = self._store.era
         self._note_renewal(called_at)
-        _log.info("registered this host", key=self._key, lease=lease)
+        _log.info("registered this host", key=self._key, lease=self._lease)
 
     def _renew(self):
         called_at = time.monotonic()
@@ -234,7 +239,25 @@
                 return
             self._backoff.failed()
             return
-        self._note_renewal(called_at)
+        if self._store.era == self._era or self._restore_key():
+            self._note_renewal(called_at)
+
+    def _restore_key(self):
+        """Write the key again in a new era; return whether the lease still holds.
+
+        The store may have come back from a copy that was made between the grant of the
+        lease and the write of the key.
+        """
+        written = self._store.put(self._key, self._value, lease=self._lease)
+        if isinstance(written, Err):
+            _log.warning(
+                "could not register this host again", why=str(written.err_value)
+            )
+            self._lease = None
+            return False
+        _log.info("registered this host again in a new era", era=self._store.era)
+        self._era = self._store.era
+        return True
 
     def _note_renewal(self, called_at):
         """Count the lease from when it was asked for, as the store may have later."""
--- a/lovagepier/entry/_view.py
+++ b/lovagepier/entry/_view.py
@@ -1,6 +1,7 @@
 """The platform's store as this host knows it, decoded for look-ups."""
 
 import json
+from dataclasses import replace
 
 from lovagepier import platform
 from lovagepier.entry._verdicts import POISON_PREFIX, decode_verdict
@@ -16,6 +17,8 @@
 LAPSE_GRACE_S = 2.3
 # Entries may expire because of an outage until this long after the last failed call.
 OUTAGE_EFFECT_S = 3.0
+# What left is remembered this long, in case the store comes back from an older copy.
+LEFT_RETENTION_S = 120.0
 
 _log = component_logger("config")
 
@@ -44,9 +47,15 @@
 
     `poisoned` holds the names that were proved poisonous, by key.
 
-    The catalog's version only increases. `as_of` is the newest store revision
-    applied. `last_answer_at` is when the store last answered this host, None before
-    the first answer. Times are in seconds on the event loop's clock.
+    The catalog's version only increases, also while the store shows an older one.
+    `as_of` is the newest store revision applied. `last_answer_at` is when the store
+    last answered this host, None before the first answer. `restored_at` is when this
+    host first had the contents of a later era, None if that did not happen. Times are
+    in seconds on the event loop's clock.
+
+    A new era begins with an older copy of the store. Targets that it lacks are kept
+    for a grace period, as after an outage. Those that left since get no work, until
+    they are written again.
     """
 
     def __init__(self):
@@ -60,7 +69,10 @@
         self.orders = {}
         self.states = {}
         self.poisoned = {}
+        self.restored_at = None
+        self._era_began = 0
         self._lapsed = {}
+        self._left = {}
 
     # Updates
 
@@ -91,17 +103,37 @@
         return changed
 
     def on_snapshot(self, items, as_of, now):
-        """Apply a peer's snapshot if it is newer; return the changed keys."""
+        """Apply a peer's snapshot if it is newer; return the changed keys.
+
+        Its configuration may be newer by itself: peers keep it while the store shows
+        an older one.
+        """
         if as_of <= self.as_of:
-            return []
+            configs = [item for item in items if item.key == platform.CONFIG_KEY]
+            return [item.key for item in configs if self._put_catalog(item)]
         _log.info(
-            "applied a snapshot of the store from a peer", as_of=as_of, had=self.as_of
+            "applied a snapshot of the store from a peer",
+            as_of=platform.number_of(as_of),
+            era=platform.era_of(as_of),
+            had=platform.number_of(self.as_of),
         )
         return self._replace(items, as_of, now)
 
+    def _begin_era(self, as_of, now):
+        _log.warning(
+            "the store came back from an older copy",
+            era=platform.era_of(as_of),
+            as_of=platform.number_of(as_of),
+            had=platform.number_of(self.as_of),
+        )
+        self.restored_at = now
+        self._era_began = as_of
+
     def _replace(self, items, as_of, now):
         if as_of < self.as_of:
             return []
+        if self.as_of and platform.era_of(as_of) > platform.era_of(self.as_of):
+            self._begin_era(as_of, now)
         fresh = {item.key: item for item in items}
         changed = []
         for key in [key for key in self.items if key not in fresh]:
@@ -109,8 +141,9 @@
             changed.append(key)
         for item in items:
             known = self.items.get(item.key)
-            if known is None or known.revision < item.revision:
-                self._put(item, now)
+            if known is not None and known.revision >= item.revision:
+                continue
+            if self._put(item, now):
                 changed.append(item.key)
         self.as_of = as_of
         return changed
@@ -120,21 +153,22 @@
         if known is not None and known.revision >= event.revision:
             return False
         if event.item is not None:
-            self._put(event.item, now)
-            return True
+            return self._put(event.item, now)
         if known is None:
             return False
         self._remove(event.key, now)
         return True
 
     def _put(self, item, now):
-        self.items[item.key] = item
+        """Apply a key's new value; return whether it is kept."""
         key = item.key
+        if key == platform.CONFIG_KEY:
+            return self._put_catalog(item)
+        known = self.items.get(key)
+        self.items[key] = item
         try:
-            if key == platform.CONFIG_KEY:
-                self._set_catalog(platform.decode_catalog(item.value))
-            elif key.startswith(platform.TARGET_PREFIX):
-                self._put_target(key, item)
+            if key.startswith(platform.TARGET_PREFIX):
+                self._put_target(key, item, known, now)
             elif key.startswith(HOST_PREFIX):
                 self.hosts[key] = _decode_host(item)
             elif key.startswith(POISON_PREFIX):
@@ -146,10 +180,33 @@
             _log.warning(
                 "could not decode a document of the store", key=key, why=str(exc)
             )
+        return True
+
+    def _put_catalog(self, item):
+        """Keep a configuration document unless it is older than the one in force."""
+        try:
+            catalog = platform.decode_catalog(item.value)
+        except platform.DocumentError as exc:
+            _log.warning(
+                "could not decode a document of the store", key=item.key, why=str(exc)
+            )
+            return False
+        known = self.items.get(item.key)
+        if catalog.version == self.version and known.revision >= item.revision:
+            return False
+        if catalog.version < self.version:
+            _log.warning(
+                "the store shows an older configuration",
+                version=catalog.version,
+                in_force=self.version,
+            )
+            return False
+        self.items[item.key] = item
+        if self.catalog is None or catalog.version > self.catalog.version:
+            self._set_catalog(catalog)
+        return True
 
     def _set_catalog(self, catalog):
-        if self.catalog is not None and catalog.version <= self.catalog.version:
-            return
         _log.info(
             "configuration in force",
             version=catalog.version,
@@ -158,18 +215,41 @@
         )
         self.catalog = catalog
 
-    def _put_target(self, key, item):
-        self.targets.pop(key, None)
+    def _put_target(self, key, item, known, now):
+        before = self.targets.pop(key, None)
         self._lapsed.pop(key, None)
-        self.targets[key] = platform.decode_target(key, item.value)
+        target = platform.decode_target(key, item.value)
+        if before is not None and before.draining:
+            self._left.setdefault(key, (before.incarnation, known.revision, now))
+        if self._has_left(key, target, item.revision):
+            target = replace(target, draining=True)
+        else:
+            self._left.pop(key, None)
+        self.targets[key] = target
+
+    def _has_left(self, key, target, revision):
+        """Return whether an entry is older than its target's leaving.
+
+        It is if the copy of the store that began this era has it, and it was written
+        no later than the last one known of an earlier era.
+        """
+        incarnation, left_at_revision, _ = self._left.get(key, ("", 0, 0.0))
+        if incarnation != target.incarnation or revision > self._era_began:
+            return False
+        if platform.era_of(revision) == platform.era_of(left_at_revision):
+            return False
+        return platform.number_of(revision) <= platform.number_of(left_at_revision)
 
     def _remove(self, key, now):
-        self.items.pop(key, None)
+        if key == platform.CONFIG_KEY:
+            # Only an older copy of the store lacks it.
+            return
+        item = self.items.pop(key, None)
         if key.startswith(platform.TARGET_PREFIX):
             if key in self.targets and self._had_outage(now):
                 self._lapsed[key] = now
             else:
-                self.targets.pop(key, None)
+                self._drop_target(key, item, now)
         elif key.startswith(HOST_PREFIX):
             self.hosts.pop(key, None)
         elif key.startswith(POISON_PREFIX):
@@ -177,8 +257,19 @@
         elif platform.rollout_service(key):
             self.orders.pop(platform.rollout_service(key), None)
 
+    def _drop_target(self, key, item, now):
+        target = self.targets.pop(key, None)
+        if target is not None and item is not None:
+            self._left[key] = (target.incarnation, item.revision, now)
+        for left, (_, _, left_at) in list(self._left.items()):
+            if now - left_at >= LEFT_RETENTION_S:
+                del self._left[left]
+
     def _had_outage(self, now):
-        return self.fault_at is not None and now - self.fault_at < OUTAGE_EFFECT_S
+        return any(
+            at is not None and now - at < OUTAGE_EFFECT_S
+            for at in (self.fault_at, self.restored_at)
+        )
 
     def expire_lapsed(self, now):
         """Drop targets that did not register again; return whether any were dropped."""
--- a/lovagepier/platform/__init__.py
+++ b/lovagepier/platform/__init__.py
@@ -22,6 +22,7 @@
     relayed_headers,
     with_last_event_id,
 )
+from lovagepier.platform._revisions import era_of, make_revision, number_of
 from lovagepier.platform._store import Event, Item, PlatformStore, StoreFault
 
 __all__ = [
@@ -44,6 +45,9 @@
     "encode_addresses",
     "encode_call",
     "encode_rollout_state",
+    "era_of",
+    "make_revision",
+    "number_of",
     "rollout_service",
     "rollout_state_key",
     "relayed_headers",
--- a/lovagepier/platform/_documents.py
+++ b/lovagepier/platform/_documents.py
@@ -236,7 +236,7 @@
 
 
 def decode_rollout_state(data):
-    """Return (order revision, state, start time) of a rollout state document.
+    """Return (order revision, version, state, start time) of a rollout's state.
 
     Raise `DocumentError` if it can't be read. The start time is Unix seconds, 0
     if unknown.
@@ -244,6 +244,7 @@
     raw = _load(data)
     try:
         state = _STATES[raw["state"]]
-        return int(raw.get("revision", 0)), state, float(raw.get("begun", 0.0))
+        revision, version = int(raw.get("revision", 0)), str(raw.get("target", ""))
+        return revision, version, state, float(raw.get("begun", 0.0))
     except MALFORMED as exc:
         raise DocumentError(f"is malformed: {type(exc).__name__} {exc}")
--- a/lovagepier/platform/_store.py
+++ b/lovagepier/platform/_store.py
@@ -10,6 +10,7 @@
 from result import Err, Ok
 
 from lovagepier.platform._malformed import MALFORMED
+from lovagepier.platform._revisions import era_of, make_revision, number_of
 
 __all__ = ["Event", "Item", "PlatformStore", "StoreFault"]
 
@@ -25,11 +26,17 @@
 READ_CHUNK_BYTES = 64 * 1024
 # Bounds a scan in case the store reports more pages forever.
 MAX_PAGES = 10_000
+_ERA = "Store-Era"
+_GONE = 410
+_PRECONDITION_FAILED = 412
 
 
 @dataclass(slots=True, frozen=True)
 class Item:
-    """One key of the store, with the revisions of its last and first write."""
+    """One key of the store, with the revisions of its last and first write.
+
+    See `make_revision` for how revisions of several eras compare.
+    """
 
     key: str
     value: bytes
@@ -59,18 +66,19 @@
         self.executed = "no" if status in (404, 410, 412, 429, 503) else "maybe"
 
 
-def _item(raw):
+def _item(raw, era):
     return Item(
         str(raw["key"]),
         base64.b64decode(raw["value"]),
-        int(raw["revision"]),
-        int(raw["created_rev"]),
+        make_revision(era, int(raw["revision"])),
+        make_revision(era, int(raw["created_rev"])),
     )
 
 
-def _event(raw):
-    deleted = bool(raw.get("deleted"))
-    return Event(str(raw["key"]), int(raw["revision"]), None if deleted else _item(raw))
+def _event(raw, era):
+    revision = make_revision(era, int(raw["revision"]))
+    item = None if raw.get("deleted") else _item(raw, era)
+    return Event(str(raw["key"]), revision, item)
 
 
 def _field(result, read):
@@ -88,9 +96,13 @@
 
     Each method returns a `Result` whose error is a `StoreFault`. No call is
     retried. Not thread-safe: use one object per thread.
+
+    `era` is the highest era that an answer stated; it rises each time the store comes
+    back from an older copy.
     """
 
     def __init__(self, address):
+        self.era = 0
         self._url = f"http://{address[0]}:{address[1]}"
         self._http = urllib3.PoolManager(maxsize=1, retries=False)
 
@@ -114,6 +126,8 @@
             # The connection may be dead: the next call has to open a new one.
             self._http.clear()
             return Err(StoreFault(0, type(exc).__name__))
+        if self._note_era(resp.headers.get(_ERA)) < self.era:
+            return Err(StoreFault(0, "an answer of an earlier era"))
         if resp.status != 200:
             return Err(StoreFault(resp.status, data[:200].decode("latin-1")))
         try:
@@ -121,6 +135,12 @@
         except (ValueError, RecursionError):
             return Err(StoreFault(0, "the answer is not JSON"))
 
+    def _note_era(self, stated):
+        """Return the era that an answer stated, the known one if none can be read."""
+        era = int(stated) if stated and stated.strip().isdigit() else self.era
+        self.era = max(era, self.era)
+        return era
+
     def _read(self, resp, until):
         """Return the whole body; raise ProtocolError if it is too long or too slow."""
         parts = []
@@ -137,10 +157,11 @@
         """Return Ok((items, revision)) of all keys with `prefix`.
 
         The revision is that of the first page: watch the changes after it to
-        complete later pages.
+        complete later pages. All pages are of one era.
         """
         items = []
         as_of = None
+        era = None
         after = ""
         for _ in range(MAX_PAGES):
             query = {"prefix": prefix}
@@ -150,9 +171,13 @@
             if isinstance(result, Err):
                 return result
             page = result.ok_value
+            if era is not None and era != self.era:
+                return Err(StoreFault(0, "the era changed during a scan"))
+            era = self.era
             try:
-                items += [_item(raw) for raw in page["items"]]
-                as_of = int(page["as_of"]) if as_of is None else as_of
+                items += [_item(raw, era) for raw in page["items"]]
+                if as_of is None:
+                    as_of = make_revision(era, int(page["as_of"]))
             except MALFORMED as exc:
                 return Err(StoreFault(0, f"malformed page: {exc}"))
             if not page.get("has_more") or not page["items"]:
@@ -164,17 +189,25 @@
         """Return Ok((events, revision)) of changes after revision `after`.
 
         Waits up to `wait_s` for a change; the list is empty without one. Err with
-        status 410 means that the store no longer has that history.
+        status 410 means that the store no longer has that history, or that it is of
+        an earlier era.
         """
-        query = {"prefix": prefix, "after": after, "wait_ms": int(wait_s * 1000)}
+        number = number_of(after)
+        query = {"prefix": prefix, "after": number, "wait_ms": int(wait_s * 1000)}
         result = self._call(
             "GET", f"/kv-watch?{urlencode(query)}", read_s=wait_s + WATCH_MARGIN_S
         )
         if isinstance(result, Err):
             return result
+        era = self.era
+        if era != era_of(after):
+            return Err(StoreFault(_GONE, "the history is of an earlier era"))
         return _field(
             result,
-            lambda raw: ([_event(row) for row in raw["events"]], int(raw["as_of"])),
+            lambda raw: (
+                [_event(row, era) for row in raw["events"]],
+                make_revision(era, int(raw["as_of"])),
+            ),
         )
 
     def put(self, key, value, expected=None, lease=0):
@@ -183,13 +216,25 @@
         With `expected` the write succeeds only if the key is at that revision, 0
         for a missing key; Err has status 412 otherwise. The key is removed at the
         end of `lease`, unless that is 0.
+
+        A revision of an earlier era says nothing of this one, in which the store may
+        give out its number again. If the era changes during the call, the condition
+        may have held by accident: Err then has status 0.
         """
-        rows = [] if expected is None else [{"key": key, "revision": expected}]
+        if expected and era_of(expected) < self.era:
+            return Err(
+                StoreFault(_PRECONDITION_FAILED, "a condition of an earlier era")
+            )
+        rows = []
+        if expected is not None:
+            rows = [{"key": key, "revision": number_of(expected)}]
         text = base64.b64encode(value).decode()
         write = {"key": key, "value": text, "lease": lease}
         body = {"expected": rows, "writes": [write], "remove": []}
         result = self._call("POST", "/kv-txn", body)
-        return _field(result, lambda raw: int(raw["revision"]))
+        if expected and isinstance(result, Ok) and era_of(expected) != self.era:
+            return Err(StoreFault(0, "the era changed during a conditional write"))
+        return _field(result, lambda raw: make_revision(self.era, int(raw["revision"])))
 
     def grant_lease(self, seconds):
         """Return Ok((lease id, its actual duration in seconds))."""
--- a/test/test_platform_wire.py
+++ b/test/test_platform_wire.py
@@ -157,7 +157,7 @@
     )
     for state in ("running", "done", "taken-back"):
         data = platform.encode_rollout_state(order, state, 5.0)
-        assert platform.decode_rollout_state(data) == (7, state, 5.0)
+        assert platform.decode_rollout_state(data) == (7, "v2", state, 5.0)
         assert json.loads(data)["target"] == "v2"
     assert json.loads(data)["state"] == "rolled_back"
 
