--- a/lovagepier/entry/_view.py
+++ b/lovagepier/entry/_view.py
@@ -164,11 +164,10 @@
         key = item.key
         if key == platform.CONFIG_KEY:
             return self._put_catalog(item)
-        known = self.items.get(key)
         self.items[key] = item
         try:
             if key.startswith(platform.TARGET_PREFIX):
-                self._put_target(key, item, known, now)
+                self._put_target(key, item, now)
             elif key.startswith(HOST_PREFIX):
                 self.hosts[key] = _decode_host(item)
             elif key.startswith(POISON_PREFIX):
@@ -215,26 +214,32 @@
         )
         self.catalog = catalog
 
-    def _put_target(self, key, item, known, now):
+    def _put_target(self, key, item, now):
         before = self.targets.pop(key, None)
         self._lapsed.pop(key, None)
         target = platform.decode_target(key, item.value)
-        if before is not None and before.draining:
-            self._left.setdefault(key, (before.incarnation, known.revision, now))
-        if self._has_left(key, target, item.revision):
+        if target.draining:
+            self._left[key] = (target.started_at_ms, item.revision, now)
+        elif self._has_left(key, target, item.revision, before):
             target = replace(target, draining=True)
-        else:
-            self._left.pop(key, None)
+        elif key in self._left:
+            self._left[key] = (target.started_at_ms, 0, now)
         self.targets[key] = target
 
-    def _has_left(self, key, target, revision):
+    def _has_left(self, key, target, revision, before):
         """Return whether an entry is older than its target's leaving.
 
-        It is if the copy of the store that began this era has it, and it was written
-        no later than the last one known of an earlier era.
+        It is if the copy of the store that began this era has it, and a later
+        incarnation is known or the entry was written no later than the last one that
+        is known of an earlier era. `before` is the target known until now, if any.
         """
-        incarnation, left_at_revision, _ = self._left.get(key, ("", 0, 0.0))
-        if incarnation != target.incarnation or revision > self._era_began:
+        if revision > self._era_began:
+            return False
+        started, left_at_revision, _ = self._left.get(key, (0, 0, 0.0))
+        newest = max(started, before.started_at_ms if before is not None else 0)
+        if target.started_at_ms < newest:
+            return True
+        if target.started_at_ms != started:
             return False
         if platform.era_of(revision) == platform.era_of(left_at_revision):
             return False
@@ -248,8 +253,8 @@
         if key.startswith(platform.TARGET_PREFIX):
             if key in self.targets and self._had_outage(now):
                 self._lapsed[key] = now
-            else:
-                self._drop_target(key, item, now)
+            elif key in self.targets:
+                self._drop_target(key, item.revision, now)
         elif key.startswith(HOST_PREFIX):
             self.hosts.pop(key, None)
         elif key.startswith(POISON_PREFIX):
@@ -257,12 +262,11 @@
         elif platform.rollout_service(key):
             self.orders.pop(platform.rollout_service(key), None)
 
-    def _drop_target(self, key, item, now):
-        target = self.targets.pop(key, None)
-        if target is not None and item is not None:
-            self._left[key] = (target.incarnation, item.revision, now)
+    def _drop_target(self, key, revision, now):
+        target = self.targets.pop(key)
+        self._left[key] = (target.started_at_ms, revision, now)
         for left, (_, _, left_at) in list(self._left.items()):
-            if now - left_at >= LEFT_RETENTION_S:
+            if left not in self.targets and now - left_at >= LEFT_RETENTION_S:
                 del self._left[left]
 
     def _had_outage(self, now):
@@ -276,11 +280,8 @@
         gone = [key for key, at in self._lapsed.items() if now - at >= LAPSE_GRACE_S]
         for key in gone:
             del self._lapsed[key]
-            target = self.targets.pop(key, None)
-            if target is not None:
-                _log.info(
-                    "a target did not register again after an outage", id=target.id
-                )
+            target = self.targets.pop(key)
+            _log.info("a target did not register again after an outage", id=target.id)
         return bool(gone)
 
     # Look-ups
