--- a/lovagepier/entry/_followers.py
+++ b/lovagepier/entry/_followers.py
@@ -10,6 +10,15 @@
 _log = component_logger("members")
 
 
+def _row(heartbeat):
+    return [
+        heartbeat.name,
+        heartbeat.caller_address,
+        heartbeat.zone,
+        heartbeat.draining,
+    ]
+
+
 class Followers:
     """Hosts that use this host's coordinator or keep a standby link to it.
 
@@ -24,6 +33,7 @@
         self._coordinator = coordinator
         self._loop = asyncio.get_running_loop()
         self._heartbeats = {}
+        self._host_rows = None
         self._sent_hosts = {}
         self._sent_suspects = {}
         self._sent_rate_limits = {}
@@ -45,6 +55,8 @@
         link.store_answered_at = self._loop.time() - heartbeat.store_age
         known = self._heartbeats.get(heartbeat.name)
         self._heartbeats[heartbeat.name] = heartbeat
+        if known is None or _row(known) != _row(heartbeat):
+            self._host_rows = None
         if known is None or known.draining != heartbeat.draining:
             self._rosters_due = True
         if known is not None and known.is_follower and not heartbeat.is_follower:
@@ -67,6 +79,7 @@
         self._sent_suspects.pop(link.peer, None)
         self._sent_rate_limits.pop(link.peer, None)
         self._heartbeats.pop(link.peer, None)
+        self._host_rows = None
         self._coordinator.on_entry_lost(link.peer, self._loop.time())
         _log.info("the link from an entry host ended", host=link.peer)
         self._rosters_due = True
@@ -84,20 +97,22 @@
         return sum(beat.is_follower for beat in self._heartbeats.values())
 
     def host_rows(self):
-        """Return [name, callers' address, zone, draining] rows, this host first."""
-        cfg = self._cfg
-        rows = [[cfg.host_name, self.own_address, cfg.host_zone, self.draining]]
-        rows += [
-            [beat.name, beat.caller_address, beat.zone, beat.draining]
-            for beat in self._heartbeats.values()
-        ]
-        return rows
+        """Return [name, callers' address, zone, draining] rows, this host first.
+
+        The list is replaced when a row changes.
+        """
+        if self._host_rows is None:
+            cfg = self._cfg
+            own = [cfg.host_name, self.own_address, cfg.host_zone, self.draining]
+            self._host_rows = [own, *map(_row, self._heartbeats.values())]
+        return self._host_rows
 
     def roster(self, link):
         """Return the `Roster` for a link, with the hosts only if they changed."""
         now = self._loop.time()
         hosts = self.host_rows()
-        if self._sent_hosts.get(link.peer) == (link, hosts):
+        sent_link, sent_hosts = self._sent_hosts.get(link.peer, (None, None))
+        if sent_link is link and sent_hosts is hosts:
             changed_hosts = None
         else:
             changed_hosts = hosts
@@ -135,6 +150,7 @@
     def announce_draining(self):
         """Tell all linked hosts at once that this host is draining."""
         self.draining = True
+        self._host_rows = None
         self._rosters_due = True
         self.push_rosters()
 
