--- a/lovagepier/decisions/fleet.py
+++ b/lovagepier/decisions/fleet.py
@@ -104,7 +104,7 @@
             return False
         if self.probing and self.running:
             return False
-        return self.rate_limit.allows(now)
+        return not self.rate_limit.is_stated or self.rate_limit.allows(now)
 
     def has_room(self, extra=0):
         """Return whether one more request fits.
@@ -273,6 +273,12 @@
             for _, name in order
         )
 
+    def is_full(self, version, may_overbook=False):
+        """Return whether no target of `version` has room for a request."""
+        if self._order.get((version, False)):
+            return False
+        return not (may_overbook and self._order.get((version, True)))
+
     def soonest(self, version, count, now, may_overbook=False):
         """Yield up to `count` healthy targets of `version`, soonest finish first.
 
--- a/lovagepier/decisions/policies.py
+++ b/lovagepier/decisions/policies.py
@@ -134,6 +134,8 @@
         elsewhere.
         """
         work.awaits_cache = False
+        if fleet.is_full(version, _may_overbook(work)):
+            return None
         best = None
         held = 0.0
         for state, hit in self._considered(fleet, version, work, prefixes, now):
--- a/lovagepier/decisions/rate_limits.py
+++ b/lovagepier/decisions/rate_limits.py
@@ -21,30 +21,35 @@
 class RateLimit:
     """A token bucket for the requests per second that one target takes.
 
-    `rate` is the limit in force, infinite if the target states none, and `since` the
-    time at which it took effect. Of a limit that several coordinators use, each has
-    its `share` of rate and burst. A bucket starts empty: requests that were started
-    before, also by another coordinator, are still on their way.
+    `rate` is the limit in force, infinite if the target states none; `is_stated` tells
+    whether it does. `since` is the time at which that took effect. Of a limit that
+    several coordinators use, each has its `share` of rate and burst. A bucket starts
+    empty: requests that were started before, also by another coordinator, are still on
+    their way.
 
     Over any time T a target gets at most `rate` x (T + `BURST_S`) + `MAX_SPLIT_BURST`
     requests from all coordinators. One with less than a whole token does not use it.
     """
 
-    __slots__ = ("_level", "_share", "_stated_at", "_updated_at", "rate", "since")
+    __slots__ = (
+        "_level",
+        "_share",
+        "_stated_at",
+        "_updated_at",
+        "is_stated",
+        "rate",
+        "since",
+    )
 
     def __init__(self, share=1.0):
         self.rate = math.inf
+        self.is_stated = False
         self.since = float("-inf")
         self._share = share
         self._level = 0.0
         self._stated_at = float("-inf")
         self._updated_at = 0.0
 
-    @property
-    def is_stated(self):
-        """Whether the target states a limit."""
-        return self.rate < math.inf
-
     def state(self, rate, started_at, now):
         """Apply the limit that a response stated; return whether that changed it.
 
@@ -66,6 +71,7 @@
         if not self.is_stated:
             self._level = 0.0
         self.rate = rate
+        self.is_stated = rate < math.inf
         self.since = now
         self._level = min(self._level, self._capacity())
         return True
--- a/lovagepier/decisions/scheduler.py
+++ b/lovagepier/decisions/scheduler.py
@@ -291,6 +291,8 @@
         Each late tier has a bound of its own; see `_late_room`.
         """
         late = self.waiting.demote_late(now)
+        if not late:
+            return []
         slots = sum(
             state.slots_within(LATE_ROUND_S)
             for state in self.fleet
