--- a/lovagepier/entry/_coordinator.py
+++ b/lovagepier/entry/_coordinator.py
@@ -78,8 +78,7 @@
     `send(entry, message)` sends an answer to an entry host, `write_state` writes a
     rollout's state to the store (see `Rollouts`). `quotas` decides what passes;
     `base_quotas` are the quotas without slack and overage. `rate_limits` are those that
-    targets state. Times (`now`) are in
-    seconds on the event loop's clock.
+    targets state. Times (`now`) are in seconds on the event loop's clock.
     """
 
     def __init__(self, cfg, view, rng, send, write_state):
--- a/lovagepier/entry/_view.py
+++ b/lovagepier/entry/_view.py
@@ -191,7 +191,8 @@
             )
             return False
         known = self.items.get(item.key)
-        if catalog.version == self.version and known.revision >= item.revision:
+        is_known = known is not None and catalog.version == self.version
+        if is_known and known.revision >= item.revision:
             return False
         if catalog.version < self.version:
             _log.warning(
--- a/test/test_entry_view.py
+++ b/test/test_entry_view.py
@@ -40,6 +40,12 @@
         assert view.version == highest
 
 
+def test_a_first_configuration_of_version_zero_is_taken():
+    view = StoreView()
+    put(view, "op/config", config(0), 1)
+    assert view.catalog is not None
+
+
 def test_old_revisions_are_ignored():
     view = StoreView()
     put(view, "servers/w1", target(state="draining"), 5)
