--- a/test/test_crashes.py
+++ b/test/test_crashes.py
@@ -187,3 +187,35 @@
         assert {status for part, status in statuses if part == "good"} == {200}
 
     run_scenario(scenario, hosts=3)
+
+
+def test_copies_that_wait_after_three_crashes_reach_no_new_target():
+    """Replays BUDGET at 72.913 s over three hosts: four copies, four new targets."""
+
+    async def scenario(fleet):
+        await fleet.store.remove("servers/m1")
+        targets = [
+            await fleet.add_target(name, "model", slots=1)
+            for name in ("m2", "m3", "m4")
+        ]
+        for host in fleet.hosts:
+            await wait_until(lambda host=host: len(host.view.targets) == 4)
+            await wait_until(lambda host=host: "m1" not in host.view.targets)
+        for target in targets:
+            target.mode, target.work_s = "crash", 0.3
+        copies = [
+            asyncio.create_task(call(fleet.hosts[number % 3], "/note/x", f"r{number}"))
+            for number in range(7)
+        ]
+        detector = fleet.hosts[0].coordinator.poison_detector
+        body = fingerprint_of(fleet.hosts[0], "/note/x")
+        await wait_until(lambda: detector.is_poison(body))
+        names = ("n1", "n2", "n3", "n4")
+        fresh = [await fleet.add_target(name, "model", slots=1) for name in names]
+        for target in fresh:
+            target.mode = "crash"
+        statuses = sorted([(await copy).status for copy in copies])
+        assert statuses == [422, 422, 422, 422, 502, 502, 502]
+        assert not any(target.runs for target in fresh)
+
+    run_scenario(scenario, hosts=3)
