Reach targets through other hosts where the own path is broken

Cause: a host knew no way to a target but its own connections; each target was excluded in turn and the request expired. Shown by test_target_paths.py, which failed.

Now a connection that fails, or is silent for 60 ms, is also opened through another host: bytes in frames on a link of their own, to the nearest host that is not cut off itself. A path counts as broken only if the other host connects; it is tried again in the background. Hosts say in heartbeats that they are cut off. What no host reaches is the target's fault, as before.

Ruled out: sending callers away (they keep addresses for seconds, and a refused connection is a failed attempt).

--- a/lovagepier/entry/_candidates.py
+++ b/lovagepier/entry/_candidates.py
@@ -40,7 +40,7 @@
             members,
             self._cfg.host_name,
             stale={host.name for host in members if self._is_stale(host)},
-            draining={name for name, _, _, is_draining in roster if is_draining},
+            draining={row[0] for row in roster if row[3]},
             own_last=self._followers.draining or self.has_lapsed(),
         )
 
--- a/lovagepier/entry/_cluster.py
+++ b/lovagepier/entry/_cluster.py
@@ -107,7 +107,7 @@
             )
 
     def live_hosts(self):
-        """Return [name, callers' address, zone, draining] rows of live hosts."""
+        """Return the rows of the live hosts, see `Roster`."""
         if self._is_coordinator():
             return self.followers.host_rows()
         return self._roster
@@ -367,14 +367,27 @@
             self._view.version,
             self._view.as_of,
             self._store_age(),
+            self.followers.is_cut_off,
         )
 
     def _store_age(self):
         return self._view.store_age(self._loop.time())
 
+    def set_cut_off(self, is_cut_off):
+        """Tell all linked hosts whether this host reaches few of the targets."""
+        if is_cut_off == self.followers.is_cut_off:
+            return
+        self.followers.is_cut_off = is_cut_off
+        _log.warning("paths to most targets", lost=is_cut_off)
+        self.followers.push_rosters()
+        self._send_heartbeats()
+
     def announce_draining(self):
         """Tell all linked hosts at once that this host is draining."""
         self.followers.announce_draining()
+        self._send_heartbeats()
+
+    def _send_heartbeats(self):
         for link in self._outgoing.links.values():
             link.send(self._heartbeat(link.in_use))
 
--- a/lovagepier/entry/_coordinator.py
+++ b/lovagepier/entry/_coordinator.py
@@ -18,16 +18,13 @@
 from lovagepier.entry._messages import Granted, Refused
 from lovagepier.entry._rate_limits import RateLimits
 from lovagepier.entry._rollouts import Rollouts
+from lovagepier.entry._zones import make_zone_cost
 from lovagepier.entry.catalog import ROUTE_TIERS
 from lovagepier.errors import ErrorKind
 from lovagepier.logs import component_logger
 
 __all__ = ["Coordinator"]
 
-# Cost of a target in another zone or region, as time: the round trip, and the traffic
-# that is charged for.
-ZONE_COST_S = 0.001
-REGION_COST_S = 0.035
 # Tiers of requests: the tiers of accounts and of routes combined.
 TIERS = 16
 # Each tier of requests is split into this many tiers of a scheduler (bands), most
@@ -103,7 +100,7 @@
             options = SchedulerOptions(
                 tiers=TIERS * BANDS_PER_TIER,
                 demote_late=True,
-                zone_cost=self._zone_cost,
+                zone_cost=make_zone_cost(self._cfg),
                 lost_after_s=LOST_AFTER_S,
                 max_waiting=self._cfg.scheduling_max_waiting,
                 shed_pause_s=SHED_PAUSE_S,
@@ -118,13 +115,6 @@
             self._pools[service] = pool
         return pool
 
-    def _zone_cost(self, here, there):
-        if here == there:
-            return 0.0
-        zones = self._cfg.zones
-        same = zones.get(here.lower()) == zones.get(there.lower())
-        return ZONE_COST_S if same else REGION_COST_S
-
     # Changes in the store
 
     def refresh(self, now):
--- a/lovagepier/entry/_exchange.py
+++ b/lovagepier/entry/_exchange.py
@@ -183,7 +183,7 @@
         since = self._progress_at if self._response_started else self._call.arrived_at
         return max(since + route.patience_s - now, RESPONSE_MARGIN_S)
 
-    def _report_result(self, grant, status, started_at, first=None, tokens=0):
+    def _report_result(self, grant, status, started_at, first=None, tokens=0, via=""):
         seconds = self._loop.time() - started_at
         total = seconds if status == "ok" else None
         metrics = self._frontend.metrics
@@ -207,6 +207,7 @@
             method=self._call.method,
             attempt=self._attempts,
             waited=round(started_at - self._call.arrived_at, 4),
+            via=via,
         )
 
     # Dispatch to one target
@@ -221,9 +222,10 @@
         try:
             tconn = await self._connect(target)
         except ConnectFailed as exc:
-            self._excluded.add(grant.target)
-            status = "unreachable" if exc.refused else "not-run"
-            self._report_result(grant, status, started_at)
+            # A target that refuses connections is down. The call may wait for it.
+            if not exc.refused:
+                self._excluded.add(grant.target)
+            self._report_result(grant, _connect_status(exc), started_at)
             return _Outcome.NOT_EXECUTED
         except BaseException:
             self._report_result(grant, "returned", started_at)
@@ -232,12 +234,12 @@
 
     async def _connect(self, target):
         if self._call.route.retryable:
-            tconn = self._frontend.target_connections.take_idle(target)
+            tconn = self._frontend.connector.take_idle(target)
             if tconn is not None:
                 return tconn
         # A call that must not run twice gets a new connection: an idle one may hold
         # a late response to another request or be about to be closed by the target.
-        return await self._frontend.target_connections.open(target)
+        return await self._frontend.connector.open(target)
 
     async def _run_attempt(self, grant, target, tconn):
         started_at = self._loop.time()
@@ -296,7 +298,7 @@
         finally:
             if status != "ok" or not tconn.usable:
                 tconn.close()
-            self._report_result(grant, status, started_at, first, tokens)
+            self._report_result(grant, status, started_at, first, tokens, tconn.via)
 
     def _send(self, tconn, target):
         call = self._call
@@ -493,5 +495,12 @@
         )
 
 
+def _connect_status(exc):
+    """Return the status of a dispatch whose connection failed."""
+    if exc.refused:
+        return "unreachable"
+    return "returned" if exc.is_unsure else "not-run"
+
+
 class _FailedOver(Exception):
     """Another target takes over from one that did not respond in time."""
--- a/lovagepier/entry/_followers.py
+++ b/lovagepier/entry/_followers.py
@@ -16,6 +16,7 @@
         heartbeat.caller_address,
         heartbeat.zone,
         heartbeat.draining,
+        heartbeat.is_cut_off,
     ]
 
 
@@ -23,7 +24,8 @@
     """Hosts that use this host's coordinator or keep a standby link to it.
 
     `links` are the open links by host name. `draining` is set once this host
-    is to stop. `boot` identifies this incarnation of the host.
+    is to stop, `is_cut_off` while it reaches few of the targets. `boot` identifies
+    this incarnation of the host.
     """
 
     def __init__(self, cfg, view, coordinator, boot):
@@ -40,6 +42,7 @@
         self._rosters_due = False
         self.links = {}
         self.draining = False
+        self._is_cut_off = False
 
     @property
     def own_address(self):
@@ -47,6 +50,18 @@
         host, port = self._cfg.callers_listen
         return f"{host}:{port}"
 
+    @property
+    def is_cut_off(self):
+        """Whether this host reaches few of the targets."""
+        return self._is_cut_off
+
+    @is_cut_off.setter
+    def is_cut_off(self, value):
+        if value != self._is_cut_off:
+            self._is_cut_off = value
+            self._host_rows = None
+            self._rosters_due = True
+
     def on_heartbeat(self, link, heartbeat):
         """Record a heartbeat; return whether the number of followers changed."""
         if not link.peer:
@@ -57,7 +72,7 @@
         self._heartbeats[heartbeat.name] = heartbeat
         if known is None or _row(known) != _row(heartbeat):
             self._host_rows = None
-        if known is None or known.draining != heartbeat.draining:
+        if known is None or _row(known)[3:] != _row(heartbeat)[3:]:
             self._rosters_due = True
         if known is not None and known.is_follower and not heartbeat.is_follower:
             self._coordinator.on_entry_lost(heartbeat.name, self._loop.time())
@@ -97,13 +112,19 @@
         return sum(beat.is_follower for beat in self._heartbeats.values())
 
     def host_rows(self):
-        """Return [name, callers' address, zone, draining] rows, this host first.
+        """Return the rows of a `Roster`'s `hosts`, this host first.
 
         The list is replaced when a row changes.
         """
         if self._host_rows is None:
             cfg = self._cfg
-            own = [cfg.host_name, self.own_address, cfg.host_zone, self.draining]
+            own = [
+                cfg.host_name,
+                self.own_address,
+                cfg.host_zone,
+                self.draining,
+                self._is_cut_off,
+            ]
             self._host_rows = [own, *map(_row, self._heartbeats.values())]
         return self._host_rows
 
--- a/lovagepier/entry/_frontend.py
+++ b/lovagepier/entry/_frontend.py
@@ -6,6 +6,8 @@
 from lovagepier.entry._exchange import Exchange
 from lovagepier.entry._target_checks import TargetChecks
 from lovagepier.entry._target_conn import TargetConnectionPool
+from lovagepier.entry._target_connector import TargetConnector
+from lovagepier.entry._tunnel_server import TunnelServer
 from lovagepier.entry.catalog import ROUTE_TIERS, CallerLimits
 from lovagepier.errors import ErrorKind, error_spec
 from lovagepier.logs import component_logger
@@ -77,6 +79,10 @@
         self.cluster = cluster
         self.coordinator = coordinator
         self.target_connections = TargetConnectionPool(CONNECT_TIMEOUT_S)
+        self.connector = TargetConnector(cfg, view, cluster, self.target_connections)
+        self.tunnel_server = TunnelServer(
+            view, self.target_connections, self.connector.is_broken
+        )
         self.target_checks = TargetChecks(
             self.target_connections, cluster.requests.report_target_down
         )
@@ -121,12 +127,15 @@
 
     @property
     def is_serving(self):
-        """Whether any request is being served."""
+        """Whether any request is being served, of this host's callers or another's."""
+        if self.tunnel_server.is_serving:
+            return True
         return any(conn.serving for conn in self._caller_conns)
 
     def stop_by(self, stops_at):
         """Refuse calls from now on that could not be completed by `stops_at`."""
         self.stops_at = stops_at
+        self.tunnel_server.is_stopping = True
 
     def close_idle(self, min_idle_s):
         """Close connections: those idle for `min_idle_s`, others after a response."""
@@ -264,7 +273,7 @@
         A body that is sent to a host in another region may cross regions twice,
         and each crossing is paid for: caller to host and host to target.
         """
-        rows = [row for row in self.cluster.live_hosts() if not row[3]]
+        rows = [row[:4] for row in self.cluster.live_hosts() if not row[3]]
         in_region = [
             row for row in rows if self.cfg.zones.get(row[2].lower()) == region
         ]
--- a/lovagepier/entry/_host.py
+++ b/lovagepier/entry/_host.py
@@ -14,6 +14,7 @@
 from lovagepier.entry._links import LinkServer
 from lovagepier.entry._settings import parse_entry_settings
 from lovagepier.entry._store_actors import LEASE_TTL_S, Registrar, Watcher, WriteKey
+from lovagepier.entry._tunnel_messages import TUNNEL_MESSAGES
 from lovagepier.entry._verdicts import Verdicts
 from lovagepier.entry._view import HOST_PREFIX, StoreView, encode_host
 from lovagepier.errors import UserError
@@ -120,13 +121,14 @@
         self._loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._loop.set_exception_handler(_log_unhandled)
         self._start_actors()
-        links = LinkServer(self.cluster.on_message, self.cluster.followers.on_closed)
+        links = LinkServer(self._on_link_message, self._on_link_closed)
         await links.start(self.cfg.peers_listen)
         await self.frontend.listen(self._sockets)
         tasks = [
             self._loop.create_task(self.cluster.run()),
             self._loop.create_task(self._tick_forever()),
             self._loop.create_task(self._reload_forever()),
+            self._loop.create_task(self.frontend.connector.run()),
         ]
         _log.info("started", host=self.cfg.host_name, boot=self._boot)
         await self._stopping.wait()
@@ -168,6 +170,16 @@
             on_loop(self.cluster.candidates.on_registered),
         )
 
+    def _on_link_message(self, link, message):
+        if isinstance(message, TUNNEL_MESSAGES):
+            self.frontend.tunnel_server.on_message(link, message)
+        else:
+            self.cluster.on_message(link, message)
+
+    def _on_link_closed(self, link):
+        self.frontend.tunnel_server.on_closed(link)
+        self.cluster.followers.on_closed(link)
+
     def _reload(self):
         """Reload the settings file; changes that need a restart are only logged."""
         try:
--- a/lovagepier/entry/_links.py
+++ b/lovagepier/entry/_links.py
@@ -59,6 +59,11 @@
         self.store_answered_at = float("-inf")
         self.in_use = False
 
+    @property
+    def backlog(self):
+        """Number of messages that wait to be sent."""
+        return self._outbox.qsize()
+
     def send(self, body):
         """Queue one message; return whether the link accepted it."""
         if not self.is_open:
--- a/lovagepier/entry/_messages.py
+++ b/lovagepier/entry/_messages.py
@@ -33,7 +33,7 @@
     `is_follower` tells whether the sender uses the receiver as its
     coordinator now. `version` and `as_of` are the configuration version and
     the store revision that the sender has, `store_age` is the time since the
-    store last answered it.
+    store last answered it. `is_cut_off` tells that it reaches few of the targets.
     """
 
     name: str
@@ -44,6 +44,7 @@
     version: int
     as_of: int
     store_age: float
+    is_cut_off: bool = False
 
 
 @message("e.roster")
@@ -51,8 +52,8 @@
 class Roster:
     """The coordinator's answer to a heartbeat, with what its followers must know.
 
-    `hosts` rows are [name, callers' address, zone, draining]; None if they are
-    the same as in the last roster on this link. `store_age` is the time since
+    `hosts` rows are [name, callers' address, zone, draining, is_cut_off]; None if they
+    are the same as in the last roster on this link. `store_age` is the time since
     the store last answered the coordinator. `poisoned` are the fingerprints of
     requests that no host may run, `suspects` the `PoisonDetector.suspect_rows`, None
     if they did not change. `rollbacks` rows are [service, order revision, cause] of
--- a/lovagepier/entry/_target_conn.py
+++ b/lovagepier/entry/_target_conn.py
@@ -44,12 +44,16 @@
 class ConnectFailed(Exception):
     """No connection could be opened: nothing of the request was sent.
 
-    `refused` tells whether the target's host answered that nobody listens.
+    `refused` tells whether the target's host answered that nobody listens, `is_unsure`
+    that the fault may be this host's: no other host could judge the target. If it
+    `needs_others`, the host that judged reaches no target of the service at all.
     """
 
-    def __init__(self, why, refused=False):
+    def __init__(self, why, refused=False, is_unsure=False, needs_others=False):
         super().__init__(why)
         self.refused = refused
+        self.is_unsure = is_unsure
+        self.needs_others = needs_others
 
 
 class TargetConnectionLost(Exception):
@@ -63,7 +67,9 @@
     """One connection, which carries one request at a time.
 
     `idle_timeout_s` is how long it may be reused after `idle_since` (loop
-    seconds). `requests_served` counts its completed requests.
+    seconds). `requests_served` counts its completed requests. `via` is the host that
+    the connection goes through, empty if it is direct; one that is not `is_reusable`
+    carries a single request.
     """
 
     __slots__ = (
@@ -78,7 +84,9 @@
         "_unparsed_bytes",
         "idle_since",
         "idle_timeout_s",
+        "is_reusable",
         "requests_served",
+        "via",
     )
 
     def __init__(self):
@@ -92,7 +100,9 @@
         self._request = None
         self.idle_since = 0.0
         self.idle_timeout_s = MAX_IDLE_S
+        self.is_reusable = True
         self.requests_served = 0
+        self.via = ""
 
     def connection_made(self, transport):
         """Store the transport."""
@@ -298,7 +308,8 @@
         A connection that can't be reused is closed.
         """
         reusable = (
-            not response.closes_connection
+            self.is_reusable
+            and not response.closes_connection
             and self._failure is None
             and self._http is not None
             and self._http.our_state is h11.DONE
@@ -354,18 +365,23 @@
 
     async def open(self, target):
         """Return a new connection to `target`; raise `ConnectFailed`."""
+        conn = await self.connect(TargetConnection, target)
+        conn.idle_since = asyncio.get_running_loop().time()
+        return conn
+
+    async def connect(self, make_protocol, target):
+        """Connect a new protocol to `target` and return it; raise `ConnectFailed`."""
         loop = asyncio.get_running_loop()
         self.opened += 1
         try:
             async with asyncio.timeout(self._connect_timeout_s):
-                _, conn = await loop.create_connection(
-                    TargetConnection, target.host, target.port
+                _, protocol = await loop.create_connection(
+                    make_protocol, target.host, target.port
                 )
         except (OSError, TimeoutError, ValueError, OverflowError) as exc:
             refused = isinstance(exc, ConnectionRefusedError)
             raise ConnectFailed(type(exc).__name__, refused)
-        conn.idle_since = loop.time()
-        return conn
+        return protocol
 
     def put_idle(self, target, conn):
         """Keep a connection whose response was read to its end, for reuse.
@@ -378,6 +394,11 @@
         if len(idle) > MAX_IDLE_PER_TARGET:
             idle.pop(0).close()
 
+    def close_idle(self, target):
+        """Close all idle connections to a target."""
+        for conn in self._idle.pop((target.host, target.port, target.incarnation), ()):
+            conn.close()
+
     def close_stale(self, incarnations):
         """Close idle connections that are too old or whose target is gone.
 
--- /dev/null
+++ b/test/test_tunnels.py
@@ -0,0 +1,92 @@
+"""Connections to targets through another host, which outlive or follow their ends."""
+
+import asyncio
+
+from test.entry_builders import call, connect, raw_request, wait_until
+from test.test_target_paths import cut, run_scenario
+
+
+def test_a_caller_that_leaves_ends_its_work_through_another_host():
+    async def scenario(fleet):
+        host, target = fleet.hosts[2], fleet.targets["m1"]
+        cut(host, "refused")
+        target.work_s = 5.0
+        _, writer = await connect(host)
+        writer.write(raw_request("/note/x", "r1"))
+        await wait_until(lambda: target.runs)
+        writer.transport.abort()
+        await wait_until(lambda: target.cancelled == ["r1"])
+
+    run_scenario(scenario)
+
+
+def test_a_slow_caller_slows_down_its_target_through_another_host():
+    async def scenario(fleet):
+        host, target = fleet.hosts[2], fleet.targets["m1"]
+        cut(host, "refused")
+        target.mode = "flood"
+        reader, writer = await connect(host)
+        writer.transport.pause_reading()
+        writer.write(raw_request("/talk/x", "r1", method="POST", body=b"{}"))
+        await wait_until(lambda: target.sent > 0)
+        before = -1
+        while target.sent != before:
+            before = target.sent
+            await asyncio.sleep(0.2)
+        assert target.sent < 60_000_000
+        writer.transport.resume_reading()
+        await reader.readexactly(before + 1_000_000)
+        writer.transport.abort()
+
+    run_scenario(scenario)
+
+
+def test_large_bodies_pass_whole_both_ways():
+    async def scenario(fleet):
+        host, target = fleet.hosts[2], fleet.targets["w1"]
+        cut(host, "refused")
+        body = bytes(range(256)) * 39
+        response = await call(host, "/file/x", "r1", method="POST", body=body)
+        assert response.status == 200
+        assert target.runs[0][4] == body
+
+    run_scenario(scenario)
+
+
+def relay_of(host):
+    """Return the name of the host that this one's tunnels go through."""
+    (name,) = host.frontend.connector._tunnels._links
+    return name
+
+
+def test_a_lost_tunnel_host_is_replaced_by_another_one():
+    async def scenario(fleet):
+        host, target = fleet.hosts[2], fleet.targets["w1"]
+        cut(host, "refused")
+        assert (await call(host, "/read/x", "r0")).status == 200
+        name = relay_of(host)
+        target.work_s = 0.5
+        running = asyncio.create_task(call(host, "/read/x", "r1"))
+        await wait_until(lambda: len(target.runs) == 2)
+        host.frontend.connector._tunnels._links[name].close()
+        target.work_s = 0.0
+        assert (await running).status == 200
+        assert [run[0] for run in target.runs] == ["r0", "r1", "r1"]
+
+    run_scenario(scenario)
+
+
+def test_a_stopping_host_sees_its_tunnels_through():
+    async def scenario(fleet):
+        host, target = fleet.hosts[2], fleet.targets["w1"]
+        cut(host, "refused")
+        assert (await call(host, "/read/x", "r0")).status == 200
+        stopping = next(h for h in fleet.hosts if h.cfg.host_name == relay_of(host))
+        target.work_s = 2.6
+        running = asyncio.create_task(call(host, "/file/x", "r1", method="POST"))
+        await wait_until(lambda: len(target.runs) == 2)
+        stopping._stopping.set()
+        assert (await running).status == 200
+        assert len(target.runs) == 2
+
+    run_scenario(scenario)
