Ask another host before a target counts as crashed

The same class: runs lost with a path counted as failures of the target and ejected it.

Now a target has crashed if another host can't connect either and reaches others of its service, or if all that were asked can't. A host that can ask none compares for itself. The outcome of a lost run is reported after that check, as cut-off if only the path broke; a retry waits for it 50 ms and may use the same target again.

--- a/lovagepier/decisions/work.py
+++ b/lovagepier/decisions/work.py
@@ -129,9 +129,9 @@
     `status` is one of ok, failed, refused, late, cancelled, died (the target refuses
     connections after it began to run the request), unreachable (it refuses
     connections, so the request was not sent), vanished (the connection ended, or the
-    target doesn't know the id), not-run (no connection to the target), returned (the
-    grant was not used) and lost (no outcome will arrive). `in_time` tells whether the
-    deadline was met.
+    target doesn't know the id), cut-off (the entry host lost its path to the target),
+    not-run (no connection to the target), returned (the grant was not used) and lost
+    (no outcome will arrive). `in_time` tells whether the deadline was met.
     """
 
     id: str
--- a/lovagepier/entry/_exchange.py
+++ b/lovagepier/entry/_exchange.py
@@ -35,6 +35,11 @@
 # Status of another target that has taken over the address.
 MISDIRECTED = 421
 
+# How long a retry waits for the check of a target that lost the call.
+CHECK_WAIT_S = 0.05
+# Statuses of attempts that may have failed for want of a path to the target.
+_LOST_STATUSES = ("vanished", "silent", "late")
+
 _log = component_logger("callers")
 _ids = itertools.count(1)
 
@@ -69,6 +74,7 @@
     __slots__ = (
         "_attempts",
         "_call",
+        "_checking",
         "_conn",
         "_cost_charged",
         "_deadline",
@@ -99,6 +105,7 @@
         self._executions = 0
         self._excluded = set()
         self._fallback = None
+        self._checking = None
         self._cost_charged = False
         self._maybe_executed = False
         self._next_grant = None
@@ -129,6 +136,10 @@
             if not self._may_retry(outcome):
                 self._end_without_success(None)
                 return
+            if self._checking is not None:
+                # The target may be sent the call again if only the path to it broke.
+                await asyncio.wait((self._checking,), timeout=CHECK_WAIT_S)
+                self._checking = None
 
     def _may_retry(self, outcome):
         if self._attempts >= MAX_ATTEMPTS:
@@ -183,8 +194,10 @@
         since = self._progress_at if self._response_started else self._call.arrived_at
         return max(since + route.patience_s - now, RESPONSE_MARGIN_S)
 
-    def _report_result(self, grant, status, started_at, first=None, tokens=0, via=""):
-        seconds = self._loop.time() - started_at
+    def _report_result(
+        self, grant, status, started_at, first=None, tokens=0, via="", ended_at=None
+    ):
+        seconds = (ended_at or self._loop.time()) - started_at
         total = seconds if status == "ok" else None
         metrics = self._frontend.metrics
         metrics.count(f"dispatch_{status.replace('-', '_')}", self._call.route.tier)
@@ -279,7 +292,6 @@
             return self._handle_response(response, body)
         except TargetConnectionLost as exc:
             status = "vanished"
-            self._frontend.target_checks.start(target)
             _log.info(
                 "a target broke off",
                 request=self._call.request_id,
@@ -290,7 +302,7 @@
             )
             return _Outcome.FAILED
         except _FailedOver:
-            status = "failed"
+            status = "silent"
             return _Outcome.FAILED
         except asyncio.CancelledError:
             status = "late" if self._loop.time() >= self._deadline - 0.05 else status
@@ -298,7 +310,43 @@
         finally:
             if status != "ok" or not tconn.usable:
                 tconn.close()
+            self._report_attempt(
+                grant, target, tconn, status, started_at, first, tokens
+            )
+
+    def _report_attempt(self, grant, target, tconn, status, started_at, first, tokens):
+        """Report how an attempt ended.
+
+        Whether the target or this host's path to it failed is found out first.
+        """
+        if status not in _LOST_STATUSES:
             self._report_result(grant, status, started_at, first, tokens, tconn.via)
+            return
+        ended_at = self._loop.time()
+        own_status = "failed" if status == "silent" else status
+        checking = self._checking = self._loop.create_future()
+
+        def report(is_broken):
+            if is_broken:
+                self._excluded.discard(target.id)
+            if not checking.done():
+                checking.set_result(None)
+            self._report_result(
+                grant,
+                "cut-off" if is_broken else own_status,
+                started_at,
+                first,
+                tokens,
+                tconn.via,
+                ended_at,
+            )
+
+        if not tconn.via and self._frontend.connector.is_broken(target.incarnation):
+            report(True)
+        elif status == "late":
+            report(False)
+        else:
+            self._frontend.target_checks.start(target, report)
 
     def _send(self, tconn, target):
         call = self._call
--- a/lovagepier/entry/_frontend.py
+++ b/lovagepier/entry/_frontend.py
@@ -84,7 +84,9 @@
             view, self.target_connections, self.connector.is_broken
         )
         self.target_checks = TargetChecks(
-            self.target_connections, cluster.requests.report_target_down
+            self.connector,
+            self.target_connections.put_idle,
+            cluster.requests.report_target_down,
         )
         self.metrics = Metrics()
         self.stops_at = None
