Send nothing to targets that say they leave

Cause: nothing read Server-Leaving; a target was draining only once the store said so and a host had read it. Its answers say so at once, while the store may be away, show ready, or come back from a copy.

A host that reads it in any answer, also one to another request, takes that incarnation for draining from then on and tells its coordinator, which tells all. The marks are kept in the host's view over whatever the store shows; rosters and running reports carry them, so successors and hosts that join know them, and the host of a tunnel is told as well. Beside it: what a roster repeats only when it changed stood twice. A host that follows nobody now finds hosts for tunnels among those registered.

--- a/lovagepier/entry/_cluster.py
+++ b/lovagepier/entry/_cluster.py
@@ -24,6 +24,7 @@
     StoreDelta,
     StoreSnapshot,
     TargetDown,
+    TargetLeaving,
     Withdraw,
 )
 from lovagepier.entry._outgoing import STANDBY_HEARTBEAT_ROUNDS, OutgoingLinks
@@ -72,6 +73,7 @@
         self._cfg = cfg
         self._view = view
         self._coordinator = coordinator
+        self._apply_keys = apply_keys
         self.replication = Replication(view, apply_keys)
         self._loop = asyncio.get_running_loop()
         self.followers = Followers(cfg, view, coordinator, boot)
@@ -106,6 +108,20 @@
                 RateLimitStated(grant.id, grant.target, grant.incarnation, rate)
             )
 
+    def report_leaving(self, target, request_id):
+        """Take a target that says so for leaving, and tell the coordinator."""
+        if target.incarnation not in self._view.leaving:
+            self._mark_leaving([target.incarnation], request_id)
+            if not self._is_coordinator():
+                message = TargetLeaving(target.incarnation, request_id)
+                self._send_to_coordinator(message)
+
+    def _mark_leaving(self, incarnations, request_id=""):
+        changed = self._view.mark_leaving(incarnations)
+        if changed:
+            _log.info("targets say that they leave", keys=changed, request=request_id)
+            self._apply_keys(changed)
+
     def live_hosts(self):
         """Return the rows of the live hosts, see `Roster`."""
         if self._is_coordinator():
@@ -164,6 +180,8 @@
             link.send(self.replication.snapshot())
         elif isinstance(message, StoreSnapshot):
             self.replication.on_snapshot(message)
+        elif isinstance(message, TargetLeaving):
+            self._mark_leaving([message.incarnation], message.request)
         elif link.peer:
             self._handle_as_coordinator(link.peer, message)
 
@@ -190,6 +208,7 @@
             ]
             report = replace(message, running=rows)
             self.followers.on_joined(entry)
+            self._mark_leaving(message.leaving)
             coordinator.on_running_report(entry, report, now)
 
     def _on_heartbeat(self, link, heartbeat):
@@ -219,6 +238,8 @@
         self._merge_evidence(roster)
         if roster.rate_limits is not None:
             self._coordinator.rate_limits.replace(roster.rate_limits, self._loop.time())
+        if roster.leaving is not None:
+            self._mark_leaving(roster.leaving)
         for service, revision, cause in roster.rollbacks:
             self._coordinator.rollouts.roll_back(service, revision, cause)
 
@@ -295,6 +316,7 @@
                     else self._coordinator.quotas.take_spent(now),
                     self._coordinator.poison_detector.suspect_rows(),
                     self._coordinator.rate_limits.rows,
+                    self._view.leaving,
                 )
             )
         self.requests.resend_all()
--- a/lovagepier/entry/_exchange.py
+++ b/lovagepier/entry/_exchange.py
@@ -6,7 +6,12 @@
 import math
 
 from lovagepier.entry._events import EventSplitter, EventTooLong
-from lovagepier.entry._messages import DispatchRequest, DispatchResult, Granted
+from lovagepier.entry._messages import (
+    DispatchRequest,
+    DispatchResult,
+    Granted,
+    TargetLeaving,
+)
 from lovagepier.entry._target_conn import ConnectFailed, TargetConnectionLost
 from lovagepier.entry.call import fingerprint
 from lovagepier.errors import ErrorKind, error_spec
@@ -267,6 +272,7 @@
         try:
             self._send(tconn, target)
             response = await self._read_head(tconn)
+            self._note_leaving(target, tconn)
             self._note_rate_limit(grant, response)
             if response.not_executed:
                 status = "not-run"
@@ -308,6 +314,7 @@
             status = "late" if self._loop.time() >= self._deadline - 0.05 else status
             raise
         finally:
+            self._note_leaving(target, tconn)
             if status != "ok" or not tconn.usable:
                 tconn.close()
             self._report_attempt(
@@ -374,6 +381,14 @@
         finally:
             reading.cancel()
 
+    def _note_leaving(self, target, tconn):
+        if not tconn.is_leaving:
+            return
+        self._frontend.cluster.report_leaving(target, self._call.request_id)
+        if tconn.via:
+            message = TargetLeaving(target.incarnation, self._call.request_id)
+            self._frontend.connector.tell(tconn.via, message)
+
     def _note_rate_limit(self, grant, response):
         """Report the target's rate limit; one that can't be read changes nothing."""
         rate = response.rate_limit
--- a/lovagepier/entry/_followers.py
+++ b/lovagepier/entry/_followers.py
@@ -37,8 +37,7 @@
         self._heartbeats = {}
         self._host_rows = None
         self._sent_hosts = {}
-        self._sent_suspects = {}
-        self._sent_rate_limits = {}
+        self._sent = {}
         self._rosters_due = False
         self.links = {}
         self.draining = False
@@ -91,8 +90,7 @@
             return
         del self.links[link.peer]
         self._sent_hosts.pop(link.peer, None)
-        self._sent_suspects.pop(link.peer, None)
-        self._sent_rate_limits.pop(link.peer, None)
+        self._sent.pop(link.peer, None)
         self._heartbeats.pop(link.peer, None)
         self._host_rows = None
         self._coordinator.on_entry_lost(link.peer, self._loop.time())
@@ -104,8 +102,7 @@
 
         What it was sent before it may have dropped, or replaced by another's.
         """
-        self._sent_rate_limits.pop(name, None)
-        self._sent_suspects.pop(name, None)
+        self._sent.pop(name, None)
 
     def count(self):
         """Return how many other hosts use this host's coordinator now."""
@@ -138,6 +135,12 @@
         else:
             changed_hosts = hosts
             self._sent_hosts[link.peer] = (link, hosts)
+        detector = self._coordinator.poison_detector
+        suspects = self._if_changed(
+            link, "suspects", detector.revision, detector.suspect_rows
+        )
+        limits = self._coordinator.rate_limits.rows
+        leaving = self._view.leaving
         return Roster(
             self._cfg.host_name,
             changed_hosts,
@@ -149,24 +152,19 @@
             self._coordinator.quotas.low_levels(now),
             self._coordinator.rollouts.progress_rows(),
             self._boot,
-            self._changed_suspects(link),
+            suspects,
             self._coordinator.retry_levels(),
-            self._changed_rate_limits(link),
+            self._if_changed(link, "rate_limits", limits, lambda: limits),
+            self._if_changed(link, "leaving", leaving, lambda: leaving),
         )
 
-    def _changed_suspects(self, link):
-        detector = self._coordinator.poison_detector
-        if self._sent_suspects.get(link.peer) == (link, detector.revision):
-            return None
-        self._sent_suspects[link.peer] = (link, detector.revision)
-        return detector.suspect_rows()
-
-    def _changed_rate_limits(self, link):
-        rows = self._coordinator.rate_limits.rows
-        if self._sent_rate_limits.get(link.peer) == (link, rows):
+    def _if_changed(self, link, field, state, make):
+        """Return `make()`, or None if the link was last sent that of the same state."""
+        sent = self._sent.setdefault(link.peer, {})
+        if sent.get(field) == (link, state):
             return None
-        self._sent_rate_limits[link.peer] = (link, rows)
-        return rows
+        sent[field] = (link, state)
+        return make()
 
     def announce_draining(self):
         """Tell all linked hosts at once that this host is draining."""
--- a/lovagepier/entry/_messages.py
+++ b/lovagepier/entry/_messages.py
@@ -21,6 +21,7 @@
     "StoreDelta",
     "StoreSnapshot",
     "TargetDown",
+    "TargetLeaving",
     "Withdraw",
 ]
 
@@ -65,7 +66,8 @@
     `RollbackTrigger.state`. `boot` identifies the sender's incarnation, empty if it
     does not say.
     `retry_levels` maps services to the tokens left in their `RetryBudget`s.
-    `rate_limits` are the `Coordinator.rate_limits`, None if they did not change.
+    `rate_limits` are the `Coordinator.rate_limits` and `leaving` the
+    `StoreView.leaving`, each None if it did not change.
     """
 
     coordinator: str
@@ -81,6 +83,7 @@
     suspects: list | None = None
     retry_levels: dict = field(default_factory=dict)
     rate_limits: list | None = None
+    leaving: list | None = None
 
 
 @message("e.ask")
@@ -173,6 +176,15 @@
     incarnation: str
 
 
+@message("e.leaving")
+@dataclass(slots=True)
+class TargetLeaving:
+    """An incarnation of a target said in the response to `request` that it leaves."""
+
+    incarnation: str
+    request: str
+
+
 @message("e.limit")
 @dataclass(slots=True)
 class RateLimitStated:
@@ -208,7 +220,7 @@
     `poisoned` are fingerprints; `rollbacks` rows are as in `Roster`. `spent` maps
     accounts to what the sender's own coordinator, which has just started, admitted.
     `suspects` are the sender's `PoisonDetector.suspect_rows`, `rate_limits` its
-    `Coordinator.rate_limits`.
+    `Coordinator.rate_limits`, `leaving` its `StoreView.leaving`.
     """
 
     running: list
@@ -217,6 +229,7 @@
     spent: dict = field(default_factory=dict)
     suspects: list = field(default_factory=list)
     rate_limits: list = field(default_factory=list)
+    leaving: list = field(default_factory=list)
 
 
 @message("e.changed")
--- a/lovagepier/entry/_target_conn.py
+++ b/lovagepier/entry/_target_conn.py
@@ -69,7 +69,8 @@
     `idle_timeout_s` is how long it may be reused after `idle_since` (loop
     seconds). `requests_served` counts its completed requests. `via` is the host that
     the connection goes through, empty if it is direct; one that is not `is_reusable`
-    carries a single request.
+    carries a single request. `is_leaving` tells whether the target said in any
+    response that it leaves.
     """
 
     __slots__ = (
@@ -84,6 +85,7 @@
         "_unparsed_bytes",
         "idle_since",
         "idle_timeout_s",
+        "is_leaving",
         "is_reusable",
         "requests_served",
         "via",
@@ -100,6 +102,7 @@
         self._request = None
         self.idle_since = 0.0
         self.idle_timeout_s = MAX_IDLE_S
+        self.is_leaving = False
         self.is_reusable = True
         self.requests_served = 0
         self.via = ""
@@ -210,6 +213,7 @@
             response = decode_response(
                 event.status_code, list(event.headers), event.http_version
             )
+            self.is_leaving = self.is_leaving or response.is_leaving
             if response.request_id == request_id:
                 return response
             if not response.request_id:
--- a/lovagepier/entry/_target_connector.py
+++ b/lovagepier/entry/_target_connector.py
@@ -79,6 +79,10 @@
             alike, _ = await self._comparison.reaches_others(target)
             raise ConnectFailed(str(exc), refused=alike, is_unsure=not alike)
 
+    def tell(self, host, message):
+        """Tell a host that a connection goes through what its target said."""
+        self._tunnels.tell(host, message)
+
     async def _wait_for_any(self, tasks):
         """Wait until one task has opened a connection or all have failed."""
         waiting = set(tasks)
@@ -155,12 +159,15 @@
         return bool(self._peers())
 
     def _peers(self):
+        """Return the live hosts; without any, those that are registered."""
+        own = self._cfg.host_name
         members = self._view.members()
-        return [
+        live = [
             Peer(name, zone, is_cut_off)
             for name, _, zone, is_draining, is_cut_off in self._cluster.live_hosts()
-            if name != self._cfg.host_name and not is_draining and name in members
+            if name != own and not is_draining and name in members
         ]
+        return live or [Peer(n, self._cfg.host_zone) for n in members if n != own]
 
     def _find_address(self, name):
         host = self._view.members().get(name)
@@ -188,7 +195,8 @@
             if key not in self._retrying:
                 task = self._loop.create_task(self._retry(targets[key]))
                 self._retrying[key] = task
-        self._tunnels.close_unused({row[0] for row in self._cluster.live_hosts()})
+        live = {row[0] for row in self._cluster.live_hosts()}
+        self._tunnels.close_unused(live | {peer.name for peer in self._peers()})
 
     async def _retry(self, target):
         try:
--- a/lovagepier/entry/_tunnels.py
+++ b/lovagepier/entry/_tunnels.py
@@ -136,6 +136,12 @@
         except TimeoutError:
             raise HostUnreachable("no answer")
 
+    def tell(self, host, message):
+        """Send a message to a host that this one has tunnels through."""
+        link = self._links.get(host)
+        if link is not None:
+            link.send(message)
+
     async def _open_on(self, link, target):
         conn = TargetConnection()
         conn.is_reusable = False
--- a/lovagepier/entry/_view.py
+++ b/lovagepier/entry/_view.py
@@ -19,6 +19,8 @@
 OUTAGE_EFFECT_S = 3.0
 # What left is remembered this long, in case the store comes back from an older copy.
 LEFT_RETENTION_S = 120.0
+# Incarnations remembered as leaving; the ones that were marked last stay.
+MAX_LEAVING = 2000
 
 _log = component_logger("config")
 
@@ -56,6 +58,9 @@
     A new era begins with an older copy of the store. Targets that it lacks are kept
     for a grace period, as after an outage. Those that left since get no work, until
     they are written again.
+
+    `leaving` are the incarnations of targets that said so themselves, oldest first.
+    They are draining whatever the store shows. The list is replaced when it changes.
     """
 
     def __init__(self):
@@ -70,6 +75,7 @@
         self.states = {}
         self.poisoned = {}
         self.restored_at = None
+        self.leaving = []
         self._era_began = 0
         self._lapsed = {}
         self._left = {}
@@ -225,8 +231,23 @@
             target = replace(target, draining=True)
         elif key in self._left:
             self._left[key] = (target.started_at_ms, 0, now)
+        if target.incarnation in self.leaving:
+            target = replace(target, draining=True)
         self.targets[key] = target
 
+    def mark_leaving(self, incarnations):
+        """Take targets for draining that say so themselves; return the changed keys."""
+        new = [each for each in incarnations if each not in self.leaving]
+        if not new:
+            return []
+        self.leaving = [*self.leaving, *new][-MAX_LEAVING:]
+        changed = [
+            key for key, target in self.targets.items() if target.incarnation in new
+        ]
+        for key in changed:
+            self.targets[key] = replace(self.targets[key], draining=True)
+        return changed
+
     def _has_left(self, key, target, revision, before):
         """Return whether an entry is older than its target's leaving.
 
--- a/lovagepier/platform/_headers.py
+++ b/lovagepier/platform/_headers.py
@@ -22,6 +22,7 @@
 _MODEL = b"x-model"
 _LAST_EVENT_ID = b"last-event-id"
 _RATE_LIMIT = b"server-limit"
+_LEAVING = b"server-leaving"
 _KEY_SCHEME = "token "
 
 # Hop-by-hop headers (RFC 9110, section 7.6.1).
@@ -75,7 +76,8 @@
     whether the connection ends after the response. `idle_timeout_s` is how long
     the target keeps an idle connection, None if unspecified. `rate_limit` are the
     requests per second that the target takes from all hosts together, infinite
-    unless it states a limit, None if what it states can't be read.
+    unless it states a limit, None if what it states can't be read. `is_leaving` means
+    that the target states that it leaves.
     """
 
     status: int
@@ -87,6 +89,7 @@
     closes_connection: bool
     idle_timeout_s: float | None
     rate_limit: float | None
+    is_leaving: bool
     headers: list
 
 
@@ -226,6 +229,7 @@
         closes_connection=b"close" in connection or http_version == b"1.0",
         idle_timeout_s=_idle_timeout(_first(headers, b"keep-alive")),
         rate_limit=_rate_limit(_first(headers, _RATE_LIMIT)),
+        is_leaving=_text(_first(headers, _LEAVING)) == "1",
         headers=headers,
     )
 
--- a/test/platform_standins.py
+++ b/test/platform_standins.py
@@ -208,8 +208,9 @@
     executed, `cancelled` the ids whose caller disconnected during `work_s`. A
     stream has `events` events, `gap_s` apart; `sent` counts the bytes of a flood.
     A request with the part `crash_part` in its prompt ends the target. With `limit`
-    it names that many requests a second as its limit in each answer. `arrived_at`
-    lists the loop times of `arrivals`.
+    it names that many requests a second as its limit in each answer. While `leaving`
+    it says so in each answer, and with `pause` its refusals name that many seconds.
+    `arrived_at` lists the loop times of `arrivals`.
     """
 
     def __init__(self, target_id, service, slots=4, version="v1", zone="a1"):
@@ -224,6 +225,8 @@
         self.arrivals = []
         self.arrived_at = []
         self.limit = None
+        self.leaving = False
+        self.pause = None
         self.events = 4
         self.gap_s = 0.0
         self.work_s = 0.0
@@ -252,14 +255,18 @@
         if headers.get("x-expect-instance") != self.id:
             writer.write(response_bytes(421, b"", [f"X-Instance-Id: {self.id}"]))
             return
-        limit = [] if self.limit is None else [f"Server-Limit: {self.limit}"]
+        stated = [] if self.limit is None else [f"Server-Limit: {self.limit}"]
+        if self.leaving:
+            stated.append("Server-Leaving: 1")
         if self.mode == "shed":
-            writer.write(response_bytes(503, b"", ["X-Not-Executed: 1", *limit]))
+            if self.pause is not None:
+                stated.append(f"Retry-After: {self.pause}")
+            writer.write(response_bytes(503, b"", ["X-Not-Executed: 1", *stated]))
             return
         self.runs.append((request_id, method, path, headers, body))
         if self.crash_part and self.crash_part in headers.get("x-prompt-prefix", ""):
             await self._crash(writer, (), headers, request_id)
-        seal = [f"X-Request-Id: {request_id}", f"X-Server-Seal: s.{self.id}", *limit]
+        seal = [f"X-Request-Id: {request_id}", f"X-Server-Seal: s.{self.id}", *stated]
         if self.work_s and not await self._work(reader, request_id):
             return
         await getattr(self, f"_{self.mode}")(writer, seal, headers, request_id)
