Leave a target alone while it wants nothing from a host

Cause: Retry-After of a target's 503 was not read; its refusals counted as failures, and the host sent on to it. Now that host sends it nothing until then and tells the coordinator, which places the host's work elsewhere or lets it wait; other hosts use the target. Grants on their way are returned. A new coordinator learns the pauses from its hosts, and the host of a tunnel pauses as well. What can't be read is logged only.

--- a/lovagepier/decisions/scheduler.py
+++ b/lovagepier/decisions/scheduler.py
@@ -6,6 +6,7 @@
 from lovagepier.decisions.dispatch_log import DispatchLog
 from lovagepier.decisions.estimates import LengthEstimates
 from lovagepier.decisions.fleet import Fleet, TargetState
+from lovagepier.decisions.pauses import Pauses
 from lovagepier.decisions.policies import POLICIES
 from lovagepier.decisions.prefixes import PrefixIndex
 from lovagepier.decisions.rate_limits import RateLimit
@@ -106,7 +107,8 @@
 
     `old_version` is the version in service; if it is None, targets of every version
     serve. During a rollout `share` is {new version: fraction of new requests}.
-    `last_shed` is (tier, time) of the last request shed for lack of a slot.
+    `last_shed` is (tier, time) of the last request shed for lack of a slot. `pauses`
+    are what targets want from single entry hosts; several pools may share them.
     """
 
     def __init__(self, options, rng):
@@ -117,6 +119,7 @@
         self.lengths = LengthEstimates()
         self.prefixes = PrefixIndex()
         self.retry_budget = options.make_retry_budget()
+        self.pauses = Pauses()
         self.share = {}
         self.old_version = None
         self._rate_share = 1.0
@@ -359,14 +362,16 @@
                 self.waiting.take(work, self._cost(work, grant))
                 return grant
             # Later requests may overtake only one that a free slot can't help.
-            if not self._may_be_passed_over(work):
+            if not self._may_be_passed_over(work, now):
                 return None
             passed_over += 1
         return None
 
-    def _may_be_passed_over(self, work):
+    def _may_be_passed_over(self, work, now):
         if work.exclude or work.awaits_cache:
             return True
+        if self.pauses.avoided(work.entry, self.fleet, now):
+            return True
         return self._trials.is_suspect(work)
 
     def _cost(self, work, grant):
@@ -376,8 +381,9 @@
 
     def _place(self, work, now):
         excluded = work.exclude
+        work.exclude = excluded | self.pauses.avoided(work.entry, self.fleet, now)
         if self._trials.is_suspect(work):
-            work.exclude = excluded | self._trials.targets_with_suspects()
+            work.exclude |= self._trials.targets_with_suspects()
         try:
             return self._place_on_any(work, now)
         finally:
@@ -472,7 +478,7 @@
         running = self._dispatched.end(outcome.id)
         if running is None:
             return []
-        if outcome.status not in ("not-run", "returned", "unreachable"):
+        if outcome.status not in ("not-run", "paused", "returned", "unreachable"):
             fingerprint = running.work.fingerprint
             self._dispatched.remember(outcome.id, running.target, fingerprint, now)
         state = self.fleet.get(running.target)
@@ -488,6 +494,7 @@
     def _learn_outcome(self, state, running, outcome, now):
         if outcome.status == "ok":
             state.on_success()
+            self.pauses.on_success(running.work.entry, state.name, now)
             self._trials.on_success(running.work)
             self._learn_lengths(state, running.work, outcome)
         elif outcome.status in ("returned", "unreachable"):
--- a/lovagepier/decisions/work.py
+++ b/lovagepier/decisions/work.py
@@ -130,8 +130,10 @@
     connections after it began to run the request), unreachable (it refuses
     connections, so the request was not sent), vanished (the connection ended, or the
     target doesn't know the id), cut-off (the entry host lost its path to the target),
-    not-run (no connection to the target), returned (the grant was not used) and lost
-    (no outcome will arrive). `in_time` tells whether the deadline was met.
+    not-run (no connection to the target, or it did not run the request), paused (the
+    same, and it wants nothing from the entry host for a while), returned (the grant
+    was not used) and lost (no outcome will arrive). `in_time` tells whether the
+    deadline was met.
     """
 
     id: str
--- a/lovagepier/entry/_cluster.py
+++ b/lovagepier/entry/_cluster.py
@@ -25,6 +25,7 @@
     StoreSnapshot,
     TargetDown,
     TargetLeaving,
+    TargetPaused,
     Withdraw,
 )
 from lovagepier.entry._outgoing import STANDBY_HEARTBEAT_ROUNDS, OutgoingLinks
@@ -116,6 +117,50 @@
                 message = TargetLeaving(target.incarnation, request_id)
                 self._send_to_coordinator(message)
 
+    def is_paused(self, target):
+        """Return whether a target wants nothing from this host now."""
+        return self._coordinator.pauses.is_paused(
+            self._cfg.host_name, target.id, target.incarnation, self._loop.time()
+        )
+
+    def report_pause(self, target, seconds, request_id):
+        """Send a target nothing for a while, and tell the coordinator."""
+        self._on_paused(
+            TargetPaused(
+                self._cfg.host_name, target.id, target.incarnation, seconds, request_id
+            )
+        )
+
+    def repeat_pause(self, target):
+        """Tell a coordinator that does not know it of the pause of a target."""
+        now = self._loop.time()
+        host = self._cfg.host_name
+        for name, incarnation, seconds in self._coordinator.pauses.rows(host, now):
+            if name == target.id:
+                self._send_pause(TargetPaused(host, name, incarnation, seconds, ""))
+
+    def _on_paused(self, message):
+        """Record a pause of this host, or of one that follows it."""
+        until = self._loop.time() + message.seconds
+        is_new = self._coordinator.pauses.pause(
+            message.host, message.target, message.incarnation, until
+        )
+        if not is_new:
+            return
+        _log.info(
+            "a target wants nothing from a host",
+            target=message.target,
+            incarnation=message.incarnation,
+            host=message.host,
+            seconds=message.seconds,
+            request=message.request,
+        )
+        self._send_pause(message)
+
+    def _send_pause(self, message):
+        if message.host == self._cfg.host_name and not self._is_coordinator():
+            self._send_to_coordinator(message)
+
     def _mark_leaving(self, incarnations, request_id=""):
         changed = self._view.mark_leaving(incarnations)
         if changed:
@@ -182,6 +227,8 @@
             self.replication.on_snapshot(message)
         elif isinstance(message, TargetLeaving):
             self._mark_leaving([message.incarnation], message.request)
+        elif isinstance(message, TargetPaused):
+            self._on_paused(message)
         elif link.peer:
             self._handle_as_coordinator(link.peer, message)
 
@@ -317,6 +364,7 @@
                     self._coordinator.poison_detector.suspect_rows(),
                     self._coordinator.rate_limits.rows,
                     self._view.leaving,
+                    self._coordinator.pauses.rows(self._cfg.host_name, now),
                 )
             )
         self.requests.resend_all()
--- a/lovagepier/entry/_coordinator.py
+++ b/lovagepier/entry/_coordinator.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from lovagepier.decisions.partition import slots_for_host
+from lovagepier.decisions.pauses import Pauses
 from lovagepier.decisions.poison import PoisonDetector
 from lovagepier.decisions.quotas import Quotas
 from lovagepier.decisions.rendezvous import hash_fraction
@@ -75,7 +76,8 @@
     `send(entry, message)` sends an answer to an entry host, `write_state` writes a
     rollout's state to the store (see `Rollouts`). `quotas` decides what passes;
     `base_quotas` are the quotas without slack and overage. `rate_limits` are those that
-    targets state. Times (`now`) are in seconds on the event loop's clock.
+    targets state, `pauses` what they want from single hosts. Times (`now`) are in
+    seconds on the event loop's clock.
     """
 
     def __init__(self, cfg, view, rng, send, write_state):
@@ -86,6 +88,7 @@
         self._pools = {}
         self._share = 1.0
         self._quota_share = 1.0
+        self.pauses = Pauses()
         self.poison_detector = PoisonDetector()
         self.quotas = make_quotas(cfg)
         self.base_quotas = Quotas()
@@ -111,6 +114,7 @@
             )
             pool = _Pool(PoolScheduler(options, self._rng))
             pool.scheduler.poison_detector = self.poison_detector
+            pool.scheduler.pauses = self.pauses
             pool.scheduler.set_rate_share(self._quota_share, 0.0)
             self._pools[service] = pool
         return pool
@@ -150,6 +154,7 @@
         for name in [name for name in pool.incarnations if name not in targets]:
             pool.scheduler.remove_target(name, now)
             self.rate_limits.drop(name, pool.incarnations.pop(name))
+            self.pauses.drop(name)
         slots = self._usable_slots(targets.values())
         labels = {
             target.id: self.rollouts.version_label(target)
@@ -389,6 +394,7 @@
         for account, tokens in report.spent.items():
             self.quotas.debit(account, tokens)
         self.rate_limits.merge(report.rate_limits, now)
+        self.pauses.merge_rows(entry, report.pauses, now)
         self._apply_stage_changes(now)
         for req, target in report.running:
             pool = self._pool(req.service)
--- a/lovagepier/entry/_exchange.py
+++ b/lovagepier/entry/_exchange.py
@@ -11,6 +11,7 @@
     DispatchResult,
     Granted,
     TargetLeaving,
+    TargetPaused,
 )
 from lovagepier.entry._target_conn import ConnectFailed, TargetConnectionLost
 from lovagepier.entry.call import fingerprint
@@ -237,6 +238,8 @@
             self._excluded.add(grant.target)
             self._report_result(grant, "returned", started_at)
             return _Outcome.NOT_EXECUTED
+        if self._frontend.cluster.is_paused(target):
+            return self._return_paused(grant, target, started_at)
         try:
             tconn = await self._connect(target)
         except ConnectFailed as exc:
@@ -248,8 +251,17 @@
         except BaseException:
             self._report_result(grant, "returned", started_at)
             raise
+        if self._frontend.cluster.is_paused(target):
+            tconn.close()
+            return self._return_paused(grant, target, started_at)
         return await self._run_attempt(grant, target, tconn)
 
+    def _return_paused(self, grant, target, started_at):
+        """Return a grant for a target that wants nothing from this host now."""
+        self._frontend.cluster.repeat_pause(target)
+        self._report_result(grant, "returned", started_at)
+        return _Outcome.NOT_EXECUTED
+
     async def _connect(self, target):
         if self._call.route.retryable:
             tconn = self._frontend.connector.take_idle(target)
@@ -274,8 +286,9 @@
             response = await self._read_head(tconn)
             self._note_leaving(target, tconn)
             self._note_rate_limit(grant, response)
+            is_paused = self._note_pause(target, tconn, response)
             if response.not_executed:
-                status = "not-run"
+                status = "paused" if is_paused else "not-run"
                 self._maybe_executed = executed_before
                 self._executions -= 1
                 if await tconn.discard_body():
@@ -389,6 +402,22 @@
             message = TargetLeaving(target.incarnation, self._call.request_id)
             self._frontend.connector.tell(tconn.via, message)
 
+    def _note_pause(self, target, tconn, response):
+        """Return whether the target wants nothing from this host for a while."""
+        seconds = response.pause_s
+        if seconds is None:
+            _log.warning("a target's Retry-After can't be read", target=target.id)
+        if not seconds:
+            return False
+        request_id = self._call.request_id
+        self._frontend.cluster.report_pause(target, seconds, request_id)
+        if tconn.via:
+            message = TargetPaused(
+                tconn.via, target.id, target.incarnation, seconds, request_id
+            )
+            self._frontend.connector.tell(tconn.via, message)
+        return True
+
     def _note_rate_limit(self, grant, response):
         """Report the target's rate limit; one that can't be read changes nothing."""
         rate = response.rate_limit
--- a/lovagepier/entry/_frontend.py
+++ b/lovagepier/entry/_frontend.py
@@ -81,7 +81,10 @@
         self.target_connections = TargetConnectionPool(CONNECT_TIMEOUT_S)
         self.connector = TargetConnector(cfg, view, cluster, self.target_connections)
         self.tunnel_server = TunnelServer(
-            view, self.target_connections, self.connector.is_broken
+            view,
+            self.target_connections,
+            self.connector.is_broken,
+            cluster.is_paused,
         )
         self.target_checks = TargetChecks(
             self.connector,
--- a/lovagepier/entry/_messages.py
+++ b/lovagepier/entry/_messages.py
@@ -22,6 +22,7 @@
     "StoreSnapshot",
     "TargetDown",
     "TargetLeaving",
+    "TargetPaused",
     "Withdraw",
 ]
 
@@ -185,6 +186,21 @@
     request: str
 
 
+@message("e.pause")
+@dataclass(slots=True)
+class TargetPaused:
+    """A target wants nothing from `host` for a number of seconds.
+
+    It said so in the response to `request`.
+    """
+
+    host: str
+    target: str
+    incarnation: str
+    seconds: float
+    request: str
+
+
 @message("e.limit")
 @dataclass(slots=True)
 class RateLimitStated:
@@ -221,6 +237,7 @@
     accounts to what the sender's own coordinator, which has just started, admitted.
     `suspects` are the sender's `PoisonDetector.suspect_rows`, `rate_limits` its
     `Coordinator.rate_limits`, `leaving` its `StoreView.leaving`.
+    `pauses` are the `Pauses.rows` of the sender.
     """
 
     running: list
@@ -230,6 +247,7 @@
     suspects: list = field(default_factory=list)
     rate_limits: list = field(default_factory=list)
     leaving: list = field(default_factory=list)
+    pauses: list = field(default_factory=list)
 
 
 @message("e.changed")
--- a/lovagepier/entry/_tunnel_server.py
+++ b/lovagepier/entry/_tunnel_server.py
@@ -101,14 +101,15 @@
     """The tunnels that other hosts opened through this one.
 
     `connections` is this host's `TargetConnectionPool`, `is_broken(incarnation)`
-    tells whether it has lost its own path to a target. While `is_stopping`, no tunnel
-    is opened.
+    tells whether it has lost its own path to a target, `is_paused(target)` whether that
+    wants nothing from this host. While `is_stopping`, no tunnel is opened.
     """
 
-    def __init__(self, view, connections, is_broken):
+    def __init__(self, view, connections, is_broken, is_paused):
         self._view = view
         self._connections = connections
         self._is_broken = is_broken
+        self._is_paused = is_paused
         self._comparison = TargetComparison(view, connections, is_broken)
         self._loop = asyncio.get_running_loop()
         self._ends = {}
@@ -164,6 +165,8 @@
             return TunnelClosed(number, "unknown target")
         if target.draining:
             return TunnelClosed(number, "the target is draining")
+        if self._is_paused(target):
+            return TunnelClosed(number, "the target wants nothing from this host")
         if self.is_stopping:
             return TunnelClosed(number, "the host is stopping")
         if len(self._ends) + len(self._opening) > MAX_TUNNELS:
--- a/lovagepier/platform/_headers.py
+++ b/lovagepier/platform/_headers.py
@@ -23,6 +23,7 @@
 _LAST_EVENT_ID = b"last-event-id"
 _RATE_LIMIT = b"server-limit"
 _LEAVING = b"server-leaving"
+_MAX_PAUSE_S = 86400.0
 _KEY_SCHEME = "token "
 
 # Hop-by-hop headers (RFC 9110, section 7.6.1).
@@ -77,7 +78,9 @@
     the target keeps an idle connection, None if unspecified. `rate_limit` are the
     requests per second that the target takes from all hosts together, infinite
     unless it states a limit, None if what it states can't be read. `is_leaving` means
-    that the target states that it leaves.
+    that the target states that it leaves. `pause_s` are the seconds for which a target
+    that turned the request away wants nothing from this host, 0 if it does not say,
+    None if what it says can't be read.
     """
 
     status: int
@@ -90,6 +93,7 @@
     idle_timeout_s: float | None
     rate_limit: float | None
     is_leaving: bool
+    pause_s: float | None
     headers: list
 
 
@@ -230,6 +234,7 @@
         idle_timeout_s=_idle_timeout(_first(headers, b"keep-alive")),
         rate_limit=_rate_limit(_first(headers, _RATE_LIMIT)),
         is_leaving=_text(_first(headers, _LEAVING)) == "1",
+        pause_s=_pause(_first(headers, b"retry-after")) if status == 503 else 0.0,
         headers=headers,
     )
 
@@ -252,6 +257,16 @@
     return rate if 0 <= rate < math.inf else None
 
 
+def _pause(value):
+    if value is None:
+        return 0.0
+    try:
+        seconds = float(_text(value))
+    except ValueError:
+        return None
+    return seconds if 0 <= seconds <= _MAX_PAUSE_S else None
+
+
 def relayed_headers(response):
     """Return a target's headers for the caller, without those of the framing."""
     return [pair for pair in _end_to_end(response.headers) if pair[0] not in _FRAMING]
--- a/test/platform_standins.py
+++ b/test/platform_standins.py
@@ -209,8 +209,8 @@
     stream has `events` events, `gap_s` apart; `sent` counts the bytes of a flood.
     A request with the part `crash_part` in its prompt ends the target. With `limit`
     it names that many requests a second as its limit in each answer. While `leaving`
-    it says so in each answer, and with `pause` its refusals name that many seconds.
-    `arrived_at` lists the loop times of `arrivals`.
+    it says so in each answer (`stated_leaving` are their request ids), and with `pause`
+    its refusals name that many seconds. `arrived_at` are the times of `arrivals`.
     """
 
     def __init__(self, target_id, service, slots=4, version="v1", zone="a1"):
@@ -226,6 +226,7 @@
         self.arrived_at = []
         self.limit = None
         self.leaving = False
+        self.stated_leaving = set()
         self.pause = None
         self.events = 4
         self.gap_s = 0.0
@@ -258,6 +259,7 @@
         stated = [] if self.limit is None else [f"Server-Limit: {self.limit}"]
         if self.leaving:
             stated.append("Server-Leaving: 1")
+            self.stated_leaving.add(request_id)
         if self.mode == "shed":
             if self.pause is not None:
                 stated.append(f"Retry-After: {self.pause}")
--- a/test/test_leaving_targets.py
+++ b/test/test_leaving_targets.py
@@ -179,3 +179,83 @@
         await wait_until(lambda: host.view.target("w1").draining)
 
     run_scenario(scenario)
+
+
+class _Callers:
+    """Sends requests to all hosts until stopped; notes when each began and ended."""
+
+    def __init__(self, fleet):
+        self._fleet = fleet
+        self._loop = asyncio.get_running_loop()
+        self._tasks = [asyncio.create_task(self._run(host)) for host in fleet.hosts]
+        self.began = {}
+        self.ended = {}
+        self.statuses = set()
+
+    async def _run(self, host):
+        number = 0
+        while True:
+            number += 1
+            burst = (self._send(host, f"{number}-{each}") for each in range(6))
+            await asyncio.gather(*burst)
+            await asyncio.sleep(0.02)
+
+    async def _send(self, host, number):
+        request_id = f"{host.cfg.host_name}/{number}"
+        self.began[request_id] = self._loop.time()
+        response = await call(host, "/read/x", request_id)
+        self.ended[request_id] = self._loop.time()
+        self.statuses.add(response.status)
+
+    async def stop(self):
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+async def disturb(fleet, rng, store_copy):
+    """Do something after which hosts could take a leaving target for sound."""
+    leaving = fleet.targets["w1"]
+    action = rng.choice(["switch", "ready", "restore", "fault"])
+    if action == "switch":
+        host = rng.choice(fleet.hosts[1:])
+        name = host.cfg.host_name
+        host.cluster._switch_to(rng.choice(["n1", name]))
+    elif action == "ready":
+        await fleet.store.write("servers/w1", leaving.entry())
+    elif action == "restore":
+        fleet.store.restore(store_copy)
+    else:
+        fleet.store.fault = rng.choice([None, "busy"])
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_no_request_follows_whatever_happens_to_store_and_coordinators(seed):
+    """A request sent after a host passed on such an answer never reaches the target."""
+
+    async def scenario(fleet):
+        rng = random.Random(seed)
+        leaving = fleet.targets["w1"]
+        copy = fleet.store.copy()
+        for target in fleet.targets.values():
+            target.work_s = 0.02
+        for host in fleet.hosts:
+            host.cluster._keeps_first_coordinator = lambda: True
+        callers = _Callers(fleet)
+        await wait_until(lambda: len(leaving.arrivals) > 10)
+        leaving.leaving = True
+        for _ in range(12):
+            await disturb(fleet, rng, copy)
+            await asyncio.sleep(rng.uniform(0.02, 0.2))
+        await callers.stop()
+        known = {}
+        for request_id in leaving.stated_leaving & callers.ended.keys():
+            host = request_id.split("/")[0]
+            at = callers.ended[request_id]
+            known[host] = min(known.get(host, at), at)
+        for request_id, _ in leaving.arrivals:
+            host = request_id.split("/")[0]
+            assert callers.began[request_id] <= known.get(host, float("inf"))
+        assert known
+
+    run_scenario(scenario)
