--- a/lovagepier/entry/_cluster.py
+++ b/lovagepier/entry/_cluster.py
@@ -31,6 +31,7 @@
 from lovagepier.entry._outgoing import STANDBY_HEARTBEAT_ROUNDS, OutgoingLinks
 from lovagepier.entry._replication import Replication
 from lovagepier.entry._requests import Requests
+from lovagepier.entry._statements import TargetStatements
 from lovagepier.errors import ErrorKind
 from lovagepier.logs import component_logger
 
@@ -64,7 +65,8 @@
     """Chooses which host's coordinator this host uses, and carries messages to it.
 
     The coordinator is the most senior of the `candidates` that can be reached, this
-    host if no more senior one can. `requests` are this host's own.
+    host if no more senior one can. `requests` are this host's own, `statements` what
+    targets say of themselves.
 
     `boot` identifies this incarnation of the host. `coordinator_name` is the host of
     the coordinator in use, None before the first.
@@ -74,8 +76,10 @@
         self._cfg = cfg
         self._view = view
         self._coordinator = coordinator
-        self._apply_keys = apply_keys
         self.replication = Replication(view, apply_keys)
+        self.statements = TargetStatements(
+            cfg.host_name, view, coordinator.pauses, apply_keys, self._send_if_follower
+        )
         self._loop = asyncio.get_running_loop()
         self.followers = Followers(cfg, view, coordinator, boot)
         self._outgoing = OutgoingLinks(
@@ -109,64 +113,6 @@
                 RateLimitStated(grant.id, grant.target, grant.incarnation, rate)
             )
 
-    def report_leaving(self, target, request_id):
-        """Take a target that says so for leaving, and tell the coordinator."""
-        if target.incarnation not in self._view.leaving:
-            self._mark_leaving([target.incarnation], request_id)
-            if not self._is_coordinator():
-                message = TargetLeaving(target.incarnation, request_id)
-                self._send_to_coordinator(message)
-
-    def is_paused(self, target):
-        """Return whether a target wants nothing from this host now."""
-        return self._coordinator.pauses.is_paused(
-            self._cfg.host_name, target.id, target.incarnation, self._loop.time()
-        )
-
-    def report_pause(self, target, seconds, request_id):
-        """Send a target nothing for a while, and tell the coordinator."""
-        self._on_paused(
-            TargetPaused(
-                self._cfg.host_name, target.id, target.incarnation, seconds, request_id
-            )
-        )
-
-    def repeat_pause(self, target):
-        """Tell a coordinator that does not know it of the pause of a target."""
-        now = self._loop.time()
-        host = self._cfg.host_name
-        for name, incarnation, seconds in self._coordinator.pauses.rows(host, now):
-            if name == target.id:
-                self._send_pause(TargetPaused(host, name, incarnation, seconds, ""))
-
-    def _on_paused(self, message):
-        """Record a pause of this host, or of one that follows it."""
-        until = self._loop.time() + message.seconds
-        is_new = self._coordinator.pauses.pause(
-            message.host, message.target, message.incarnation, until
-        )
-        if not is_new:
-            return
-        _log.info(
-            "a target wants nothing from a host",
-            target=message.target,
-            incarnation=message.incarnation,
-            host=message.host,
-            seconds=message.seconds,
-            request=message.request,
-        )
-        self._send_pause(message)
-
-    def _send_pause(self, message):
-        if message.host == self._cfg.host_name and not self._is_coordinator():
-            self._send_to_coordinator(message)
-
-    def _mark_leaving(self, incarnations, request_id=""):
-        changed = self._view.mark_leaving(incarnations)
-        if changed:
-            _log.info("targets say that they leave", keys=changed, request=request_id)
-            self._apply_keys(changed)
-
     def live_hosts(self):
         """Return the rows of the live hosts, see `Roster`."""
         if self._is_coordinator():
@@ -186,6 +132,10 @@
         if link is None or not link.send(message):
             self._loop.call_soon(self.choose_coordinator)
 
+    def _send_if_follower(self, message):
+        if not self._is_coordinator():
+            self._send_to_coordinator(message)
+
     def send_to_host(self, entry, message):
         """Send an answer of this host's coordinator to an entry host."""
         if entry == self._cfg.host_name:
@@ -225,10 +175,8 @@
             link.send(self.replication.snapshot())
         elif isinstance(message, StoreSnapshot):
             self.replication.on_snapshot(message)
-        elif isinstance(message, TargetLeaving):
-            self._mark_leaving([message.incarnation], message.request)
-        elif isinstance(message, TargetPaused):
-            self._on_paused(message)
+        elif isinstance(message, (TargetLeaving, TargetPaused)):
+            self.statements.on_message(message)
         elif link.peer:
             self._handle_as_coordinator(link.peer, message)
 
@@ -255,7 +203,7 @@
             ]
             report = replace(message, running=rows)
             self.followers.on_joined(entry)
-            self._mark_leaving(message.leaving)
+            self.statements.mark_leaving(message.leaving)
             coordinator.on_running_report(entry, report, now)
 
     def _on_heartbeat(self, link, heartbeat):
@@ -286,7 +234,7 @@
         if roster.rate_limits is not None:
             self._coordinator.rate_limits.replace(roster.rate_limits, self._loop.time())
         if roster.leaving is not None:
-            self._mark_leaving(roster.leaving)
+            self.statements.mark_leaving(roster.leaving)
         for service, revision, cause in roster.rollbacks:
             self._coordinator.rollouts.roll_back(service, revision, cause)
 
@@ -364,7 +312,7 @@
                     self._coordinator.poison_detector.suspect_rows(),
                     self._coordinator.rate_limits.rows,
                     self._view.leaving,
-                    self._coordinator.pauses.rows(self._cfg.host_name, now),
+                    self.statements.pause_rows(),
                 )
             )
         self.requests.resend_all()
--- a/lovagepier/entry/_exchange.py
+++ b/lovagepier/entry/_exchange.py
@@ -3,16 +3,10 @@
 import asyncio
 import enum
 import itertools
-import math
 
 from lovagepier.entry._events import EventSplitter, EventTooLong
-from lovagepier.entry._messages import (
-    DispatchRequest,
-    DispatchResult,
-    Granted,
-    TargetLeaving,
-    TargetPaused,
-)
+from lovagepier.entry._messages import DispatchRequest, DispatchResult, Granted
+from lovagepier.entry._response_notes import ResponseNotes
 from lovagepier.entry._target_conn import ConnectFailed, TargetConnectionLost
 from lovagepier.entry.call import fingerprint
 from lovagepier.errors import ErrorKind, error_spec
@@ -38,9 +32,6 @@
 SILENCE_TIMEOUT_GAPS = 2.0
 MIN_SILENCE_TIMEOUT_S = 0.8
 
-# Status of another target that has taken over the address.
-MISDIRECTED = 421
-
 # How long a retry waits for the check of a target that lost the call.
 CHECK_WAIT_S = 0.05
 # Statuses of attempts that may have failed for want of a path to the target.
@@ -91,6 +82,7 @@
         "_loop",
         "_maybe_executed",
         "_next_grant",
+        "_notes",
         "_progress_at",
         "_response_started",
         "_reusable",
@@ -115,6 +107,7 @@
         self._cost_charged = False
         self._maybe_executed = False
         self._next_grant = None
+        self._notes = ResponseNotes(frontend, call.request_id)
         self._progress_at = 0.0
         self._response_started = False
         self._reusable = False
@@ -238,7 +231,7 @@
             self._excluded.add(grant.target)
             self._report_result(grant, "returned", started_at)
             return _Outcome.NOT_EXECUTED
-        if self._frontend.cluster.is_paused(target):
+        if self._frontend.cluster.statements.is_paused(target):
             return self._return_paused(grant, target, started_at)
         try:
             tconn = await self._connect(target)
@@ -251,14 +244,14 @@
         except BaseException:
             self._report_result(grant, "returned", started_at)
             raise
-        if self._frontend.cluster.is_paused(target):
+        if self._frontend.cluster.statements.is_paused(target):
             tconn.close()
             return self._return_paused(grant, target, started_at)
         return await self._run_attempt(grant, target, tconn)
 
     def _return_paused(self, grant, target, started_at):
         """Return a grant for a target that wants nothing from this host now."""
-        self._frontend.cluster.repeat_pause(target)
+        self._frontend.cluster.statements.repeat_pause(target)
         self._report_result(grant, "returned", started_at)
         return _Outcome.NOT_EXECUTED
 
@@ -284,9 +277,9 @@
         try:
             self._send(tconn, target)
             response = await self._read_head(tconn)
-            self._note_leaving(target, tconn)
-            self._note_rate_limit(grant, response)
-            is_paused = self._note_pause(target, tconn, response)
+            self._notes.note_leaving(target, tconn)
+            self._notes.note_rate_limit(grant, response)
+            is_paused = self._notes.note_pause(target, tconn, response)
             if response.not_executed:
                 status = "paused" if is_paused else "not-run"
                 self._maybe_executed = executed_before
@@ -327,7 +320,7 @@
             status = "late" if self._loop.time() >= self._deadline - 0.05 else status
             raise
         finally:
-            self._note_leaving(target, tconn)
+            self._notes.note_leaving(target, tconn)
             if status != "ok" or not tconn.usable:
                 tconn.close()
             self._report_attempt(
@@ -394,42 +387,6 @@
         finally:
             reading.cancel()
 
-    def _note_leaving(self, target, tconn):
-        if not tconn.is_leaving:
-            return
-        self._frontend.cluster.report_leaving(target, self._call.request_id)
-        if tconn.via:
-            message = TargetLeaving(target.incarnation, self._call.request_id)
-            self._frontend.connector.tell(tconn.via, message)
-
-    def _note_pause(self, target, tconn, response):
-        """Return whether the target wants nothing from this host for a while."""
-        seconds = response.pause_s
-        if seconds is None:
-            _log.warning("a target's Retry-After can't be read", target=target.id)
-        if not seconds:
-            return False
-        request_id = self._call.request_id
-        self._frontend.cluster.report_pause(target, seconds, request_id)
-        if tconn.via:
-            message = TargetPaused(
-                tconn.via, target.id, target.incarnation, seconds, request_id
-            )
-            self._frontend.connector.tell(tconn.via, message)
-        return True
-
-    def _note_rate_limit(self, grant, response):
-        """Report the target's rate limit; one that can't be read changes nothing."""
-        rate = response.rate_limit
-        if rate is None:
-            _log.warning(
-                "a target stated a rate limit that can't be read", target=grant.target
-            )
-        elif response.status != MISDIRECTED:
-            self._frontend.cluster.report_rate_limit(
-                grant, rate if rate < math.inf else None
-            )
-
     def _failover_delay(self):
         delay_s = self._call.route.latency_objective_s * FAILOVER_DELAY_OBJECTIVES
         return min(max(delay_s, MIN_FAILOVER_DELAY_S), MAX_FAILOVER_DELAY_S)
--- a/lovagepier/entry/_frontend.py
+++ b/lovagepier/entry/_frontend.py
@@ -84,7 +84,7 @@
             view,
             self.target_connections,
             self.connector.is_broken,
-            cluster.is_paused,
+            cluster.statements.is_paused,
         )
         self.target_checks = TargetChecks(
             self.connector,
--- a/lovagepier/platform/_headers.py
+++ b/lovagepier/platform/_headers.py
@@ -78,9 +78,9 @@
     the target keeps an idle connection, None if unspecified. `rate_limit` are the
     requests per second that the target takes from all hosts together, infinite
     unless it states a limit, None if what it states can't be read. `is_leaving` means
-    that the target states that it leaves. `pause_s` are the seconds for which a target
-    that turned the request away wants nothing from this host, 0 if it does not say,
-    None if what it says can't be read.
+    that the target states that it leaves; a 421 speaks for another target. `pause_s`
+    are the seconds for which a target that turned the request away wants nothing from
+    this host, 0 if it does not say, None if what it says can't be read.
     """
 
     status: int
@@ -233,7 +233,7 @@
         closes_connection=b"close" in connection or http_version == b"1.0",
         idle_timeout_s=_idle_timeout(_first(headers, b"keep-alive")),
         rate_limit=_rate_limit(_first(headers, _RATE_LIMIT)),
-        is_leaving=_text(_first(headers, _LEAVING)) == "1",
+        is_leaving=status != 421 and _text(_first(headers, _LEAVING)) == "1",
         pause_s=_pause(_first(headers, b"retry-after")) if status == 503 else 0.0,
         headers=headers,
     )
--- a/test/test_leaving_targets.py
+++ b/test/test_leaving_targets.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from lovagepier.entry._view import StoreView
-from lovagepier.platform import Item
+from lovagepier.platform import Item, decode_response
 from test.entry_builders import call, entry_fleet, wait_until
 from test.test_target_paths import CuttablePool, cut
 from test.test_tunnels import relay_of
@@ -130,6 +130,13 @@
     return Item("servers/w1", json.dumps(value).encode(), revision, revision)
 
 
+def test_another_target_at_the_address_does_not_speak_for_the_one_before():
+    headers = [(b"server-leaving", b"1")]
+    assert decode_response(200, headers).is_leaving
+    assert decode_response(503, headers).is_leaving
+    assert not decode_response(421, headers).is_leaving
+
+
 steps = st.lists(
     st.sampled_from(["write", "restart", "leave", "scan", "late"]), max_size=20
 )
--- a/test/test_target_pauses.py
+++ b/test/test_target_pauses.py
@@ -26,7 +26,7 @@
 
 async def burst_until_paused(host, target):
     def is_paused():
-        return host.cluster.is_paused(host.view.target(target.id))
+        return host.cluster.statements.is_paused(host.view.target(target.id))
 
     await burst_until(is_paused, host, "first")
 
@@ -44,14 +44,16 @@
         target.mode = "ok"
         count = len(target.arrivals)
         await burst(host, "meanwhile")
-        assert host.cluster.is_paused(host.view.target("w1"))
+        assert host.cluster.statements.is_paused(host.view.target("w1"))
         assert len(target.arrivals) == count
         # The pause binds one host, and the target counts as sound.
         other = fleet.hosts[2]
         await burst_until(lambda: len(target.arrivals) > count, other, "other")
         state = fleet.hosts[0].coordinator._pool("ledger").scheduler.fleet.get("w1")
         assert not state.failures and state.ejected_until < loop.time()
-        await wait_until(lambda: not host.cluster.is_paused(host.view.target("w1")))
+        await wait_until(
+            lambda: not host.cluster.statements.is_paused(host.view.target("w1"))
+        )
         count = len(target.arrivals)
         await burst_until(lambda: len(target.arrivals) > count, host, "later")
 
@@ -85,7 +87,7 @@
         for each in fleet.targets.values():
             each.work_s = 0.03
         await burst_until(lambda: target.arrivals, host, "first")
-        assert not host.cluster.is_paused(host.view.target("w1"))
+        assert not host.cluster.statements.is_paused(host.view.target("w1"))
 
     run_scenario(scenario)
 
