Look after paths and tunnels only while there are any

Each host listed all targets and hosts ten times a second, also with no path broken. Found by reading; the cost was not measured.

--- a/lovagepier/decisions/paths.py
+++ b/lovagepier/decisions/paths.py
@@ -54,6 +54,10 @@
         """Return whether only other hosts reach a target."""
         return incarnation in self._broken
 
+    def has_broken(self):
+        """Return whether any path is broken."""
+        return bool(self._broken)
+
     def on_broken(self, incarnation, now):
         """Record that another host reached what this one could not.
 
--- a/lovagepier/entry/_target_connector.py
+++ b/lovagepier/entry/_target_connector.py
@@ -183,9 +183,16 @@
         while True:
             await asyncio.sleep(RETRY_POLL_S)
             try:
-                self._retry_paths()
+                self._maintain()
             except Exception as exc:  # noqa: BLE001  the next round must come
-                _log.error("retrying paths to targets failed", exc_info=exc)
+                _log.error("maintenance of paths failed", exc_info=exc)
+
+    def _maintain(self):
+        if self._paths.has_broken():
+            self._retry_paths()
+        if self._tunnels.has_links():
+            live = {row[0] for row in self._cluster.live_hosts()}
+            self._tunnels.close_unused(live | {peer.name for peer in self._peers()})
 
     def _retry_paths(self):
         targets = {t.incarnation: t for t in self._view.targets.values()}
@@ -195,8 +202,6 @@
             if key not in self._retrying:
                 task = self._loop.create_task(self._retry(targets[key]))
                 self._retrying[key] = task
-        live = {row[0] for row in self._cluster.live_hosts()}
-        self._tunnels.close_unused(live | {peer.name for peer in self._peers()})
 
     async def _retry(self, target):
         try:
--- a/lovagepier/entry/_tunnels.py
+++ b/lovagepier/entry/_tunnels.py
@@ -214,6 +214,10 @@
     def _tunnels_of(self, link):
         return [t for t in self._tunnels.values() if t.link is link]
 
+    def has_links(self):
+        """Return whether there is any link to a host for tunnels."""
+        return bool(self._links)
+
     def close_unused(self, live_names):
         """Close links to hosts that are gone, and those without tunnels for long."""
         now = self._loop.time()
