Read rosters of an earlier version, and exclude a target that a grant was returned for

Both found by reading the change. A row without the new last column ended the search for hosts with an error. A coordinator that does not know of pauses would have granted the same target again and again until the deadline.

--- a/lovagepier/entry/_exchange.py
+++ b/lovagepier/entry/_exchange.py
@@ -251,6 +251,7 @@
 
     def _return_paused(self, grant, target, started_at):
         """Return a grant for a target that wants nothing from this host now."""
+        self._excluded.add(grant.target)
         self._frontend.cluster.statements.repeat_pause(target)
         self._report_result(grant, "returned", started_at)
         return _Outcome.NOT_EXECUTED
--- a/lovagepier/entry/_target_connector.py
+++ b/lovagepier/entry/_target_connector.py
@@ -162,10 +162,12 @@
         """Return the live hosts; without any, those that are registered."""
         own = self._cfg.host_name
         members = self._view.members()
+        rows = [row for row in self._cluster.live_hosts() if not row[3]]
+        # A coordinator of an earlier version sends rows without the last column.
         live = [
-            Peer(name, zone, is_cut_off)
-            for name, _, zone, is_draining, is_cut_off in self._cluster.live_hosts()
-            if name != own and not is_draining and name in members
+            Peer(row[0], row[2], row[4:] == [True])
+            for row in rows
+            if row[0] != own and row[0] in members
         ]
         return live or [Peer(n, self._cfg.host_zone) for n in members if n != own]
 
--- a/test/test_tunnels.py
+++ b/test/test_tunnels.py
@@ -90,3 +90,17 @@
         assert len(target.runs) == 2
 
     run_scenario(scenario)
+
+
+def test_hosts_for_tunnels_are_found_in_rosters_of_an_earlier_version():
+    """During an update a coordinator may send rows without the last column."""
+
+    async def scenario(fleet):
+        third = fleet.hosts[2]
+        cut(third, "refused")
+        third.cluster.live_hosts = lambda: [
+            row[:4] for row in fleet.hosts[0].cluster.live_hosts()
+        ]
+        assert (await call(third, "/read/x", "r0")).status == 200
+
+    run_scenario(scenario)
