Ask a host for tunnels again once its address is known

Found by reading the change: the dial of a host without an address stayed on record as done, so that host was never dialed again. The new test failed before. test_tunnels.py and test_target_paths.py pass; the whole suite and the bench were not run on this.

--- a/lovagepier/entry/_tunnels.py
+++ b/lovagepier/entry/_tunnels.py
@@ -180,13 +180,13 @@
             self._links[host] = link
             opened.set_result(link)
 
-        address = self._find_address(host)
-        if address is None:
-            return None
-        running = self._loop.create_task(
-            dial(address, on_open, self._on_message, self._on_link_closed)
-        )
         try:
+            address = self._find_address(host)
+            if address is None:
+                return None
+            running = self._loop.create_task(
+                dial(address, on_open, self._on_message, self._on_link_closed)
+            )
             await asyncio.wait((opened, running), return_when=asyncio.FIRST_COMPLETED)
         finally:
             self._dialing.pop(host, None)
--- a/test/test_tunnels.py
+++ b/test/test_tunnels.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+import pytest
+
+from lovagepier.entry._tunnels import HostUnreachable
 from test.entry_builders import call, connect, raw_request, wait_until
 from test.test_target_paths import cut, run_scenario
 
@@ -104,3 +107,19 @@
         assert (await call(third, "/read/x", "r0")).status == 200
 
     run_scenario(scenario)
+
+
+def test_a_host_whose_address_was_unknown_is_asked_again():
+    async def scenario(fleet):
+        host, target = fleet.hosts[2], fleet.hosts[2].view.target("w1")
+        tunnels = host.frontend.connector._tunnels
+        find_address = tunnels._find_address
+        tunnels._find_address = lambda name: None
+        with pytest.raises(HostUnreachable):
+            await tunnels.open("n1", target)
+        tunnels._find_address = find_address
+        conn = await tunnels.open("n1", target)
+        assert conn.via == "n1"
+        conn.close()
+
+    run_scenario(scenario)
