--- a/lovagepier/entry/_candidates.py
+++ b/lovagepier/entry/_candidates.py
@@ -87,8 +87,7 @@
             host = members.get(name)
             if host is None:
                 continue
-            address, port = host.peer_address.rsplit(":", 1)
-            wanted[name] = (address, int(port))
+            wanted[name] = host.link_address
             up_count += self._outgoing.is_up(name)
             if up_count >= MIN_SENIOR_LINKS or len(wanted) >= 2 * MIN_SENIOR_LINKS:
                 break
--- a/lovagepier/entry/_target_connector.py
+++ b/lovagepier/entry/_target_connector.py
@@ -173,10 +173,7 @@
 
     def _find_address(self, name):
         host = self._view.members().get(name)
-        if host is None:
-            return None
-        address, port = host.peer_address.rsplit(":", 1)
-        return address, int(port)
+        return host.link_address if host is not None else None
 
     # Broken paths
 
--- a/lovagepier/entry/store_types.py
+++ b/lovagepier/entry/store_types.py
@@ -46,6 +46,12 @@
     capacity_score: int
     boot: str
 
+    @property
+    def link_address(self):
+        """The (address, port) of `peer_address`."""
+        address, port = self.peer_address.rsplit(":", 1)
+        return address, int(port)
+
 
 @dataclass(slots=True, frozen=True)
 class RolloutOrder:
