Wait a moment where host and coordinator know different incarnations of a target

Callers saw 503 (no-target) for up to a second after a service's only target restarted under its id: the host that got a grant for an incarnation that its view did not have yet, or no longer had, gave the grant back and excluded the target for the whole call. Ruled out: a late mark of the earlier incarnation as leaving; it arrived after the refusal and was kept apart from the new one.

Targets that are draining in the host's view stay excluded.

--- a/lovagepier/entry/_exchange.py
+++ b/lovagepier/entry/_exchange.py
@@ -5,6 +5,7 @@
 import itertools
 
 from lovagepier.entry._events import EventSplitter, EventTooLong
+from lovagepier.entry._exclusions import Exclusions
 from lovagepier.entry._messages import DispatchRequest, DispatchResult, Granted
 from lovagepier.entry._response_notes import ResponseNotes
 from lovagepier.entry._target_conn import ConnectFailed, TargetConnectionLost
@@ -101,7 +102,7 @@
         self._deadline = call.arrived_at + timeout_s
         self._attempts = 0
         self._executions = 0
-        self._excluded = set()
+        self._excluded = Exclusions()
         self._fallback = None
         self._checking = None
         self._cost_charged = False
@@ -127,6 +128,8 @@
             decision = self._next_grant or await self._request_decision()
             self._next_grant = None
             if not isinstance(decision, Granted):
+                if await self._may_ask_again(decision):
+                    continue
                 self._end_without_success(decision)
                 return
             outcome = await self._dispatch(decision)
@@ -140,6 +143,12 @@
                 await asyncio.wait((self._checking,), timeout=CHECK_WAIT_S)
                 self._checking = None
 
+    async def _may_ask_again(self, refusal):
+        """Return whether targets may be granted that were excluded before."""
+        if refusal is None or refusal.kind != ErrorKind.NO_TARGET:
+            return False
+        return await self._excluded.wait_for_views()
+
     def _may_retry(self, outcome):
         if self._attempts >= MAX_ATTEMPTS:
             return False
@@ -174,7 +183,7 @@
             fingerprint=fingerprint(call),
             zone=self._frontend.cfg.host_zone,
             attempt=self._attempts,
-            exclude=sorted(self._excluded),
+            exclude=self._excluded.names(),
             cost=account.cost(call) if account and is_first else 0.0,
             patience_s=self._patience_left(now),
         )
@@ -227,7 +236,11 @@
     async def _dispatch(self, grant):
         started_at = self._loop.time()
         target = self._frontend.view.target(grant.target)
-        if target is None or target.draining or target.incarnation != grant.incarnation:
+        if target is None or target.incarnation != grant.incarnation:
+            self._excluded.add_mismatched(grant.target)
+            self._report_result(grant, "returned", started_at)
+            return _Outcome.NOT_EXECUTED
+        if target.draining:
             self._excluded.add(grant.target)
             self._report_result(grant, "returned", started_at)
             return _Outcome.NOT_EXECUTED
