--- a/test/rate_model.py
+++ b/test/rate_model.py
@@ -35,7 +35,8 @@
     `limits` are (time, requests per second or None) pairs; the last that has begun is
     stated in all responses. With `changes` the hosts split into groups and join again,
     and hosts restart. `arrivals` are the times at which the target got requests.
-    Subclasses may have more targets, whose `kind` of limit is another.
+    Subclasses may have more targets, whose `kind` of limit is another, and hosts that
+    are `frozen` until a time, by name.
     """
 
     kind = "rate_limit"
@@ -48,6 +49,7 @@
         self.per_second = per_second
         self.changes = changes
         self.now = 0.0
+        self.frozen = {}
         self.names = [f"n{number}" for number in range(hosts)]
         self.hosts = {name: self._make_host(name) for name in self.names}
         self.events = []
@@ -79,7 +81,8 @@
                 next_roster = self.now + ROSTER_S
                 self._send_rosters()
             for host in self.hosts.values():
-                self._take(host, host.scheduler.tick(self.now))
+                if host.name not in self.frozen:
+                    self._take(host, host.scheduler.tick(self.now))
 
     def _after(self, low, high, call):
         self.events.append((self.now + self.rng.uniform(low, high), call))
--- a/test/test_pauses.py
+++ b/test/test_pauses.py
@@ -5,9 +5,12 @@
 from lovagepier.decisions.pauses import Pauses
 from test.builders import ended, make_scheduler, make_work
 from test.pause_model import PauseModel
+from test.statement_model import StatementModel
 
 # BUDGET allows two for what is on its way.
 MAX_IN_A_PAUSE = 2
+# DRAIN counts from this long after a host passed on an answer of a leaving target.
+DRAIN_S = 2.5
 
 
 @pytest.mark.parametrize("seed", range(40))
@@ -22,6 +25,36 @@
     assert model.served == set(model.sent)
 
 
+def play_faults(seed, heeds=True):
+    """Play splits, restarts and freezes, then until all requests have ended."""
+    model = StatementModel(
+        seed, leave_at={"t1": 6.0}, hosts=4, per_second=20.0, heeds=heeds
+    )
+    model.run(14.0)
+    model.per_second, model.changes = 0.0, False
+    model._group([model.names])
+    model.run(10.0)
+    return model
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_what_targets_state_binds_over_splits_restarts_and_freezes(seed):
+    model = play_faults(seed)
+    assert model.pauses and model.passed_on
+    assert model.most_in_a_pause() <= MAX_IN_A_PAUSE
+    assert model.latest_after_leaving() <= DRAIN_S
+    # Only requests of hosts that restarted are not served.
+    assert not model.refused
+    assert len(model.served | model.lost) == model.requests
+    assert not model.served & model.lost
+
+
+def test_the_faults_show_what_hosts_do_that_ignore_targets():
+    models = [play_faults(seed, heeds=False) for seed in range(5)]
+    assert min(model.most_in_a_pause() for model in models) > MAX_IN_A_PAUSE
+    assert min(model.latest_after_leaving() for model in models) > DRAIN_S
+
+
 def test_a_longer_pause_extends_one_and_a_shorter_does_not_cut_it_short():
     pauses = Pauses()
     assert pauses.pause("n1", "t1", "i1", 5.0)
