Don't take unlike targets or a single slow one for a slow version

With the new log line ('moves: slower than the old version', with value and threshold of each measure): 10.5 ms a token against a threshold of 10.03. The old version's fastest engine (5 ms) had nearly all of its requests, so 1.3 times the 95% quantile of its times was the bar for all; the new version's engines take 8 ms, and 10.8 with eight requests at a time. A mid engine of the old version would have failed, too. Ruled out: late or doubled evidence (counts agree), first bytes (none above the bar).

A target may now be as slow as three quarters of the old version's targets usually are, each counted once, but no more than 1.5 times its own usual time, so that faults that start late or on one route still show. What one of several new targets shows alone does not count.

--- a/lovagepier/decisions/slowness.py
+++ b/lovagepier/decisions/slowness.py
@@ -6,105 +6,223 @@
 
 __all__ = ["SlownessDetector"]
 
-# An outcome is slow above `_THRESHOLD_FACTOR` times this quantile of the old version's
+# An outcome is slow above `_THRESHOLD_FACTOR` times a quantile of the old version's
 # last `_MAX_SAMPLES` times.
 _MAX_SAMPLES = 200
 _QUANTILE = 0.95
 _THRESHOLD_FACTOR = 1.3
 _MIN_SAMPLES = 20
+# Targets are unlike, and the fastest of them get most requests. The usual time of a
+# target of the old version, as a multiple of the median of all, is this quantile of its
+# last values.
+_TARGET_QUANTILE = 0.75
+_MAX_TARGET_SAMPLES = 100
+_MIN_TARGET_SAMPLES = 2
+# A target may be as slow as this quantile of the old version's targets usually are, but
+# not slower than `_LOAD_FACTOR` times this quantile of its own times. Load slows a
+# target by less.
+_SPREAD_QUANTILE = 0.75
+_OWN_QUANTILE = 0.25
+_LOAD_FACTOR = 1.5
+_MAX_TARGETS = 128
+# One slow target of several is not a fault of its version. Slow outcomes count if at
+# least this fraction of those at the other targets was slow, by a moving average with
+# this weight for the last one.
+_MIN_OTHERS_SLOW = 0.05
+_AVERAGE_WEIGHT = 0.1
+# What is compared, see `_normalize`.
+MEASURES = ("first", "pace", "unstreamed")
 # The expected time to the first byte grows by its base value per this many tokens.
 _PREFILL_UNIT_TOKENS = 1000.0
 
 
-class _Quantile:
-    """The threshold for one key, from a sliding window of the old version's times."""
+class _Window:
+    """The last values of a series, with their quantiles."""
 
-    __slots__ = ("_adopted", "_order", "_sorted")
+    __slots__ = ("_order", "_size", "_sorted")
 
-    def __init__(self, adopted=None):
-        self._adopted = adopted
+    def __init__(self, size):
+        self._size = size
         self._order = deque()
         self._sorted = SortedList()
 
+    def __len__(self):
+        return len(self._order)
+
     def add(self, value):
         self._order.append(value)
         self._sorted.add(value)
-        if len(self._order) > _MAX_SAMPLES:
+        if len(self._order) > self._size:
             self._sorted.remove(self._order.popleft())
 
-    def threshold(self):
-        if len(self._order) < _MIN_SAMPLES:
+    def quantile(self, fraction):
+        return self._sorted[int(len(self._sorted) * fraction)]
+
+
+class _Baseline:
+    """The old version's times for one key."""
+
+    __slots__ = ("_adopted", "_window")
+
+    def __init__(self, adopted=None):
+        self._adopted = adopted
+        self._window = _Window(_MAX_SAMPLES)
+
+    def add(self, value):
+        self._window.add(value)
+
+    def median(self):
+        return self._window.quantile(0.5) if len(self._window) >= _MIN_SAMPLES else None
+
+    def threshold(self, allowance):
+        """Return the threshold, None if it is not known.
+
+        `allowance` is how much slower than the median a target may usually be.
+        """
+        median = self.median()
+        if median is None:
             return self._adopted
-        return self._sorted[int(len(self._sorted) * _QUANTILE)] * _THRESHOLD_FACTOR
+        usual = max(self._window.quantile(_QUANTILE), median * allowance)
+        return usual * _THRESHOLD_FACTOR
+
+
+class _Spread:
+    """The times of targets as multiples of the old version's median."""
+
+    __slots__ = ("_old_usual", "_windows")
+
+    def __init__(self):
+        self._windows = {}
+        self._old_usual = {}
+
+    def add(self, target, is_old, ratio):
+        # The targets that were used last are kept.
+        window = self._windows.pop(target, None) or _Window(_MAX_TARGET_SAMPLES)
+        self._windows[target] = window
+        window.add(ratio)
+        if is_old and len(window) >= _MIN_TARGET_SAMPLES:
+            self._old_usual[target] = window.quantile(_TARGET_QUANTILE)
+        if len(self._windows) > _MAX_TARGETS:
+            oldest = next(iter(self._windows))
+            del self._windows[oldest]
+            self._old_usual.pop(oldest, None)
+
+    def allowance(self, target):
+        """Return how much slower than the median a target may usually be."""
+        usual = sorted(self._old_usual.values())
+        if not usual:
+            return 1.0
+        spread = usual[int(len(usual) * _SPREAD_QUANTILE)]
+        own = self._windows.get(target, ())
+        if len(own) < _MIN_TARGET_SAMPLES:
+            return spread
+        return min(spread, own.quantile(_OWN_QUANTILE) * _LOAD_FACTOR)
+
+
+class _NewTargets:
+    """How often the outcomes at each target of the new version were slow."""
+
+    __slots__ = ("_fractions",)
+
+    def __init__(self):
+        self._fractions = {}
+
+    def add(self, target, slow):
+        """Add an outcome; return whether the other targets are slow as well."""
+        known = self._fractions.pop(target, 0.0)
+        others = list(self._fractions.values())
+        self._fractions[target] = known + (float(slow) - known) * _AVERAGE_WEIGHT
+        if len(self._fractions) > _MAX_TARGETS:
+            del self._fractions[next(iter(self._fractions))]
+        return not others or sum(others) / len(others) >= _MIN_OTHERS_SLOW
 
 
 class SlownessDetector:
-    """Compares outcomes with the usual times of the old version, per key."""
+    """Compares outcomes with the usual times of the old version.
+
+    A `key` names what is comparable, such as a route. Keys of the same `group` have the
+    same targets.
+    """
 
-    __slots__ = ("_first", "_pace", "_unstreamed")
+    __slots__ = ("_baselines", "_new_targets", "_spreads")
 
     def __init__(self):
-        self._first = {}
-        self._pace = {}
-        self._unstreamed = {}
+        self._baselines = {measure: {} for measure in MEASURES}
+        self._new_targets = {}
+        self._spreads = {}
 
-    def judge(self, key, is_old, work, outcome):
+    def judge(self, key, is_old, work, outcome, group=""):
         """Return whether an outcome is slow; learn from it if `is_old`.
 
-        `key` names what is comparable, such as a route. Nothing is slow until there
-        are `_MIN_SAMPLES` of the old version.
+        Nothing is slow until there are `_MIN_SAMPLES` of the old version, and what only
+        one of several targets of the new version shows is not.
         """
-        first, pace, unstreamed = _normalize(work, outcome)
         slow = False
-        for table, value in (
-            (self._first, first),
-            (self._pace, pace),
-            (self._unstreamed, unstreamed),
-        ):
-            if value is None:
-                continue
-            quantile = table.setdefault(key, _Quantile())
-            threshold = quantile.threshold()
+        for measure, value in _normalize(work, outcome):
+            threshold = self._threshold(measure, key, group, outcome.target)
             slow = slow or (threshold is not None and value > threshold)
-            if is_old:
-                quantile.add(value)
-        return slow
-
-    def thresholds(self):
-        """Return {key: thresholds}, a list of three, None where none is known."""
-        tables = (self._first, self._pace, self._unstreamed)
-        keys = {key for table in tables for key in table}
+            self._learn(measure, key, group, is_old, outcome.target, value)
+        if is_old:
+            return slow
+        targets = self._new_targets.setdefault(group, _NewTargets())
+        return targets.add(outcome.target, slow) and slow
+
+    def _threshold(self, measure, key, group, target):
+        baseline = self._baselines[measure].get(key)
+        if baseline is None:
+            return None
+        spread = self._spreads.get((measure, group))
+        return baseline.threshold(1.0 if spread is None else spread.allowance(target))
+
+    def _learn(self, measure, key, group, is_old, target, value):
+        baseline = self._baselines[measure].setdefault(key, _Baseline())
+        if is_old:
+            baseline.add(value)
+        median = baseline.median()
+        if median:
+            spread = self._spreads.setdefault((measure, group), _Spread())
+            spread.add(target, is_old, value / median)
+
+    def excess(self, key, work, outcome, group=""):
+        """Return {measure: [value, threshold]} of what is slow about an outcome."""
+        rows = {}
+        for measure, value in _normalize(work, outcome):
+            threshold = self._threshold(measure, key, group, outcome.target)
+            if threshold is not None and value > threshold:
+                rows[measure] = [round(value, 5), round(threshold, 5)]
+        return rows
+
+    def thresholds(self, group=""):
+        """Return {key: thresholds}, one for each measure, None where none is known."""
+        keys = {key for table in self._baselines.values() for key in table}
         return {
-            key: [table[key].threshold() if key in table else None for table in tables]
+            key: [self._threshold(measure, key, group, "") for measure in MEASURES]
             for key in keys
         }
 
     def adopt(self, thresholds):
         """Use the `thresholds` of another host until there are enough outcomes."""
-        tables = (self._first, self._pace, self._unstreamed)
         for key, values in thresholds.items():
-            for table, value in zip(tables, values, strict=True):
+            for measure, value in zip(MEASURES, values, strict=True):
                 if value is not None:
-                    table[key] = _Quantile(value)
+                    self._baselines[measure][key] = _Baseline(value)
 
 
 def _normalize(work, outcome):
-    """Return (first-byte time, seconds per decoded token, seconds per token).
+    """Return (measure, value) pairs of an outcome.
 
-    The first-byte time is scaled by the size of the prefill. The last value is the
-    total time per token of a response that was not streamed. Values that don't
-    apply are None.
+    "first" is the time to the first byte, scaled by the size of the prefill, "pace"
+    the seconds per decoded token after it, and "unstreamed" the total time per token of
+    a response that was not streamed.
     """
     if outcome.first_seconds is None:
-        return None, None, _unstreamed_pace(outcome)
-    first = outcome.first_seconds / (1.0 + work.prefill_tokens / _PREFILL_UNIT_TOKENS)
-    if outcome.total_seconds is None or outcome.decode_tokens < 2:
-        return first, None, None
-    decoding = outcome.total_seconds - outcome.first_seconds
-    return first, decoding / (outcome.decode_tokens - 1), None
-
-
-def _unstreamed_pace(outcome):
-    if outcome.total_seconds is None:
-        return None
-    return outcome.total_seconds / max(outcome.decode_tokens, 1)
+        if outcome.total_seconds is None:
+            return []
+        tokens = max(outcome.decode_tokens, 1)
+        return [("unstreamed", outcome.total_seconds / tokens)]
+    scale = 1.0 + work.prefill_tokens / _PREFILL_UNIT_TOKENS
+    values = [("first", outcome.first_seconds / scale)]
+    if outcome.total_seconds is not None and outcome.decode_tokens >= 2:
+        decoding = outcome.total_seconds - outcome.first_seconds
+        values.append(("pace", decoding / (outcome.decode_tokens - 1)))
+    return values
--- a/lovagepier/node/_rollouts.py
+++ b/lovagepier/node/_rollouts.py
@@ -94,11 +94,22 @@
         key = (message.model, message.work.route)
         is_old_version = message.version == old
         slow = outcome.status == "late" or self._slowness.judge(
-            key, is_old_version, message.work, outcome
+            key, is_old_version, message.work, outcome, message.model
         )
         if entry is None or message.version not in (old, entry.rollout.new):
             return
         failed = outcome.status in FAILED_STATUSES
+        if slow and not failed:
+            self.log.info(
+                "slower than the old version",
+                move=entry.rollout.id,
+                version=message.version,
+                route=message.work.route,
+                request=message.work.id,
+                target=outcome.target,
+                status=outcome.status,
+                excess=self._slowness.excess(key, message.work, outcome, message.model),
+            )
         row = EvidenceKey(
             self._evidence_id(entry),
             message.version,
--- a/test/test_moves.py
+++ b/test/test_moves.py
@@ -1,9 +1,10 @@
 """Rollouts: shares, evidence, the rollback trigger and simulated rollouts."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagepier.bench.rollouts import run_rollouts, summarize
+from lovagepier.bench.rollouts import run_rollout, run_rollouts, summarize
 from lovagepier.decisions.evidence import Counts, Evidence, EvidenceKey
 from lovagepier.decisions.rollback import RollbackTrigger
 from lovagepier.decisions.rollout_share import (
@@ -128,3 +129,18 @@
     assert found["good_taken_back"] < 0.01
     assert found["good_finished"] >= 0.99
     assert found["exposed_share_mean"] < 0.02
+
+
+@pytest.mark.parametrize(
+    "disturbance",
+    [
+        "unlike-targets",
+        "busier-new-targets",
+        "slow-old-target",
+        "slow-new-target",
+    ],
+)
+def test_a_good_version_is_not_rolled_back_for_slowness_of_something_else(disturbance):
+    for seed in range(25):
+        run = run_rollout("", f"g{seed}", length=60.0, disturbance=disturbance)
+        assert not run.rolled_back_open and run.completed, seed
