Count slowness of a new version against the old one's of the same time

Six slow outcomes of the new version in a row were enough, while the old version's rate, an average of half a minute, had hardly moved; once all traffic had moved there was nothing to compare with at all. Outcomes were taken for independent.

Slowness that began is now tested against the old version's outcomes since then, once there are eight. Until then the suspicion is held at 0.7, so that the share falls and the old version comes into use again; outcomes of requests sent before that are left out. Without any it counts after 8 s. The platform's rollouts send nothing back once switched, so there 18 outcomes are enough as before (EXPOSURE).

--- a/lovagepier/bench/rollouts.py
+++ b/lovagepier/bench/rollouts.py
@@ -6,6 +6,7 @@
 """
 
 import heapq
+import math
 import random
 from dataclasses import dataclass
 
@@ -164,7 +165,7 @@
     rng = random.Random(f"{seed}/{fault}")
     traffic = _Traffic(fault, disturbance, rng, rate, length)
     rollout = Rollout("m", "drafter", "v1", "v2", 0.0, length)
-    trigger = RollbackTrigger()
+    trigger = RollbackTrigger(unchecked_outcomes=math.inf)
     detector = SlownessDetector()
     run = RolloutRun(fault, False, False, 0, 0, 0, None, None)
     pending = []
--- a/lovagepier/decisions/rollback.py
+++ b/lovagepier/decisions/rollback.py
@@ -2,6 +2,8 @@
 
 import math
 
+from lovagepier.decisions.evidence import Counts
+
 __all__ = ["RollbackTrigger", "RouteComparison"]
 
 # Log-likelihood ratio that triggers a rollback. One test of a good version raises a
@@ -19,6 +21,20 @@
 OLD_HALF_LIFE_S = 30.0
 FLOOR_SLOW_RATE = 0.06
 MAX_BASE_RATE = 0.9
+# A machine or network under load slows both versions at once. So slowness of the new
+# version counts against the old version's outcomes of the same time, once there are so
+# many of them. Without them it counts after this time, or this many outcomes.
+MIN_CONTROL_OUTCOMES = 8
+MAX_CONTROL_WAIT_S = 8.0
+UNCHECKED_OUTCOMES = 18
+# The old version is in use if its last outcome is no older than this. Where it comes
+# into use again, outcomes of requests sent before that are left out for a time.
+MAX_CONTROL_AGE_S = 1.0
+CONTROL_SETTLE_S = 1.5
+# Weight of the floor in the old version's rate at that time.
+CONTROL_PRIOR_OUTCOMES = 8.0
+# Suspicion while it is not known whether the old version is slow, too.
+UNCHECKED_SUSPICION = 0.7
 
 
 class _Rate:
@@ -49,10 +65,21 @@
 
     def upper(self):
         """Return the base rate: an upper bound of the rate, plus a margin."""
-        weight = self.seen + PRIOR_OUTCOMES
-        rate = (self.bad + self.floor * PRIOR_OUTCOMES) / weight
-        spread = math.sqrt(rate * (1.0 - rate) / weight)
-        return min(max(rate + spread + RATE_MARGIN, self.floor), MAX_BASE_RATE)
+        return _upper_rate(self.seen, self.bad, self.floor, PRIOR_OUTCOMES)
+
+
+def _upper_rate(seen, bad, floor, prior):
+    weight = seen + prior
+    rate = (bad + floor * prior) / weight
+    spread = math.sqrt(rate * (1.0 - rate) / weight)
+    return min(max(rate + spread + RATE_MARGIN, floor), MAX_BASE_RATE)
+
+
+def _gains(base):
+    """Yield (gain of a bad outcome, loss of a good one) for each worse rate."""
+    for gap in ALTERNATIVE_GAPS:
+        worse = min(base + gap * (1.0 - base), 0.99)
+        yield math.log(worse / base), math.log((1.0 - worse) / (1.0 - base))
 
 
 class _Cusum:
@@ -80,25 +107,116 @@
 
     def add(self, seen, bad, base):
         good = seen - bad
-        for i, gap in enumerate(ALTERNATIVE_GAPS):
-            worse = min(base + gap * (1.0 - base), 0.99)
-            gain = math.log(worse / base)
-            loss = math.log((1.0 - worse) / (1.0 - base))
+        for i, (gain, loss) in enumerate(_gains(base)):
             # Outcomes of one batch have no order. The bad ones are added last, so
             # that good ones of the same batch can't cancel them.
             level = max(0.0, self._values[i] + good * loss)
             self._values[i] = level + bad * gain
 
 
+class _Episode:
+    """The outcomes of both versions since the new version's slowness began.
+
+    While the new version is not suspected `began_at` is None. `new` and `old` are the
+    outcomes that can be compared, those from `compares_from` on; `all_new` are all of
+    the new version.
+    """
+
+    __slots__ = (
+        "all_new",
+        "began_at",
+        "compares_from",
+        "last_at",
+        "last_old_at",
+        "new",
+        "old",
+        "unchecked_outcomes",
+    )
+
+    def __init__(self, unchecked_outcomes):
+        self.unchecked_outcomes = unchecked_outcomes
+        self.last_old_at = float("-inf")
+        self._end()
+
+    def _end(self):
+        self.began_at = None
+        self.last_at = 0.0
+        self.compares_from = math.inf
+        self.old = self.new = self.all_new = Counts()
+
+    def add_old(self, counts, now):
+        self.last_old_at = now
+        if self.began_at is None:
+            return
+        self.compares_from = min(self.compares_from, now + CONTROL_SETTLE_S)
+        self.last_at = now
+        if now >= self.compares_from:
+            self.old = self.old.plus(counts)
+
+    def add_new(self, counts, is_suspected, now):
+        if not is_suspected:
+            self._end()
+            return
+        if self.began_at is None:
+            self.began_at = now
+            if now - self.last_old_at <= MAX_CONTROL_AGE_S:
+                self.compares_from = now
+        self.last_at = now
+        self.all_new = self.all_new.plus(counts)
+        if now >= self.compares_from:
+            self.new = self.new.plus(counts)
+
+    def is_compared(self):
+        """Return whether there are enough outcomes of the old version."""
+        return self.old.seen >= MIN_CONTROL_OUTCOMES
+
+    def waits(self):
+        """Return whether more outcomes of the old version are needed."""
+        return not (
+            self.is_compared()
+            or self.last_at - self.began_at >= MAX_CONTROL_WAIT_S
+            or self.all_new.seen >= self.unchecked_outcomes
+        )
+
+    def level(self, base):
+        """Return the log-likelihood ratio of the new version's slowness.
+
+        `base` is the base rate before the episode.
+        """
+        new = self.all_new
+        if self.is_compared():
+            new = self.new
+            control = _upper_rate(
+                self.old.seen, self.old.slow, FLOOR_SLOW_RATE, CONTROL_PRIOR_OUTCOMES
+            )
+            base = max(base, control)
+        return max(
+            new.slow * gain + (new.seen - new.slow) * loss
+            for gain, loss in _gains(base)
+        )
+
+    def state(self):
+        if self.began_at is None:
+            return []
+        return [self.last_at - self.began_at, *self.all_new]
+
+    def adopt(self, state):
+        self._end()
+        if state:
+            self.began_at = -state[0]
+            self.all_new = Counts(*state[1:])
+
+
 class RouteComparison:
     """Compares the new version's failures and slowness with the old version's.
 
     For one route, or for all of them together.
     """
 
-    __slots__ = ("_failed", "_old_failed", "_old_slow", "_slow")
+    __slots__ = ("_episode", "_failed", "_old_failed", "_old_slow", "_slow")
 
-    def __init__(self):
+    def __init__(self, unchecked_outcomes=UNCHECKED_OUTCOMES):
+        self._episode = _Episode(unchecked_outcomes)
         self._failed = _Cusum()
         self._slow = _Cusum()
         self._old_failed = _Rate(FLOOR_FAILURE_RATE)
@@ -108,14 +226,22 @@
         """Add outcomes (`Counts`) of the old version."""
         self._old_failed.add(counts.seen, counts.failed, now)
         self._old_slow.add(counts.seen, counts.slow, now)
+        self._episode.add_old(counts, now)
 
     def observe_new(self, counts, now):
         """Add outcomes (`Counts`) of the new version."""
         self._failed.add(counts.seen, counts.failed, self._old_failed.upper())
         self._slow.add(counts.seen, counts.slow, self._old_slow.upper())
+        self._episode.add_new(counts, self._slow.value > 0.0, now)
 
     def _tests(self):
-        return self._failed, self._slow, self._old_failed, self._old_slow
+        return (
+            self._failed,
+            self._slow,
+            self._old_failed,
+            self._old_slow,
+            self._episode,
+        )
 
     def state(self):
         """Return what was learnt, as lists of numbers for `adopt`."""
@@ -123,29 +249,40 @@
 
     def adopt(self, state):
         """Replace what was learnt by another host's `state`."""
-        for test, values in zip(self._tests(), state, strict=True):
+        for test, values in zip(self._tests(), state, strict=False):
             test.adopt(values)
 
     def suspicion(self):
         """Return (level, reason); a level of 1.0 or more triggers a rollback."""
         failed = self._failed.value / ROLLBACK_LOG_RATIO
-        slow = self._slow.value / ROLLBACK_LOG_RATIO
+        slow = self._slow_level() / ROLLBACK_LOG_RATIO
         if failed >= slow:
             return failed, "failures"
         return slow, "slowness"
 
+    def _slow_level(self):
+        level = self._slow.value
+        if self._episode.began_at is None:
+            return level
+        level = min(level, max(self._episode.level(self._old_slow.upper()), 0.0))
+        if self._episode.waits():
+            level = min(level, UNCHECKED_SUSPICION * ROLLBACK_LOG_RATIO)
+        return level
+
 
 class RollbackTrigger:
     """Decides whether one rollout must be rolled back; once set it stays set.
 
-    `cause` is the reason, None until it is set.
+    `cause` is the reason, None until it is set. If the old version gets more requests
+    as the suspicion rises, `unchecked_outcomes` may be infinite.
     """
 
-    __slots__ = ("_all", "_routes", "cause")
+    __slots__ = ("_all", "_routes", "_unchecked_outcomes", "cause")
 
-    def __init__(self):
+    def __init__(self, unchecked_outcomes=UNCHECKED_OUTCOMES):
+        self._unchecked_outcomes = unchecked_outcomes
         self._routes = {}
-        self._all = RouteComparison()
+        self._all = RouteComparison(unchecked_outcomes)
         self.cause = None
 
     @property
@@ -163,7 +300,7 @@
 
     def observe(self, route, is_new, counts, now):
         """Add merged outcomes; return the cause if they set the trigger."""
-        test = self._routes.setdefault(route, RouteComparison())
+        test = self._route(route)
         for each in (test, self._all):
             if is_new:
                 each.observe_new(counts, now)
@@ -174,6 +311,12 @@
             return self.cause
         return None
 
+    def _route(self, route):
+        test = self._routes.get(route)
+        if test is None:
+            test = self._routes[route] = RouteComparison(self._unchecked_outcomes)
+        return test
+
     def _find_cause(self, route, test):
         for scope, each in ((f"route {route}", test), ("all routes", self._all)):
             level, reason = each.suspicion()
@@ -192,7 +335,7 @@
         """Continue from the `state` of another host, which observed more."""
         for route, values in state.items():
             if route:
-                self._routes.setdefault(route, RouteComparison()).adopt(values)
+                self._route(route).adopt(values)
             else:
                 self._all.adopt(values)
 
--- a/lovagepier/node/_rollouts.py
+++ b/lovagepier/node/_rollouts.py
@@ -1,5 +1,6 @@
 """The rollouts actor: merges evidence, triggers rollbacks and publishes shares."""
 
+import math
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 
@@ -44,7 +45,7 @@
     def __init__(self, rollout, clear_count):
         self.rollout = rollout
         self.clear_count = clear_count
-        self.trigger = RollbackTrigger()
+        self.trigger = RollbackTrigger(unchecked_outcomes=math.inf)
         self.last_event = None
         self.announced = False
 
--- a/test/test_moves.py
+++ b/test/test_moves.py
@@ -138,6 +138,8 @@
         "busier-new-targets",
         "slow-old-target",
         "slow-new-target",
+        "slow-together",
+        "slow-host",
     ],
 )
 def test_a_good_version_is_not_rolled_back_for_slowness_of_something_else(disturbance):
--- a/test/test_rollout_evidence.py
+++ b/test/test_rollout_evidence.py
@@ -77,3 +77,24 @@
     observe(rollouts, "old", OLD_FIRST_S, 60)
     observe(rollouts, "new", OLD_FIRST_S, 10)
     assert observe(take_over(rollouts), "new", OLD_FIRST_S, 200) is None
+
+
+def test_a_version_is_not_rolled_back_while_the_old_one_is_as_slow():
+    """As on a machine under load."""
+    rollouts = make_rollouts()
+    observe(rollouts, "old", OLD_FIRST_S, 60)
+    for step in range(40):
+        now = 1.1 + step / 20
+        for version in ("new", "new", "old"):
+            assert observe(rollouts, version, SLOW_FIRST_S, 1, now) is None
+
+
+def test_a_version_is_rolled_back_while_the_old_one_is_fast():
+    rollouts = make_rollouts()
+    observe(rollouts, "old", OLD_FIRST_S, 60)
+    for step in range(40):
+        now = 1.1 + step / 20
+        observe(rollouts, "old", OLD_FIRST_S, 1, now)
+        if observe(rollouts, "new", SLOW_FIRST_S, 1, now) is not None:
+            break
+    assert step < ENOUGH_OUTCOMES
