Check that an owner of a ledger shard still is one before it says that a key is in use

A node that was suspended while it owned a shard, and woke after another one had taken the shard over and settled a claim, went on from its memory: repeats of that call got 'in use' from it for good, as this answer writes nothing, and only writes check the owner key. By rendezvous the shard is its own again as soon as it is back, so all nodes ask it.

--- a/lovagepier/node/_ledger.py
+++ b/lovagepier/node/_ledger.py
@@ -5,7 +5,7 @@
 from dataclasses import asdict, dataclass
 
 from lovagepier.backing import Compare, Delete, Put, StoreError
-from lovagepier.decisions.claims import Claim, Shard, Verdict
+from lovagepier.decisions.claims import Claim, ClaimAnswer, Shard, Verdict
 from lovagepier.node._actors import NodeActor, Tick
 from lovagepier.peers import messages
 
@@ -14,6 +14,9 @@
 OWNER_KEY_PREFIX = "lovagepier/ledger-owner/"
 BATCH_KEY_PREFIX = "lovagepier/ledger/"
 ACQUIRE_RETRY_S = 1.0
+# How long an owner answers that a key is in use before it checks that it still is the
+# owner. Writes check that, but such an answer writes nothing.
+OWNER_CHECK_S = 1.0
 MAX_READ_BACKS = 3
 CLEANUP_PERIOD_S = 60.0
 MAX_DELETES_PER_TXN = 64
@@ -53,12 +56,20 @@
     `fence` is the store revision of the owner key, which every write checks;
     `batches` maps the sequence numbers of stored batches to the time of their
     newest claim; `replies` holds the reply functions of claims in progress by
-    (key, nonce).
+    (key, nonce). At `checked_at` the store had the owner key as at `fence`.
     """
 
-    __slots__ = ("batches", "fence", "last_write_at", "replies", "shard")
-
-    def __init__(self, shard, fence):
+    __slots__ = (
+        "batches",
+        "checked_at",
+        "fence",
+        "last_write_at",
+        "replies",
+        "shard",
+    )
+
+    def __init__(self, shard, fence, checked_at):
+        self.checked_at = checked_at
         self.last_write_at = float("-inf")
         self.shard = shard
         self.fence = fence
@@ -104,11 +115,32 @@
         answer = owned.shard.claim(
             body.key, body.body_hash, body.nonce, body.key_created_at, now
         )
+        if answer is not None and answer.verdict == Verdict.RUNNING:
+            answer = self._check_running(body.shard, owned, answer)
         if answer is not None:
             message.reply(messages.ClaimResponse(answer.verdict, answer.outcome))
             return
         owned.replies[(body.key, body.nonce)] = message.reply
 
+    def _check_running(self, number, owned, answer):
+        """Return `answer`, that a key is in use, or UNAVAILABLE if that may be over.
+
+        An owner that was suspended may not know of another one that has settled it.
+        """
+        now = self.node.clock()
+        if now - owned.checked_at < OWNER_CHECK_S:
+            return answer
+        try:
+            current = self.node.store.get(f"{OWNER_KEY_PREFIX}{number}")
+        except StoreError as exc:
+            self.log.warning("failed to check an owner", shard=number, why=str(exc))
+            return answer
+        owned.checked_at = now
+        if current is not None and current.mod_revision == owned.fence:
+            return answer
+        self._give_up_shard(number, "the owner key changed")
+        return ClaimAnswer(answer.key, answer.nonce, Verdict.UNAVAILABLE)
+
     def on_claim_settled(self, message):
         """Record the outcome of a claim, or confirm that its final state is stored."""
         body = message.body
@@ -209,7 +241,11 @@
         current = self.node.store.get(key)
         if current is None or current.value != self._name.encode():
             return None
-        owned = _OwnedShard(Shard(self.node.cfg.ledger_horizon), current.mod_revision)
+        owned = _OwnedShard(
+            Shard(self.node.cfg.ledger_horizon),
+            current.mod_revision,
+            self.node.clock(),
+        )
         self._restore(number, owned)
         self._owned[number] = owned
         previous = found.value.decode() if found else "nobody"
