Keep the time of a comparison of versions over a change of the coordinator

Found by reading: what a successor adopted began, by its own clock, at the start of the machine, so the wait for outcomes of the old version counted as over, and both versions slowed together could be taken for a slow new one.

--- a/lovagepier/decisions/rollback.py
+++ b/lovagepier/decisions/rollback.py
@@ -119,13 +119,15 @@
 
     While the new version is not suspected `began_at` is None. `new` and `old` are the
     outcomes that can be compared, those from `compares_from` on; `all_new` are all of
-    the new version.
+    the new version. `is_adopted` tells that the times are not yet those of this host's
+    clock.
     """
 
     __slots__ = (
         "all_new",
         "began_at",
         "compares_from",
+        "is_adopted",
         "last_at",
         "last_old_at",
         "new",
@@ -139,6 +141,7 @@
         self._end()
 
     def _end(self):
+        self.is_adopted = False
         self.began_at = None
         self.last_at = 0.0
         self.compares_from = math.inf
@@ -148,6 +151,7 @@
         self.last_old_at = now
         if self.began_at is None:
             return
+        self._set_clock(now)
         self.compares_from = min(self.compares_from, now + CONTROL_SETTLE_S)
         self.last_at = now
         if now >= self.compares_from:
@@ -161,11 +165,18 @@
             self.began_at = now
             if now - self.last_old_at <= MAX_CONTROL_AGE_S:
                 self.compares_from = now
+        self._set_clock(now)
         self.last_at = now
         self.all_new = self.all_new.plus(counts)
         if now >= self.compares_from:
             self.new = self.new.plus(counts)
 
+    def _set_clock(self, now):
+        if self.is_adopted:
+            self.began_at += now
+            self.compares_from = now
+            self.is_adopted = False
+
     def is_compared(self):
         """Return whether there are enough outcomes of the old version."""
         return self.old.seen >= MIN_CONTROL_OUTCOMES
@@ -203,6 +214,7 @@
     def adopt(self, state):
         self._end()
         if state:
+            self.is_adopted = True
             self.began_at = -state[0]
             self.all_new = Counts(*state[1:])
 
--- a/test/test_rollout_evidence.py
+++ b/test/test_rollout_evidence.py
@@ -98,3 +98,15 @@
         if observe(rollouts, "new", SLOW_FIRST_S, 1, now) is not None:
             break
     assert step < ENOUGH_OUTCOMES
+
+
+def test_a_successor_still_waits_for_the_old_version():
+    """It takes over between the first slow outcomes and those of the old version."""
+    rollouts = make_rollouts()
+    observe(rollouts, "old", OLD_FIRST_S, 60)
+    observe(rollouts, "new", SLOW_FIRST_S, 3, 1.1)
+    successor = take_over(rollouts)
+    for step in range(40):
+        now = 500.0 + step / 20
+        for version in ("new", "old"):
+            assert observe(successor, version, SLOW_FIRST_S, 1, now) is None
