--- a/lovagepier/platform/_headers.py
+++ b/lovagepier/platform/_headers.py
@@ -79,11 +79,11 @@
     the target keeps an idle connection, None if unspecified. `rate_limit` are the
     requests per second that the target takes from all hosts together, infinite
     unless it states a limit, None if what it states can't be read. `rejection_limit` is
-    the number of rejections for want of room in a second after which it falls over,
-    infinite or None likewise. `is_leaving` means
-    that the target states that it leaves; a 421 speaks for another target. `pause_s`
-    are the seconds for which a target that turned the request away wants nothing from
-    this host, 0 if it does not say, None if what it says can't be read.
+    the number of rejections for want of room in a second that the target withstands,
+    infinite or None likewise. `is_leaving` means that the target states that it leaves;
+    a 421 speaks for another target. `pause_s` are the seconds for which a target that
+    turned the request away wants nothing from this host, 0 if it does not say, None if
+    what it says can't be read.
     """
 
     status: int
