--- a/test/test_rollout_evidence.py
+++ b/test/test_rollout_evidence.py
@@ -2,27 +2,34 @@
 
 from types import SimpleNamespace
 
+from lovagepier.decisions.rollout_plan import CANARY_EXPOSURE_FRACTION
 from lovagepier.entry._messages import Roster
 from lovagepier.entry._rollouts import Rollouts
 from lovagepier.entry.store_types import RolloutOrder
 from lovagepier.frames import decode, encode
 from test.builders import ended, make_work
 
+EXPOSURE_SLACK = 50
 OLD_FIRST_S = 0.1
 SLOW_FIRST_S = 0.8
 # A slow version is seen by one coordinator within this many outcomes.
 ENOUGH_OUTCOMES = 20
+DURATION_S = 15.0
+# A canary stage gets so many requests whatever the load is.
+CANARY_OUTCOMES = int(EXPOSURE_SLACK * CANARY_EXPOSURE_FRACTION)
 
 
 def make_rollouts():
-    order = RolloutOrder("model", "v2", 15.0, 18)
+    order = RolloutOrder("model", "v2", DURATION_S, 18)
     view = SimpleNamespace(
         orders={"model": order},
         rollout_state=lambda service: None,
-        targets={},
+        targets={
+            "e1": SimpleNamespace(service="model", version="v2", draining=False),
+        },
         last_answer_at=None,
     )
-    cfg = SimpleNamespace(moves_exposure_share=0.1, moves_exposure_slack=50)
+    cfg = SimpleNamespace(moves_exposure_share=0.1, moves_exposure_slack=EXPOSURE_SLACK)
     rollouts = Rollouts(cfg, view, lambda *args: None)
     rollouts.refresh(0.0)
     return rollouts
@@ -110,3 +117,44 @@
         now = 500.0 + step / 20
         for version in ("new", "old"):
             assert observe(successor, version, SLOW_FIRST_S, 1, now) is None
+
+
+def observe_many_targets(rollouts, count, slow_every):
+    """Observe outcomes of the new version on nine targets, some of them slow.
+
+    Return after how many it was rolled back, None if it was not.
+    """
+    for number in range(count):
+        is_slow = number % slow_every == slow_every - 1
+        work = make_work(f"new-{number}", route=("talk", "note")[number // 2 % 2])
+        first_s = SLOW_FIRST_S if is_slow else OLD_FIRST_S
+        outcome = ended(
+            work,
+            f"e{number % 9}",
+            first_seconds=first_s,
+            total_seconds=first_s + 0.4,
+        )
+        rollouts.observe("model", "new", work, outcome, 1.0)
+        if rollouts.rollbacks():
+            return number + 1
+    return None
+
+
+def test_slow_outcomes_at_many_targets_count_from_the_start():
+    """Replays EXPOSURE: half of a slow version's outcomes show it, on nine targets."""
+    rollouts = make_rollouts()
+    observe(rollouts, "old", OLD_FIRST_S, 60)
+    assert observe_many_targets(rollouts, CANARY_OUTCOMES, 2) is not None
+
+
+def test_traffic_does_not_move_to_a_version_that_is_suspected():
+    """Replays EXPOSURE: one outcome short of a rollback, at the time of the switch."""
+    alike = make_rollouts()
+    observe(alike, "old", OLD_FIRST_S, 60)
+    needed = observe(alike, "new", SLOW_FIRST_S, ENOUGH_OUTCOMES)
+    rollouts = make_rollouts()
+    observe(rollouts, "old", OLD_FIRST_S, 60)
+    observe(rollouts, "new", OLD_FIRST_S, ENOUGH_OUTCOMES)
+    observe(rollouts, "new", SLOW_FIRST_S, needed - 1)
+    rollouts.step(lambda service: 0, DURATION_S / 2)
+    assert rollouts.share("model", DURATION_S / 2) < 0.5
