Keep the canary stage while the new version is suspected

Cause: the switch looked at the time and at the number of outcomes, not at what they said. Now it waits while the suspicion is above 0.3; at 0.7 of the time a version above 0.5 is rolled back. The suspicion includes the test of all routes together, which alone had found this version.

--- a/lovagepier/bench/rollouts.py
+++ b/lovagepier/bench/rollouts.py
@@ -12,6 +12,7 @@
 
 from lovagepier.decisions.evidence import Counts
 from lovagepier.decisions.rollback import RollbackTrigger
+from lovagepier.decisions.rollout_plan import RolloutPlan, RolloutProgress, Stage
 from lovagepier.decisions.rollout_share import Rollout, RolloutState, share_at, state_at
 from lovagepier.decisions.slowness import SlownessDetector
 from lovagepier.decisions.work import Outcome, Work
@@ -27,6 +28,9 @@
 
 STEP_S = 0.1
 EVIDENCE_DELAY_S = 0.25
+# A bad version may get this share of the requests and so many more (`RolloutPlan`).
+EXPOSURE_SHARE = 0.1
+EXPOSURE_SLACK = 50
 ROUTES = ("report", "note", "lookup", "letter")
 FAULTS = (
     "fails-at-once",
@@ -65,8 +69,9 @@
 
     `fault` is one of FAULTS, or empty for a good version. `exposed` is the number of
     requests that the fault acted on, `exposed_after_rollback` those among them
-    that were sent after the rollback. `first_fault_at` is when the first
-    outcome of the fault reached the decision.
+    that were sent after the rollback. `sent_new` is the number of all requests to the
+    new version, and `first_fault_at` when the first outcome of the fault reached the
+    decision.
     """
 
     fault: str
@@ -78,6 +83,12 @@
     first_fault_at: float | None
     rolled_back_at: float | None
     completed_at: float | None = None
+    sent_new: int = 0
+
+    @property
+    def exceeds_exposure(self):
+        """Whether the new version got more requests than a bad one may."""
+        return self.sent_new > EXPOSURE_SHARE * self.requests + EXPOSURE_SLACK
 
     @property
     def rolled_back_open(self):
@@ -155,21 +166,70 @@
         return self.disturbance == "slow-together"
 
 
-def run_rollout(fault, seed, rate=20.0, length=120.0, disturbance=""):
+class _GradualSchedule:
+    """Raises the share step by step on clean outcomes (`rollout_share`)."""
+
+    def __init__(self, length):
+        self.trigger = RollbackTrigger(unchecked_outcomes=math.inf)
+        self._rollout = Rollout("m", "drafter", "v1", "v2", 0.0, length)
+        self._clean = self._total = 0
+
+    def observe(self, is_new, failed, slow):
+        self._total += 1
+        self._clean += is_new and not failed and not slow
+
+    def step(self, run, now):
+        """Return (share of the new version, whether the rollout is done)."""
+        state = RolloutState(
+            self._clean, self._total, self.trigger.is_set, self.trigger.suspicion()
+        )
+        is_done = state_at(self._rollout, state, now) == "done"
+        return share_at(self._rollout, state, now), is_done
+
+
+class _SwitchSchedule:
+    """Moves all requests at once after a canary stage (`RolloutPlan`)."""
+
+    def __init__(self, length):
+        self.trigger = RollbackTrigger()
+        self._plan = RolloutPlan(length, EXPOSURE_SHARE, EXPOSURE_SLACK, 0.0)
+        self._progress = RolloutProgress(new_ready=True)
+
+    def observe(self, is_new, failed, slow):
+        self._progress.outcomes_new += is_new
+        self._progress.failed_new += is_new and failed
+
+    def step(self, run, now):
+        """Return (share of the new version, whether the rollout is done)."""
+        self._progress.sent = run.requests
+        self._progress.sent_new = run.sent_new
+        self._progress.suspicion = self.trigger.suspicion()
+        if self.trigger.is_set:
+            self._plan.roll_back(self.trigger.cause)
+        stage = self._plan.step(self._progress, now)
+        if stage == Stage.ROLLED_BACK:
+            self.trigger.set(self._plan.cause)
+        return self._plan.share(self._progress), stage == Stage.DONE
+
+
+def run_rollout(
+    fault, seed, rate=20.0, length=120.0, disturbance="", switches_at_once=False
+):
     """Simulate one rollout; return a `RolloutRun`.
 
     `fault` is one of FAULTS, or empty for a good version. `disturbance` is one of
     DISTURBANCES, or empty for none. `rate` is in requests a second, `length` is the
-    planned duration in seconds.
+    planned duration in seconds. With `switches_at_once` all requests move at once after
+    a canary stage, otherwise gradually.
     """
     rng = random.Random(f"{seed}/{fault}")
     traffic = _Traffic(fault, disturbance, rng, rate, length)
-    rollout = Rollout("m", "drafter", "v1", "v2", 0.0, length)
-    trigger = RollbackTrigger(unchecked_outcomes=math.inf)
+    schedule = (_SwitchSchedule if switches_at_once else _GradualSchedule)(length)
+    trigger = schedule.trigger
     detector = SlownessDetector()
     run = RolloutRun(fault, False, False, 0, 0, 0, None, None)
     pending = []
-    clean = total = number = 0
+    number = 0
     end = length * 1.3
     for step in range(int(end / STEP_S)):
         now = step * STEP_S
@@ -177,15 +237,13 @@
             _, _, is_new, route, failed, slow, faulty = heapq.heappop(pending)
             counts = Counts(1, int(failed), int(slow and not failed))
             trigger.observe(route, is_new, counts, now)
-            total += 1
-            clean += is_new and not failed and not slow
+            schedule.observe(is_new, failed, slow)
             if faulty and (failed or slow) and run.first_fault_at is None:
                 run.first_fault_at = now
+        share, is_done = schedule.step(run, now)
         if trigger.is_set and run.rolled_back_at is None:
             run.rolled_back_at = now
-        state = RolloutState(clean, total, trigger.is_set, trigger.suspicion())
-        share = share_at(rollout, state, now)
-        if state_at(rollout, state, now) == "done" and now <= length:
+        if is_done and now <= length:
             run.completed = True
             if run.completed_at is None:
                 run.completed_at = now
@@ -197,6 +255,7 @@
             seconds, failed, tokens, faulty, target = traffic.outcome(
                 is_new, route, share, now
             )
+            run.sent_new += is_new
             run.exposed += faulty
             if faulty and run.rolled_back_at is not None:
                 run.exposed_after_rollback += 1
--- a/lovagepier/decisions/rollback.py
+++ b/lovagepier/decisions/rollback.py
@@ -352,6 +352,5 @@
                 self._all.adopt(values)
 
     def suspicion(self):
-        """Return the highest suspicion of any route; 1.0 or more sets the trigger."""
-        levels = [test.suspicion()[0] for test in self._routes.values()]
-        return max(levels, default=0.0)
+        """Return the highest suspicion of any test; 1.0 or more sets the trigger."""
+        return max(test.suspicion()[0] for test in (self._all, *self._routes.values()))
--- a/lovagepier/decisions/rollout_plan.py
+++ b/lovagepier/decisions/rollout_plan.py
@@ -16,10 +16,15 @@
 # `MIN_OUTCOMES` of the new version.
 MIN_CANARY_FRACTION = 0.45
 MIN_OUTCOMES = 12
+# It also lasts while the suspicion is higher: a bad version that gets all requests
+# exceeds its exposure before the next outcomes are in.
+MAX_SWITCH_SUSPICION = 0.3
 # At this fraction of the time the rollout switches with fewer outcomes, or is rolled
-# back: without outcomes, or if more than `MAX_FAILED_FRACTION` of them failed.
+# back: without outcomes, if more than `MAX_FAILED_FRACTION` of them failed, or if the
+# suspicion is higher than `MAX_LATE_SUSPICION`.
 MAX_SWITCH_FRACTION = 0.7
 MAX_FAILED_FRACTION = 0.3
+MAX_LATE_SUSPICION = 0.5
 # Before this fraction of the time the rollout is not done: answers of a slow version
 # come late, and after the end there is no way back.
 MIN_END_FRACTION = 0.8
@@ -48,6 +53,7 @@
     version, `outcomes_new` the outcomes of the new version and `failed_new` those
     that failed. `new_ready` tells whether a target of the new version takes
     requests, `old_running` how many requests still run on the old version.
+    `suspicion` is that of the `RollbackTrigger`, 1.0 rolls back.
     """
 
     sent: int = 0
@@ -56,6 +62,7 @@
     new_ready: bool = False
     old_running: int = 0
     failed_new: int = 0
+    suspicion: float = 0.0
 
 
 def _is_promising(progress):
@@ -64,6 +71,8 @@
     Targets of a version that often fails are ejected before there are enough
     outcomes for a rollback.
     """
+    if progress.suspicion > MAX_LATE_SUSPICION:
+        return False
     return progress.failed_new < progress.outcomes_new * MAX_FAILED_FRACTION
 
 
@@ -95,7 +104,8 @@
         fraction = (now - self.began) / self._duration
         if self.stage == Stage.CANARY:
             known = progress.outcomes_new >= MIN_OUTCOMES and progress.new_ready
-            if fraction >= MIN_CANARY_FRACTION and known:
+            trusted = known and progress.suspicion <= MAX_SWITCH_SUSPICION
+            if fraction >= MIN_CANARY_FRACTION and trusted:
                 self.stage = Stage.SWITCHED
             elif fraction >= MAX_SWITCH_FRACTION:
                 if progress.new_ready and _is_promising(progress):
--- a/lovagepier/entry/_rollouts.py
+++ b/lovagepier/entry/_rollouts.py
@@ -304,10 +304,12 @@
                     stage=rollout.plan.stage,
                     sent=rollout.progress.sent,
                     sent_new=rollout.progress.sent_new,
+                    suspicion=round(rollout.progress.suspicion, 2),
                 )
 
     def _advance(self, service, rollout, old_running, now):
         rollout.progress.old_running = old_running(service)
+        rollout.progress.suspicion = rollout.trigger.suspicion()
         rollout.progress.new_ready = any(
             target.service == service
             and target.version == rollout.order.version
--- a/test/test_rollout_plan.py
+++ b/test/test_rollout_plan.py
@@ -1,8 +1,10 @@
 """Tests of rollout plans: bounded exposure of bad versions, completion in time."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lovagepier.bench.rollouts import run_rollout as simulate
 from lovagepier.decisions.rollout_plan import RolloutPlan, RolloutProgress, Stage
 
 SHARE, SLACK = 0.1, 50
@@ -94,3 +96,27 @@
         plan = RolloutPlan(10.0, SHARE, SLACK, 0.0)
         progress = RolloutProgress(100, 5, 5, True, failed_new=failed)
         assert plan.step(progress, 7.5) == stage
+
+
+def test_the_switch_waits_while_the_new_version_is_suspected():
+    plan = RolloutPlan(10.0, SHARE, SLACK, 0.0)
+    progress = RolloutProgress(100, 20, 20, True, suspicion=0.9)
+    assert plan.step(progress, 6.0) == Stage.CANARY
+    progress.suspicion = 0.2
+    assert plan.step(progress, 6.1) == Stage.SWITCHED
+
+
+def test_a_version_that_stays_suspected_is_rolled_back():
+    for suspicion, stage in ((0.4, Stage.SWITCHED), (0.6, Stage.ROLLED_BACK)):
+        plan = RolloutPlan(10.0, SHARE, SLACK, 0.0)
+        progress = RolloutProgress(100, 20, 20, True, suspicion=suspicion)
+        assert plan.step(progress, 6.9) == Stage.CANARY
+        assert plan.step(progress, 7.1) == stage
+
+
+@pytest.mark.parametrize("fault", ["slow-at-once", "fails-at-once"])
+def test_a_bad_version_stays_within_the_exposure_bound(fault):
+    """Replays EXPOSURE on traffic that moves at once after the canary stage."""
+    for seed in range(40):
+        run = simulate(fault, seed, 80.0, 15.0, switches_at_once=True)
+        assert run.rolled_back_open and not run.exceeds_exposure, seed
