Leave out outcomes that are slow at one new target only, rather than count them as fast

It counted such an outcome as a fast one, and asked for a mean of moving averages that began at zero: with nine targets the first five slow outcomes were evidence for the new version.

--- a/lovagepier/bench/rollouts.py
+++ b/lovagepier/bench/rollouts.py
@@ -235,8 +235,9 @@
         now = step * STEP_S
         while pending and pending[0][0] <= now:
             _, _, is_new, route, failed, slow, faulty = heapq.heappop(pending)
-            counts = Counts(1, int(failed), int(slow and not failed))
-            trigger.observe(route, is_new, counts, now)
+            if failed or slow is not None:
+                counts = Counts(1, int(failed), int(bool(slow) and not failed))
+                trigger.observe(route, is_new, counts, now)
             schedule.observe(is_new, failed, slow)
             if faulty and (failed or slow) and run.first_fault_at is None:
                 run.first_fault_at = now
--- a/lovagepier/decisions/slowness.py
+++ b/lovagepier/decisions/slowness.py
@@ -26,10 +26,10 @@
 _LOAD_FACTOR = 1.5
 _MAX_TARGETS = 128
 # One slow target of several is not a fault of its version. Slow outcomes count if at
-# least this fraction of those at the other targets was slow, by a moving average with
-# this weight for the last one.
+# least this fraction of those at the other targets was slow. A target's earlier outcomes
+# lose this fraction of their weight with each new one.
 _MIN_OTHERS_SLOW = 0.05
-_AVERAGE_WEIGHT = 0.1
+_WEIGHT_LOSS = 0.1
 # What is compared, see `_normalize`.
 MEASURES = ("first", "pace", "unstreamed")
 # The expected time to the first byte grows by its base value per this many tokens.
@@ -122,19 +122,23 @@
 class _NewTargets:
     """How often the outcomes at each target of the new version were slow."""
 
-    __slots__ = ("_fractions",)
+    __slots__ = ("_weights",)
 
     def __init__(self):
-        self._fractions = {}
+        # {target: (weight of its outcomes, weight of the slow ones)}
+        self._weights = {}
 
     def add(self, target, slow):
-        """Add an outcome; return whether the other targets are slow as well."""
-        known = self._fractions.pop(target, 0.0)
-        others = list(self._fractions.values())
-        self._fractions[target] = known + (float(slow) - known) * _AVERAGE_WEIGHT
-        if len(self._fractions) > _MAX_TARGETS:
-            del self._fractions[next(iter(self._fractions))]
-        return not others or sum(others) / len(others) >= _MIN_OTHERS_SLOW
+        """Add an outcome; return whether it is slow at this target only."""
+        seen, seen_slow = self._weights.pop(target, (0.0, 0.0))
+        others = list(self._weights.values())
+        kept = 1.0 - _WEIGHT_LOSS
+        self._weights[target] = (seen * kept + 1.0, seen_slow * kept + slow)
+        if len(self._weights) > _MAX_TARGETS:
+            del self._weights[next(iter(self._weights))]
+        others_seen = sum(weight for weight, _ in others)
+        others_slow = sum(weight for _, weight in others)
+        return slow and others_slow < others_seen * _MIN_OTHERS_SLOW
 
 
 class SlownessDetector:
@@ -154,8 +158,9 @@
     def judge(self, key, is_old, work, outcome, group=""):
         """Return whether an outcome is slow; learn from it if `is_old`.
 
-        Nothing is slow until there are `_MIN_SAMPLES` of the old version, and what only
-        one of several targets of the new version shows is not.
+        Nothing is slow until there are `_MIN_SAMPLES` of the old version. Returns None
+        for a slow outcome that says nothing about the new version, because only one of
+        its targets shows any.
         """
         slow = False
         for measure, value in _normalize(work, outcome):
@@ -165,7 +170,7 @@
         if is_old:
             return slow
         targets = self._new_targets.setdefault(group, _NewTargets())
-        return targets.add(outcome.target, slow) and slow
+        return None if targets.add(outcome.target, slow) else slow
 
     def _threshold(self, measure, key, group, target):
         baseline = self._baselines[measure].get(key)
--- a/lovagepier/entry/_rollouts.py
+++ b/lovagepier/entry/_rollouts.py
@@ -219,6 +219,8 @@
         )
         rollout.progress.outcomes_new += is_new
         rollout.progress.failed_new += is_new and failed
+        if slow is None:
+            return
         counts = Counts(1, int(failed), int(slow))
         cause = rollout.trigger.observe(work.route, is_new, counts, now)
         if cause is not None and is_new:
--- a/lovagepier/node/_rollouts.py
+++ b/lovagepier/node/_rollouts.py
@@ -99,6 +99,8 @@
         )
         if entry is None or message.version not in (old, entry.rollout.new):
             return
+        if slow is None:
+            return
         failed = outcome.status in FAILED_STATUSES
         if slow and not failed:
             self.log.info(
