--- a/lovagepier/decisions/slowness.py
+++ b/lovagepier/decisions/slowness.py
@@ -26,7 +26,7 @@
 _LOAD_FACTOR = 1.5
 _MAX_TARGETS = 128
 # One slow target of several is not a fault of its version. Slow outcomes count if at
-# least this fraction of those at the other targets was slow. A target's earlier outcomes
+# least this fraction of those at the other targets was slow. The outcomes of a target
 # lose this fraction of their weight with each new one.
 _MIN_OTHERS_SLOW = 0.05
 _WEIGHT_LOSS = 0.1
--- a/test/test_rollout_evidence.py
+++ b/test/test_rollout_evidence.py
@@ -119,6 +119,31 @@
             assert observe(successor, version, SLOW_FIRST_S, 1, now) is None
 
 
+def observe_both(rollouts, count):
+    """Observe fast outcomes of the old version and slow ones of the new one in turn.
+
+    Return after how many of the new version it was rolled back, None if it was not.
+    """
+    for number in range(count):
+        observe(rollouts, "old", OLD_FIRST_S, 1)
+        if observe(rollouts, "new", SLOW_FIRST_S, 1) is not None:
+            return number + 1
+    return None
+
+
+def test_a_successor_keeps_what_was_compared_with_the_old_version():
+    """Replays EXPOSURE: the coordinator is killed one outcome short of a rollback."""
+    alike = make_rollouts()
+    observe(alike, "old", OLD_FIRST_S, 60)
+    needed = observe_both(alike, ENOUGH_OUTCOMES)
+    rollouts = make_rollouts()
+    observe(rollouts, "old", OLD_FIRST_S, 60)
+    assert observe_both(rollouts, needed - 1) is None
+    successor = take_over(rollouts)
+    observe(successor, "old", OLD_FIRST_S, 10)
+    assert observe_both(successor, 1) == 1
+
+
 def observe_many_targets(rollouts, count, slow_every):
     """Observe outcomes of the new version on nine targets, some of them slow.
 
