Keep the comparison of versions over a change of the coordinator

A successor had enough outcomes of the old version within 0.1 s, compared them with none of the new one, and the suspicion fell to 0.05.

test_a_successor_keeps_what_was_compared_with_the_old_version failed before.

--- a/lovagepier/decisions/rollback.py
+++ b/lovagepier/decisions/rollback.py
@@ -119,8 +119,8 @@
 
     While the new version is not suspected `began_at` is None. `new` and `old` are the
     outcomes that can be compared, those from `compares_from` on; `all_new` are all of
-    the new version. `is_adopted` tells that the times are not yet those of this host's
-    clock.
+    the new version. `is_adopted` tells that the times are another host's, relative to
+    its last outcome.
     """
 
     __slots__ = (
@@ -174,7 +174,7 @@
     def _set_clock(self, now):
         if self.is_adopted:
             self.began_at += now
-            self.compares_from = now
+            self.compares_from += now
             self.is_adopted = False
 
     def is_compared(self):
@@ -209,14 +209,24 @@
     def state(self):
         if self.began_at is None:
             return []
-        return [self.last_at - self.began_at, *self.all_new]
+        # Times are relative to the last outcome; no comparison yet is a None.
+        compares_from = self.compares_from - self.last_at
+        return [
+            self.began_at - self.last_at,
+            None if math.isinf(compares_from) else compares_from,
+            list(self.all_new),
+            list(self.new),
+            list(self.old),
+        ]
 
     def adopt(self, state):
         self._end()
         if state:
             self.is_adopted = True
-            self.began_at = -state[0]
-            self.all_new = Counts(*state[1:])
+            self.began_at, compares_from, *counts = state
+            if compares_from is not None:
+                self.compares_from = compares_from
+            self.all_new, self.new, self.old = (Counts(*each) for each in counts)
 
 
 class RouteComparison:
