--- a/lovagepier/decisions/slowness.py
+++ b/lovagepier/decisions/slowness.py
@@ -9,7 +9,7 @@
 # An outcome is slow above `_THRESHOLD_FACTOR` times a quantile of the old version's
 # last `_MAX_SAMPLES` times.
 _MAX_SAMPLES = 200
-_QUANTILE = 0.95
+_QUANTILE = 0.9
 _THRESHOLD_FACTOR = 1.3
 _MIN_SAMPLES = 20
 # Targets are unlike, and the fastest of them get most requests. The usual time of a
