Keep the higher bar for slow outcomes where traffic moves step by step

The gradual schedule has its way back, and found slow versions with the bar it had; so the lower one is the platform's schedule's, which has none.

--- a/lovagepier/bench/rollouts.py
+++ b/lovagepier/bench/rollouts.py
@@ -12,9 +12,14 @@
 
 from lovagepier.decisions.evidence import Counts
 from lovagepier.decisions.rollback import RollbackTrigger
-from lovagepier.decisions.rollout_plan import RolloutPlan, RolloutProgress, Stage
+from lovagepier.decisions.rollout_plan import (
+    SLOW_QUANTILE,
+    RolloutPlan,
+    RolloutProgress,
+    Stage,
+)
 from lovagepier.decisions.rollout_share import Rollout, RolloutState, share_at, state_at
-from lovagepier.decisions.slowness import SlownessDetector
+from lovagepier.decisions.slowness import USUAL_QUANTILE, SlownessDetector
 from lovagepier.decisions.work import Outcome, Work
 
 __all__ = [
@@ -169,6 +174,8 @@
 class _GradualSchedule:
     """Raises the share step by step on clean outcomes (`rollout_share`)."""
 
+    slow_quantile = USUAL_QUANTILE
+
     def __init__(self, length):
         self.trigger = RollbackTrigger(unchecked_outcomes=math.inf)
         self._rollout = Rollout("m", "drafter", "v1", "v2", 0.0, length)
@@ -190,6 +197,8 @@
 class _SwitchSchedule:
     """Moves all requests at once after a canary stage (`RolloutPlan`)."""
 
+    slow_quantile = SLOW_QUANTILE
+
     def __init__(self, length):
         self.trigger = RollbackTrigger()
         self._plan = RolloutPlan(length, EXPOSURE_SHARE, EXPOSURE_SLACK, 0.0)
@@ -226,7 +235,7 @@
     traffic = _Traffic(fault, disturbance, rng, rate, length)
     schedule = (_SwitchSchedule if switches_at_once else _GradualSchedule)(length)
     trigger = schedule.trigger
-    detector = SlownessDetector()
+    detector = SlownessDetector(schedule.slow_quantile)
     run = RolloutRun(fault, False, False, 0, 0, 0, None, None)
     pending = []
     number = 0
--- a/lovagepier/decisions/rollout_plan.py
+++ b/lovagepier/decisions/rollout_plan.py
@@ -7,8 +7,11 @@
 
 from dataclasses import dataclass
 
-__all__ = ["RolloutPlan", "RolloutProgress", "Stage"]
+__all__ = ["SLOW_QUANTILE", "RolloutPlan", "RolloutProgress", "Stage"]
 
+# The bar of the `SlownessDetector`. There is no way back once all traffic has moved, so
+# a slow version must show in the few outcomes of its canary stage.
+SLOW_QUANTILE = 0.9
 # Fraction of the exposure bound that the canary stage may use. The rest is for
 # requests in flight at a rollback.
 CANARY_EXPOSURE_FRACTION = 0.55
--- a/lovagepier/decisions/slowness.py
+++ b/lovagepier/decisions/slowness.py
@@ -4,12 +4,12 @@
 
 from sortedcontainers import SortedList
 
-__all__ = ["SlownessDetector"]
+__all__ = ["USUAL_QUANTILE", "SlownessDetector"]
 
 # An outcome is slow above `_THRESHOLD_FACTOR` times a quantile of the old version's
 # last `_MAX_SAMPLES` times.
+USUAL_QUANTILE = 0.95
 _MAX_SAMPLES = 200
-_QUANTILE = 0.9
 _THRESHOLD_FACTOR = 1.3
 _MIN_SAMPLES = 20
 # Targets are unlike, and the fastest of them get most requests. The usual time of a
@@ -74,7 +74,7 @@
     def median(self):
         return self._window.quantile(0.5) if len(self._window) >= _MIN_SAMPLES else None
 
-    def threshold(self, allowance):
+    def threshold(self, quantile, allowance):
         """Return the threshold, None if it is not known.
 
         `allowance` is how much slower than the median a target may usually be.
@@ -82,7 +82,7 @@
         median = self.median()
         if median is None:
             return self._adopted
-        usual = max(self._window.quantile(_QUANTILE), median * allowance)
+        usual = max(self._window.quantile(quantile), median * allowance)
         return usual * _THRESHOLD_FACTOR
 
 
@@ -145,12 +145,14 @@
     """Compares outcomes with the usual times of the old version.
 
     A `key` names what is comparable, such as a route. Keys of the same `group` have the
-    same targets.
+    same targets. With a lower `quantile` of the old version's times as the bar, a slow
+    version shows in fewer outcomes, but so does a higher load.
     """
 
-    __slots__ = ("_baselines", "_new_targets", "_spreads")
+    __slots__ = ("_baselines", "_new_targets", "_quantile", "_spreads")
 
-    def __init__(self):
+    def __init__(self, quantile=USUAL_QUANTILE):
+        self._quantile = quantile
         self._baselines = {measure: {} for measure in MEASURES}
         self._new_targets = {}
         self._spreads = {}
@@ -177,7 +179,8 @@
         if baseline is None:
             return None
         spread = self._spreads.get((measure, group))
-        return baseline.threshold(1.0 if spread is None else spread.allowance(target))
+        allowance = 1.0 if spread is None else spread.allowance(target)
+        return baseline.threshold(self._quantile, allowance)
 
     def _learn(self, measure, key, group, is_old, target, value):
         baseline = self._baselines[measure].setdefault(key, _Baseline())
--- a/lovagepier/entry/_rollouts.py
+++ b/lovagepier/entry/_rollouts.py
@@ -9,7 +9,12 @@
 from lovagepier import platform
 from lovagepier.decisions.evidence import Counts
 from lovagepier.decisions.rollback import RollbackTrigger
-from lovagepier.decisions.rollout_plan import RolloutPlan, RolloutProgress, Stage
+from lovagepier.decisions.rollout_plan import (
+    SLOW_QUANTILE,
+    RolloutPlan,
+    RolloutProgress,
+    Stage,
+)
 from lovagepier.decisions.slowness import SlownessDetector
 from lovagepier.logs import component_logger
 
@@ -65,7 +70,7 @@
         self.plan = plan
         self.progress = RolloutProgress()
         self.trigger = RollbackTrigger()
-        self.slowness = SlownessDetector()
+        self.slowness = SlownessDetector(SLOW_QUANTILE)
         # Whether it was rolled back because of failures rather than for lack of
         # evidence. A host in a partition sees too few outcomes to roll back for
         # the other hosts.
