--- a/lovagepier/bench/rollouts.py
+++ b/lovagepier/bench/rollouts.py
@@ -212,7 +212,7 @@
         """Return (share of the new version, whether the rollout is done)."""
         self._progress.sent = run.requests
         self._progress.sent_new = run.sent_new
-        self._progress.suspicion = self.trigger.suspicion()
+        self._progress.suspicion = self.trigger.overall_suspicion()
         if self.trigger.is_set:
             self._plan.roll_back(self.trigger.cause)
         stage = self._plan.step(self._progress, now)
--- a/lovagepier/decisions/rollback.py
+++ b/lovagepier/decisions/rollback.py
@@ -362,5 +362,10 @@
                 self._all.adopt(values)
 
     def suspicion(self):
-        """Return the highest suspicion of any test; 1.0 or more sets the trigger."""
-        return max(test.suspicion()[0] for test in (self._all, *self._routes.values()))
+        """Return the highest suspicion of any route; 1.0 or more sets the trigger."""
+        levels = [test.suspicion()[0] for test in self._routes.values()]
+        return max(levels, default=0.0)
+
+    def overall_suspicion(self):
+        """Return `suspicion`, or that of all routes together if it is higher."""
+        return max(self.suspicion(), self._all.suspicion()[0])
--- a/lovagepier/decisions/rollout_plan.py
+++ b/lovagepier/decisions/rollout_plan.py
@@ -56,7 +56,7 @@
     version, `outcomes_new` the outcomes of the new version and `failed_new` those
     that failed. `new_ready` tells whether a target of the new version takes
     requests, `old_running` how many requests still run on the old version.
-    `suspicion` is that of the `RollbackTrigger`, 1.0 rolls back.
+    `suspicion` is the overall one of the `RollbackTrigger`, 1.0 rolls back.
     """
 
     sent: int = 0
--- a/lovagepier/entry/_rollouts.py
+++ b/lovagepier/entry/_rollouts.py
@@ -316,7 +316,7 @@
 
     def _advance(self, service, rollout, old_running, now):
         rollout.progress.old_running = old_running(service)
-        rollout.progress.suspicion = rollout.trigger.suspicion()
+        rollout.progress.suspicion = rollout.trigger.overall_suspicion()
         rollout.progress.new_ready = any(
             target.service == service
             and target.version == rollout.order.version
