--- /dev/null
+++ b/test/test_target_backoff.py
@@ -0,0 +1,82 @@
+"""How long a target that refuses connections gets no requests."""
+
+import random
+
+from lovagepier.entry._coordinator import Coordinator
+from lovagepier.entry._messages import DispatchRequest, DispatchResult, Granted
+from lovagepier.entry._settings import parse_entry_settings
+from lovagepier.entry._view import StoreView
+from lovagepier.entry.store_types import Target
+from test.entry_builders import settings
+
+SLOTS = 4
+# The first pause of a target that refuses connections, and some more.
+FIRST_PAUSE_S = 0.9
+
+
+class StandinCoordinator:
+    """A coordinator with one target, and the answers that it sent."""
+
+    def __init__(self):
+        cfg = parse_entry_settings(settings("n1", 1))
+        view = StoreView()
+        view.targets["w1"] = Target(
+            "w1", "read", "10.0.0.9", 80, "a1", "v1", SLOTS, False, 1
+        )
+        self.answers = []
+        self.coordinator = Coordinator(
+            cfg,
+            view,
+            random.Random(1),
+            lambda entry, answer: self.answers.append(answer),
+            None,
+        )
+        self.coordinator.refresh(0.0)
+
+    def ask(self, request_id, now):
+        """Ask for a grant; return whether there was one at once."""
+        request = DispatchRequest(
+            request_id, "read", "", "read", 1, 9.0, 9.0, 0, 1, [], "", "a1", 0, [], 0.0
+        )
+        before = len(self.answers)
+        self.coordinator.on_dispatch_request("n1", request, now)
+        return any(isinstance(a, Granted) for a in self.answers[before:])
+
+    def refuse(self, request_id, now):
+        """Report that the target refused the connection for a request."""
+        result = DispatchResult(request_id, "w1", "unreachable", None, None, 0)
+        self.coordinator.on_result("n1", result, now)
+
+    def granted_at(self, begin, end):
+        """Return when a request that waits from `begin` on is granted, or None."""
+        before = len(self.answers)
+        self.ask("probe", begin)
+        for step in range(int((end - begin) * 20)):
+            now = begin + step / 20
+            self.coordinator.tick(now)
+            if any(isinstance(a, Granted) for a in self.answers[before:]):
+                return now
+        return None
+
+
+def test_requests_refused_at_one_time_count_as_one_failure():
+    """Replays a recovery 6 s after all paths to the targets were back."""
+    standin = StandinCoordinator()
+    names = [f"r{number}" for number in range(SLOTS)]
+    assert all(standin.ask(name, 1.0) for name in names)
+    for name in names:
+        standin.refuse(name, 1.01)
+    assert standin.granted_at(1.02, 6.0) <= 1.01 + FIRST_PAUSE_S
+
+
+def test_a_target_that_goes_on_refusing_is_asked_less_often():
+    standin = StandinCoordinator()
+    now, pauses = 1.0, []
+    assert standin.ask("first", now)
+    standin.refuse("first", now)
+    for _ in range(3):
+        granted_at = standin.granted_at(now + 0.01, now + 9.0)
+        pauses.append(granted_at - now)
+        now = granted_at
+        standin.refuse("probe", now)
+    assert pauses[0] < pauses[1] < pauses[2] <= 3.2
