Count requests that a target refused at one time as one failure

A target that refuses connections is paused, twice as long with each further failure. Each refused request of one moment counted, so three in flight made 0.8 s of pause 3 s. Now only a refusal of a target that was in use counts; probes that fail still make it longer.

The test failed before (4.02 s until the next grant).

--- a/lovagepier/entry/_coordinator.py
+++ b/lovagepier/entry/_coordinator.py
@@ -393,7 +393,10 @@
 
     def _record_target_outcome(self, pool, target, outcome, now):
         if outcome.status == "unreachable":
-            self._back_off(pool, target, now)
+            # Requests that were refused at the same time are one failure.
+            state = pool.scheduler.fleet.get(target)
+            if state is None or not state.down:
+                self._back_off(pool, target, now)
         elif outcome.status == "ok":
             pool.down_backoff_s.pop(target, None)
 
