--- a/test/platform_standins.py
+++ b/test/platform_standins.py
@@ -311,7 +311,9 @@
         if done and not reading.result():
             self.cancelled.append(request_id)
             raise ConnectionError
+        # The connection is read again only once this read has ended.
         reading.cancel()
+        await asyncio.wait([reading])
         return True
 
     async def _ok(self, writer, seal, headers, request_id):
