Ignore SIGHUP until the host handles it

A reload that came while a host started, in the 0.2 s between the opening of its sockets and the installation of its handlers, ended it: the default action of SIGHUP. SIGTERM during a start still ends the process at once, as it has served nothing yet.

--- a/lovagepier/entry/__main__.py
+++ b/lovagepier/entry/__main__.py
@@ -2,6 +2,7 @@
 
 import gc
 import os
+import signal
 import sys
 import time
 
@@ -15,6 +16,8 @@
 def main():
     """Run until SIGTERM; return the exit code (1 for unusable settings)."""
     began_at = time.monotonic()
+    # The host reloads its settings on SIGHUP; until then one must not end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
         cfg = load_entry_settings(path)
--- a/test/test_entry_settings.py
+++ b/test/test_entry_settings.py
@@ -1,6 +1,9 @@
 """Settings of an entry host: the deployment template and the error messages."""
 
+import os
 import re
+import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -12,6 +15,8 @@
 from lovagepier.errors import UserError
 from lovagepier.settings import SettingsError
 from test.entry_builders import settings
+from trials.cluster import wait_until
+from trials.ports import free_port
 
 TEMPLATE = Path(__file__).parent.parent / "deploy" / "settings.ini.template"
 FIELDS = {
@@ -133,3 +138,24 @@
     assert "[callers] listen" in str(caught.value)
     for sock in sockets.values():
         sock.close()
+
+
+def test_a_reload_during_a_start_does_not_end_the_process(tmp_path):
+    """Found by the soak: until the host handles SIGHUP it killed the process."""
+    path = tmp_path / "host.ini"
+    path.write_text(settings("n1", free_port()))
+    address = parse_entry_settings(path.read_text()).callers_listen
+    process = subprocess.Popen(
+        [sys.executable, "-m", "lovagepier.entry"],
+        env={**os.environ, "LOVAGEPIER_NODE_FILE": str(path)},
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        # The sockets are open, but the slow imports are still ahead.
+        wait_until(lambda: socket.create_connection(address).close() or True, 20, "n1")
+        process.send_signal(signal.SIGHUP)
+        assert "node: started" in process.stdout.readline()
+    finally:
+        process.kill()
+        process.communicate()
