--- a/trials/soak_fleet.py
+++ b/trials/soak_fleet.py
@@ -68,7 +68,10 @@
         self.is_frozen = False
 
     async def start(self):
-        """Start the process; it takes connections soon after."""
+        """Start the process and wait until its sockets are open.
+
+        Before that a signal ends it whatever the program does.
+        """
         env = {**os.environ, "LOVAGEPIER_NODE_FILE": str(self.path)}
         with open(self.log, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
@@ -80,11 +83,21 @@
                 stderr=log,
                 env=env,
             )
+        while not await self._accepts():
+            await asyncio.sleep(0.005)
         self.is_stopped = False
         self.path.write_text(
             self.path.read_text().replace("first_start = true", "first_start = false")
         )
 
+    async def _accepts(self):
+        try:
+            _, writer = await asyncio.open_connection(*self.address)
+        except OSError:
+            return self.process.returncode is not None
+        writer.close()
+        return True
+
     def signal(self, number):
         """Send a signal if the process runs."""
         if self.process is not None and self.process.returncode is None:
