--- a/trials/soak_fleet.py
+++ b/trials/soak_fleet.py
@@ -52,6 +52,15 @@
                     await self.end_lease(lease)
 
 
+class SoakTarget(TargetStandin):
+    """A target whose mode may change while it works on a request."""
+
+    async def _shed(self, writer, seal, headers, request_id):
+        """Answer a request that began before this mode as usual."""
+        usual = SERVICES[self.service][2]
+        await getattr(self, f"_{usual}")(writer, seal, headers, request_id)
+
+
 class HostProcess:
     """One entry host: its settings file, its proxy to the store and its process."""
 
@@ -64,6 +73,7 @@
         self.path.write_text(text)
         self.address = parse_entry_settings(text).callers_listen
         self.process = None
+        self.started_at = 0.0
         self.is_stopped = False
         self.is_frozen = False
 
@@ -85,6 +95,7 @@
             )
         while not await self._accepts():
             await asyncio.sleep(0.005)
+        self.started_at = time.monotonic()
         self.is_stopped = False
         self.path.write_text(
             self.path.read_text().replace("first_start = true", "first_start = false")
@@ -154,9 +165,9 @@
         letter, _, mode = SERVICES[service]
         if ended is None:
             self._target_number += 1
-            target = TargetStandin(f"{letter}{self._target_number}", service)
+            target = SoakTarget(f"{letter}{self._target_number}", service)
         else:
-            target = TargetStandin(ended.id, service)
+            target = SoakTarget(ended.id, service)
             target.born = ended.born + 1
         target.mode = mode
         target.events = STREAM_EVENTS
