--- a/trials/soak.py
+++ b/trials/soak.py
@@ -107,6 +107,8 @@
 
     async def _call(self, request_id, name):
         book = self._fleet.book
+        if self._reader is not None and self._reader.at_eof():
+            self._close()
         if self._writer is None and not await self._connect():
             book.statuses["no connection"] += 1
             return
