Split the scheduler by job: targets, learning, feasibility, late requests, versions

No change of behaviour: the queue and the placement stay, what is learnt from outcomes, the life of targets, the bound on late requests, the latest start and the choice of a version are modules of their own.

--- /dev/null
+++ b/lovagepier/decisions/late_requests.py
@@ -0,0 +1,68 @@
+"""The bound on queued late requests, which the scheduler refuses beyond it."""
+
+__all__ = ["LateRequests"]
+
+# Bound on queued late requests, in multiples of all slots. More of them would only
+# wait until they are refused.
+MAX_LATE_ROUNDS = 4.0
+# If fewer late requests than that can start before the first of them expires, by the
+# rate at which their tier and lower ones start, the bound is lower. At a low rate, all
+# slots are expected to be free for late requests once in this time.
+LATE_ROUND_S = 4.0
+
+
+class LateRequests:
+    """Moves late requests to their late tiers, each of which has a bound of its own.
+
+    `waiting` are the pool's `WaitingRequests`, `start_rates` its `StartRates`.
+    """
+
+    __slots__ = ("_fleet", "_start_rates", "_waiting")
+
+    def __init__(self, fleet, waiting, start_rates):
+        self._fleet = fleet
+        self._waiting = waiting
+        self._start_rates = start_rates
+
+    def demote(self, now):
+        """Demote requests that became late; return those that exceed the bound.
+
+        These are removed from the queue.
+        """
+        late = self._waiting.demote_late(now)
+        if not late:
+            return []
+        slots = sum(
+            state.slots_within(LATE_ROUND_S)
+            for state in self._fleet
+            if not state.draining
+        )
+        excess = []
+        for tier in {work.tier for work in late}:
+            excess += self._remove_excess(tier, slots, now)
+        return excess
+
+    def _remove_excess(self, tier, slots, now):
+        # Without work ahead the next free slots are theirs, whatever ran there.
+        is_next = self._waiting.highest_waiting_tier() == tier
+        rate = float("inf")
+        if self._start_rates.is_known(now):
+            rate = self._start_rates.rate_from(0 if is_next else tier, now)
+        removed = []
+        while size := self._waiting.sizes()[tier]:
+            work = self._waiting.most_urgent(tier)
+            if size <= _room(slots, rate, work.latest_start - now):
+                break
+            self._waiting.remove(work.id)
+            removed.append(work)
+        return removed
+
+
+def _room(slots, rate, remaining_s):
+    """Return how many late requests of one tier may wait.
+
+    `rate` are the starts per second that they can expect, `remaining_s` is the
+    time in which the most urgent of them must start.
+    """
+    expected = max(rate, slots / LATE_ROUND_S) * remaining_s
+    return min(expected, MAX_LATE_ROUNDS * slots)
--- /dev/null
+++ b/lovagepier/decisions/pool_targets.py
@@ -0,0 +1,191 @@
+"""The targets of one pool: how they are added, restart, leave and state limits."""
+
+from lovagepier.decisions.fleet import TargetState
+from lovagepier.decisions.rate_limits import RateLimit
+from lovagepier.decisions.rejections import RejectionLimit
+
+__all__ = ["PoolTargets"]
+
+# Speed estimates of a target without requests are relaxed after this time.
+RELAX_AFTER_S = 2.0
+
+
+class PoolTargets:
+    """Applies what is learnt about targets to the `Fleet` of one pool.
+
+    `prefixes` is the pool's `PrefixIndex`, `trials` its `Trials`, `dispatched` its
+    `DispatchLog`. `rate_share` is the fraction of the limits that targets state for
+    all hosts that this one may use. Methods take the time `now` in seconds.
+    """
+
+    __slots__ = (
+        "_dispatched",
+        "_fleet",
+        "_initial_limit",
+        "_prefixes",
+        "_trials",
+        "rate_share",
+    )
+
+    def __init__(self, options, fleet, prefixes, trials, dispatched):
+        self._initial_limit = options.initial_limit
+        self._fleet = fleet
+        self._prefixes = prefixes
+        self._trials = trials
+        self._dispatched = dispatched
+        self.rate_share = 1.0
+
+    def set(
+        self,
+        name,
+        zone,
+        version,
+        incarnation,
+        now,
+        slots=None,
+        draining=None,
+        rejection_limit=None,
+    ):
+        """Add a target, or update its zone, version, incarnation or draining state.
+
+        `slots` is the concurrency that a new target states, None where its limit
+        has to be learnt. A new incarnation counts as a restart; `rejection_limit` is
+        the number that it starts with, None for none. With `draining` None an update
+        leaves that state as it is.
+        """
+        state = self._fleet.get(name)
+        if state is None:
+            state = TargetState(
+                name, zone, version, incarnation, self._initial_limit, slots
+            )
+            state.draining = bool(draining)
+            self._reset_stated_limits(state, rejection_limit, now)
+            self._fleet.add(state)
+            return
+        if state.incarnation != incarnation and incarnation:
+            self._count_restart(state, now)
+            self._restart(state, incarnation)
+            self._reset_stated_limits(state, rejection_limit, now)
+        if state.version != version:
+            state.version = version
+        state.zone = zone
+        if draining is not None:
+            state.draining = draining
+        self._fleet.reindex(state)
+
+    def _restart(self, state, incarnation):
+        state.incarnation = incarnation
+        state.draining = False
+        state.down = False
+        state.limit.restart()
+        self._prefixes.forget(state.name)
+
+    def _reset_stated_limits(self, state, rejection_limit, now):
+        state.rate_limit = RateLimit(self.rate_share)
+        state.rejection_limit = RejectionLimit(self.rate_share)
+        if rejection_limit is not None:
+            state.rejection_limit.adopt(rejection_limit, now)
+
+    def _count_restart(self, state, now):
+        """Record a crash after which the target restarted unnoticed.
+
+        Requests that vanished shortly before are the evidence of the crash.
+        """
+        if not state.down:
+            self._trials.on_crash(state, state.incarnation_id, now)
+
+    def set_draining(self, name, draining):
+        """Stop or resume granting new requests to a target."""
+        state = self._fleet.get(name)
+        if state is not None and state.draining != draining:
+            state.draining = draining
+            self._fleet.reindex(state)
+
+    def on_crash(self, name, crash_id, now):
+        """Record a target's crash; return the newly poisoned fingerprints."""
+        state = self._fleet.get(name)
+        if state is None:
+            return []
+        state.down = True
+        state.limit.restart()
+        self._prefixes.forget(name)
+        self._fleet.reindex(state)
+        return self._trials.on_crash(state, crash_id, now)
+
+    def state_limit(self, kind, name, incarnation, value, request_id, now):
+        """Apply the limit that a target stated; return whether that changed anything.
+
+        `kind` is the attribute of `TargetState` with the limit. It was in the response
+        to a request, whose grant tells how old it may be. The value is infinite if the
+        response stated no limit.
+        """
+        state = self._fleet.get(name)
+        if state is None or state.incarnation != incarnation:
+            return False
+        running = self._dispatched.get(request_id)
+        started_at = running.granted_at if running else float("-inf")
+        is_changed = getattr(state, kind).state(value, started_at, now)
+        self._fleet.reindex(state)
+        return is_changed
+
+    def adopt_limit(self, kind, name, incarnation, value, now):
+        """Apply the limit of a target as another coordinator had it."""
+        state = self._fleet.get(name)
+        if state is not None and state.incarnation == incarnation:
+            getattr(state, kind).adopt(value, now)
+            self._fleet.reindex(state)
+
+    def set_rate_share(self, share, now):
+        """Use a fraction of what all targets state as limits from now on."""
+        self.rate_share = share
+        for state in self._fleet:
+            state.rate_limit.set_share(share, now)
+            state.rejection_limit.set_share(share, now)
+
+    def begin_probing(self, name):
+        """Return a target that was down to service with one request at a time.
+
+        The restriction ends with its first successful request.
+        """
+        state = self._fleet.get(name)
+        if state is not None and state.down:
+            state.down = False
+            state.probing = True
+            self._fleet.reindex(state)
+
+    def remove(self, name, now):
+        """Remove a target from the pool.
+
+        If requests vanished there shortly before, this counts as a crash.
+        """
+        state = self._fleet.remove(name)
+        if state is not None:
+            self._count_restart(state, now)
+        self._prefixes.forget(name)
+
+    def report(self, name, running, waiting, now, incarnation=""):
+        """Apply a target's load report, which lags behind its real load.
+
+        A new `incarnation` counts as a restart.
+        """
+        state = self._fleet.get(name)
+        if state is None:
+            return
+        if incarnation and state.incarnation != incarnation:
+            self._count_restart(state, now)
+            self._restart(state, incarnation)
+            self._reset_stated_limits(state, None, now)
+        state.down = False
+        state.reported = running + waiting
+        state.reported_at = now
+        state.limit.on_report(running, waiting, now)
+        if not state.running and now - state.last_start_at >= RELAX_AFTER_S:
+            state.speed.relax()
+        self._fleet.reindex(state)
+
+    def cache_event(self, name, stored, evicted):
+        """Apply a target's delayed report of stored and evicted prefix blocks."""
+        if self._fleet.get(name) is None:
+            return
+        self._prefixes.add(name, stored)
+        self._prefixes.remove(name, evicted)
--- a/lovagepier/entry/_coordinator.py
+++ b/lovagepier/entry/_coordinator.py
@@ -121,7 +121,7 @@
             pool = _Pool(PoolScheduler(options, self._rng))
             pool.scheduler.poison_detector = self.poison_detector
             pool.scheduler.pauses = self.pauses
-            pool.scheduler.set_rate_share(self._quota_share, 0.0)
+            pool.scheduler.targets.set_rate_share(self._quota_share, 0.0)
             self._pools[service] = pool
         return pool
 
@@ -159,7 +159,7 @@
         pool = self._pool(service)
         self._apply_rollout(service, pool, now)
         for name in [name for name in pool.incarnations if name not in targets]:
-            pool.scheduler.remove_target(name, now)
+            pool.scheduler.targets.remove(name, now)
             self._drop_limits(name, pool.incarnations.pop(name))
             self.pauses.drop(name)
         slots = self._usable_slots(targets.values())
@@ -172,7 +172,7 @@
             for target in targets.values()
         }
         for name, is_draining in draining.items():
-            pool.scheduler.set_draining(name, is_draining)
+            pool.scheduler.targets.set_draining(name, is_draining)
         # Each update may grant waiting requests, so all draining targets are excluded
         # before the first one.
         rejection_limit = self.rejection_limits.lowest(targets)
@@ -222,7 +222,7 @@
         self._quota_share = quota_share
         for pool in self._pools.values():
             pool.scheduler.retry_budget.set_share(quota_share, now)
-            pool.scheduler.set_rate_share(quota_share, now)
+            pool.scheduler.targets.set_rate_share(quota_share, now)
         if share == self._share:
             return
         _log.info(
@@ -380,7 +380,7 @@
         if state is None or state.down or state.incarnation != message.incarnation:
             return
         self._back_off(pool, message.target, now)
-        pool.scheduler.target_crashed(message.target, state.incarnation_id, now)
+        pool.scheduler.targets.on_crash(message.target, state.incarnation_id, now)
         self._log_crashes()
 
     def _back_off(self, pool, target, now):
@@ -460,7 +460,7 @@
             for name, retry_at in list(pool.down_until.items()):
                 if now >= retry_at:
                     del pool.down_until[name]
-                    pool.scheduler.begin_probing(name)
+                    pool.scheduler.targets.begin_probing(name)
             self._send_decisions(pool.scheduler.release_lost((), now))
             self._send_decisions(pool.scheduler.tick(now))
 
--- a/lovagepier/entry/_stated_limits.py
+++ b/lovagepier/entry/_stated_limits.py
@@ -46,7 +46,7 @@
         """Apply a `LimitStated` about the request `work_id`."""
         value = math.inf if message.per_second is None else message.per_second
         for scheduler in self._schedulers():
-            if scheduler.state_limit(
+            if scheduler.targets.state_limit(
                 self.kind, message.target, message.incarnation, value, work_id, now
             ):
                 _log.info(
@@ -103,7 +103,7 @@
 
     def _adopt(self, target, incarnation, value, now):
         for scheduler in self._schedulers():
-            scheduler.adopt_limit(self.kind, target, incarnation, value, now)
+            scheduler.targets.adopt_limit(self.kind, target, incarnation, value, now)
 
     def _make_rows(self):
         self.rows = [
--- a/lovagepier/node/_pool.py
+++ b/lovagepier/node/_pool.py
@@ -113,7 +113,7 @@
         wanted = {target.name: target for target in self._targets()}
         for state in list(self.scheduler.fleet):
             if state.name not in wanted:
-                self.scheduler.remove_target(state.name, now)
+                self.scheduler.targets.remove(state.name, now)
         decisions = []
         for target in wanted.values():
             decisions += self.scheduler.set_target(
@@ -383,11 +383,13 @@
         report = message.report
         if report is None:
             return
-        self.scheduler.report(
+        self.scheduler.targets.report(
             message.target, report.running, report.waiting, now, report.incarnation
         )
         if report.evicted_blocks:
-            self.scheduler.cache_event(message.target, (), report.evicted_blocks)
+            self.scheduler.targets.cache_event(
+                message.target, (), report.evicted_blocks
+            )
         if message.target in self._silent_targets:
             target = self.node.view.targets.get(message.target)
             if target is not None:
@@ -407,7 +409,9 @@
 
     def _apply_draining(self):
         for state in self.scheduler.fleet:
-            self.scheduler.set_draining(state.name, state.name in self._draining)
+            self.scheduler.targets.set_draining(
+                state.name, state.name in self._draining
+            )
 
     # Time
 
--- a/test/brittle_model.py
+++ b/test/brittle_model.py
@@ -89,14 +89,14 @@
         def apply():
             if was_coordinator and host.coordinator != host.name:
                 return
-            host.scheduler.set_rate_share(share, self.now)
+            host.scheduler.targets.set_rate_share(share, self.now)
             slots = {name: SLOTS for name in self.targets}
             usable = slots_for_host(host.name, slots, share)
             for state in host.scheduler.fleet:
                 state.limit.value = usable[state.name]
                 host.scheduler.fleet.reindex(state)
 
-        if was_coordinator and share < host.scheduler._rate_share:
+        if was_coordinator and share < host.scheduler.targets.rate_share:
             self._after(0.0, DETECTION_S, apply)
         else:
             apply()
@@ -196,7 +196,7 @@
                 target.name, incarnation, host.limits.lowest(self.standins)
             )
         self._register(host, target)
-        host.scheduler.begin_probing(target.name)
+        host.scheduler.targets.begin_probing(target.name)
 
     def _end(self, work, target, status):
         """Let the host of a request, and then its coordinator, learn its outcome."""
--- a/test/crash_model.py
+++ b/test/crash_model.py
@@ -150,10 +150,10 @@
         for number, run in enumerate(lost):
             work = run.grant.work
             if number == 1:
-                self.scheduler.target_crashed(name, f"{name}/i1", self.now)
+                self.scheduler.targets.on_crash(name, f"{name}/i1", self.now)
             outcome = ended(work, name, "vanished")
             self._take(self.scheduler.finish(outcome, self.now))
-        self.scheduler.target_crashed(name, f"{name}/i1", self.now)
+        self.scheduler.targets.on_crash(name, f"{name}/i1", self.now)
         for run in lost:
             work = run.grant.work
             if work.attempt == 0 and "bad" not in work.parts:
@@ -168,5 +168,5 @@
         for name in due:
             new = f"{name.split('.')[0]}.{len(self.crashes)}"
             self.runs[new] = []
-            self.scheduler.remove_target(name, self.now)
+            self.scheduler.targets.remove(name, self.now)
             self._join(new)
--- a/test/rate_model.py
+++ b/test/rate_model.py
@@ -129,13 +129,13 @@
                 host.coordinator = names[0]
 
     def _set_share(self, host, share):
-        if share >= host.scheduler._rate_share:
-            host.scheduler.set_rate_share(share, self.now)
+        if share >= host.scheduler.targets.rate_share:
+            host.scheduler.targets.set_rate_share(share, self.now)
             return
 
         def apply():
             if host.coordinator == host.name:
-                host.scheduler.set_rate_share(share, self.now)
+                host.scheduler.targets.set_rate_share(share, self.now)
 
         self._after(0.0, DETECTION_S, apply)
 
--- a/test/statement_model.py
+++ b/test/statement_model.py
@@ -138,7 +138,7 @@
     def _mark_leaving(self, name, targets):
         self._leaving[name] = self._leaving[name] | targets
         for target in self._leaving[name]:
-            self.hosts[name].scheduler.set_draining(target, True)
+            self.hosts[name].scheduler.targets.set_draining(target, True)
 
     # Requests
 
--- a/test/test_brittle_targets.py
+++ b/test/test_brittle_targets.py
@@ -68,11 +68,11 @@
 def test_no_request_waits_at_a_brittle_target():
     scheduler = make_scheduler(("e1",), slots=2.0)
     scheduler.set_target("e2", "a1", "v1", "i1", 0.0, slots=2)
-    scheduler.remove_target("e1", 0.0)
+    scheduler.targets.remove("e1", 0.0)
     works = [make_work(f"r{number}", tier=0) for number in range(4)]
     granted = [grant for work in works for grant in scheduler.offer(work, 0.0)]
     assert len(granted) == 3
-    scheduler.state_limit("rejection_limit", "e2", "i1", 3, works[0].id, 0.1)
+    scheduler.targets.state_limit("rejection_limit", "e2", "i1", 3, works[0].id, 0.1)
     assert not scheduler.finish(ended(works[0], "e2"), 0.2)
     assert len(scheduler.finish(ended(works[1], "e2"), 0.3)) == 1
 
--- a/test/test_rate_limits.py
+++ b/test/test_rate_limits.py
@@ -126,7 +126,7 @@
     for work in works:
         (grant,) = scheduler.offer(work, 0.0)
         assert isinstance(grant, Grant)
-    scheduler.state_limit("rate_limit", "e1", "i1", 5.0, works[0].id, 0.1)
+    scheduler.targets.state_limit("rate_limit", "e1", "i1", 5.0, works[0].id, 0.1)
     for work in works:
         scheduler.finish(ended(work, "e1", "not-run"), 0.2)
     assert scheduler.fleet.get("e1").takes_work(1.0)
@@ -134,7 +134,7 @@
 
 def test_a_restarted_target_has_no_limit():
     scheduler = make_scheduler(("e1",))
-    scheduler.state_limit("rate_limit", "e1", "i1", 0.0, "", 0.1)
+    scheduler.targets.state_limit("rate_limit", "e1", "i1", 0.0, "", 0.1)
     assert not scheduler.offer(make_work("r1"), 0.2)
     (grant,) = scheduler.set_target("e1", "a1", "v1", "i2", 0.3)
     assert isinstance(grant, Grant)
@@ -142,13 +142,13 @@
 
 def test_word_of_an_earlier_incarnation_is_dropped():
     scheduler = make_scheduler(("e1",))
-    assert not scheduler.state_limit("rate_limit", "e1", "i0", 0.0, "", 0.1)
+    assert not scheduler.targets.state_limit("rate_limit", "e1", "i0", 0.0, "", 0.1)
     assert scheduler.offer(make_work("r1"), 0.2)
 
 
 def test_a_grant_that_was_not_used_does_not_count():
     scheduler = make_scheduler(("e1",))
-    scheduler.state_limit("rate_limit", "e1", "i1", 1.0, "", 0.0)
+    scheduler.targets.state_limit("rate_limit", "e1", "i1", 1.0, "", 0.0)
     work = make_work("r1")
     (grant,) = scheduler.offer(work, 1.5)
     assert not scheduler.offer(make_work("r2"), 1.5)
@@ -158,7 +158,7 @@
 
 def test_the_wait_for_a_limited_target_ends_at_the_deadline():
     scheduler = make_scheduler(("e1",))
-    scheduler.state_limit("rate_limit", "e1", "i1", 0.0, "", 0.0)
+    scheduler.targets.state_limit("rate_limit", "e1", "i1", 0.0, "", 0.0)
     assert not scheduler.offer(make_work("r1", deadline=2.0), 0.0)
     (refusal,) = scheduler.tick(2.1)
     assert refusal.kind == ErrorKind.DEADLINE_WAITING
@@ -167,7 +167,7 @@
 def test_what_the_limits_of_all_targets_leave_no_time_is_refused_at_once():
     scheduler = make_scheduler(("e1", "e2"), slots=8.0)
     for name in ("e1", "e2"):
-        scheduler.state_limit("rate_limit", name, "i1", 1.0, "", 0.0)
+        scheduler.targets.state_limit("rate_limit", name, "i1", 1.0, "", 0.0)
     decisions = []
     for number in range(6):
         work = make_work(f"r{number}", deadline=2.0)
@@ -181,7 +181,7 @@
 
 def test_a_target_without_a_limit_keeps_others_waiting():
     scheduler = make_scheduler(("e1", "e2"), slots=1.0)
-    scheduler.state_limit("rate_limit", "e1", "i1", 1.0, "", 0.0)
+    scheduler.targets.state_limit("rate_limit", "e1", "i1", 1.0, "", 0.0)
     for number in range(6):
         work = make_work(f"r{number}", deadline=2.0)
         assert not any(
--- a/test/test_scheduler.py
+++ b/test/test_scheduler.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from lovagepier.decisions.scheduler import MAX_LATE_ROUNDS
+from lovagepier.decisions.late_requests import MAX_LATE_ROUNDS
 from lovagepier.decisions.work import Grant, Join, Refusal
 from lovagepier.errors import ErrorKind
 from test.builders import ended, make_scheduler, make_work
@@ -106,16 +106,16 @@
 
 def test_a_draining_target_gets_no_new_requests():
     scheduler = make_scheduler(("e1", "e2"))
-    scheduler.set_draining("e1", True)
+    scheduler.targets.set_draining("e1", True)
     names = {scheduler.offer(make_work(f"r{n}"), 1.0)[0].target for n in range(2)}
     assert names == {"e2"}
 
 
 def test_a_draining_target_serves_again_under_a_new_incarnation():
     scheduler = make_scheduler()
-    scheduler.set_draining("e1", True)
+    scheduler.targets.set_draining("e1", True)
     assert scheduler.offer(make_work("r1"), 1.0) == []
-    scheduler.report("e1", 0, 0, 2.0, "i2")
+    scheduler.targets.report("e1", 0, 0, 2.0, "i2")
     assert _granted_ids(scheduler.tick(2.0)) == ["r1"]
 
 
@@ -174,7 +174,7 @@
     assert grant.target == "e2"
     scheduler.finish(ended(grant.work, "e2", total_seconds=1.0), 2.0)
     for step in range(60):
-        scheduler.report("e1", 0, 0, 4.0 + step / 2)
+        scheduler.targets.report("e1", 0, 0, 4.0 + step / 2)
     (grant,) = scheduler.offer(make_work("after"), 40.0)
     assert grant.target == "e1"
 
@@ -307,13 +307,13 @@
 
     @rule(name=st.sampled_from(["e1", "e2"]), draining=st.booleans())
     def set_draining(self, name, draining):
-        self.scheduler.set_draining(name, draining)
+        self.scheduler.targets.set_draining(name, draining)
         (self.draining.add if draining else self.draining.discard)(name)
 
     @rule(name=st.sampled_from(["e1", "e2"]), boot=st.integers(1, 3))
     def report(self, name, boot):
         before = self.scheduler.fleet.get(name).incarnation
-        self.scheduler.report(name, 1, 0, self.now, f"i{boot}")
+        self.scheduler.targets.report(name, 1, 0, self.now, f"i{boot}")
         if before != f"i{boot}":
             self.draining.discard(name)
 
@@ -391,7 +391,7 @@
     scheduler = make_scheduler(())
     for name in ("fast", "slow"):
         scheduler.set_target(name, "a1", "v1", "i1", 0.0, slots=1)
-    scheduler._has_outcomes = True
+    scheduler.learning.has_outcomes = True
     scheduler.fleet.get("fast").speed.token_seconds = 0.01
     scheduler.fleet.get("slow").speed.token_seconds = 0.1
     first = make_work("r1", max_decode_tokens=500, deadline=100.0)
@@ -486,7 +486,7 @@
 def test_the_last_target_is_not_ejected():
     """Replays records calls whose only target resets connections beyond its bound."""
     scheduler = make_scheduler(["only", "gone"], slots=6.0)
-    scheduler.set_draining("gone", True)
+    scheduler.targets.set_draining("gone", True)
     now = 0.0
     for number in range(40):
         now += 0.02
--- a/test/test_strikes.py
+++ b/test/test_strikes.py
@@ -53,7 +53,7 @@
         work = make_work(f"r{number}", fingerprint="bad", exclude=frozenset())
         (grant,) = scheduler.offer(work, 1.0)
         scheduler.finish(ended(work, grant.target, "vanished"), 1.5)
-        scheduler.report(grant.target, 0, 0, 2.0, f"after-{name}")
+        scheduler.targets.report(grant.target, 0, 0, 2.0, f"after-{name}")
     (refusal,) = scheduler.offer(make_work("r9", fingerprint="bad"), 2.5)
     assert refusal.kind == "suspect-request"
 
@@ -63,7 +63,7 @@
     work = make_work("r1", fingerprint="fine")
     scheduler.offer(work, 1.0)
     scheduler.finish(ended(work, status="vanished"), 1.5)
-    scheduler.report("e1", 0, 0, 2.0, "i1")
+    scheduler.targets.report("e1", 0, 0, 2.0, "i1")
     assert not scheduler.poison_detector.is_suspect("fine")
 
 
@@ -88,7 +88,7 @@
             scheduler.offer(work, 1.0)
             scheduler.finish(ended(work, status="vanished"), 1.0)
             if see == "removal":
-                scheduler.remove_target("e1", 1.5)
+                scheduler.targets.remove("e1", 1.5)
         scheduler.set_target("e1", "a1", "v1", "i4", 2.0)
         assert scheduler.poison_detector.is_poison("poison")
 
@@ -108,7 +108,7 @@
     """End the runs of `grants` and their targets, as a body does that crashes them."""
     decisions = []
     for grant in grants:
-        scheduler.target_crashed(grant.target, f"{grant.target}/i1", now)
+        scheduler.targets.on_crash(grant.target, f"{grant.target}/i1", now)
         broken_off = ended(grant.work, grant.target, "vanished")
         decisions += scheduler.finish(broken_off, now)
     return decisions
