--- a/lovagepier/decisions/estimates.py
+++ b/lovagepier/decisions/estimates.py
@@ -115,7 +115,7 @@
         self.known = True
 
     def relax(self):
-        """Raise the estimated speeds of a target that got no requests lately.
+        """Raise the estimated speeds of a target that got no requests recently.
 
         A target whose estimate is too low gets no requests, so without this no
         outcome would ever correct it.
--- a/lovagepier/decisions/membership.py
+++ b/lovagepier/decisions/membership.py
@@ -222,7 +222,7 @@
             self._set(member, Status.ALIVE, now, "answered again")
 
     def leave(self, now):
-        """Announce that this node is stopping and can't own roles any more."""
+        """Announce that this node is stopping and can no longer own roles."""
         me = self._members[self.name]
         self._set(me, Status.LEAVING, now, "is stopping")
 
--- a/lovagepier/decisions/paths.py
+++ b/lovagepier/decisions/paths.py
@@ -69,7 +69,7 @@
         return True
 
     def on_retry_failed(self, incarnation, now):
-        """Record that a broken path was tried again in vain."""
+        """Record that a retry of a broken path failed."""
         path = self._broken.get(incarnation)
         if path is not None:
             path.retry_s = min(path.retry_s * RETRY_GROWTH, MAX_RETRY_S)
@@ -92,7 +92,7 @@
         return [key for key, path in self._broken.items() if path.retry_at <= now]
 
     def keep(self, incarnations):
-        """Forget all targets but these."""
+        """Drop the paths to all targets but these."""
         for key in [key for key in self._broken if key not in incarnations]:
             del self._broken[key]
 
@@ -109,7 +109,7 @@
     def rank_peers(self, peers, target_zone, incarnation, now):
         """Return the names of `peers` in the order in which to ask them.
 
-        The ones nearest to both ends go first, by rendezvous hashing among equals, so
+        The ones nearest to both ends come first, by rendezvous hashing among equals, so
         that hosts of a zone spread over the hosts of another. Hosts that are cut off
         themselves or have just failed are the last.
         """
--- a/lovagepier/decisions/pauses.py
+++ b/lovagepier/decisions/pauses.py
@@ -1,4 +1,4 @@
-"""Targets that want nothing from one entry host for a while."""
+"""Targets that want a pause from single entry hosts."""
 
 __all__ = ["Pauses"]
 
@@ -31,7 +31,7 @@
         self._by_host = {}
 
     def pause(self, host, target, incarnation, until):
-        """Record that a target wants nothing from a host; return whether that is new.
+        """Record that a target wants a pause from a host; return whether that is new.
 
         It isn't if a pause that lasts as long is known.
         """
@@ -90,7 +90,7 @@
             self.pause(host, target, incarnation, now + seconds)
 
     def drop(self, target):
-        """Forget the pauses of a target that is gone."""
+        """Drop the pauses of a target that is gone."""
         for pauses in self._by_host.values():
             pauses.pop(target, None)
 
--- a/lovagepier/decisions/poison.py
+++ b/lovagepier/decisions/poison.py
@@ -7,7 +7,7 @@
 _MAX_SUSPECTS = 10_000
 # Parts remembered as harmless; the ones that completed last stay.
 _MAX_HARMLESS_PARTS = 20_000
-# Suspects told to other hosts.
+# Suspects sent to other hosts.
 MAX_SUSPECT_ROWS = 200
 # Crashes kept for the log until they are taken, and those that a trial explains.
 _MAX_CRASHES = 100
@@ -189,7 +189,7 @@
         return name not in self._harmless
 
     def _names(self, runs, wanted):
-        """Return {name: run} for the wanted names; runs that began last go first."""
+        """Return {name: run} for the wanted names; the latest runs come first."""
         ordered = sorted(runs, key=lambda run: not run.settled)
         return {name: run for run in ordered for name in run.names() if wanted(name)}
 
--- a/lovagepier/decisions/prefixes.py
+++ b/lovagepier/decisions/prefixes.py
@@ -30,7 +30,7 @@
         self.blocks.move_to_end(block)
 
     def is_recent(self, block):
-        """Return whether a block was used lately, compared with the oldest one."""
+        """Return whether a block was used recently, compared with the oldest one."""
         oldest = next(iter(self.blocks.values()))
         edge = oldest + (self.clock - oldest) * RECENT_FRACTION
         return self.blocks[block] > edge
--- a/lovagepier/decisions/quotas.py
+++ b/lovagepier/decisions/quotas.py
@@ -7,7 +7,7 @@
     """One account's tokens; `promised` are those that refused requests wait for.
 
     `spent` are those that admitted requests cost and that no other coordinator has
-    been told of yet. `rate` and `burst` are the fraction `share` of the quota's.
+    been informed of yet. `rate` and `burst` are the fraction `share` of the quota's.
     """
 
     __slots__ = ("at", "burst", "level", "promised", "rate", "share", "spent")
@@ -32,7 +32,7 @@
     """Admission by each account's rate and burst.
 
     Refusing a request within its quota harms the caller, while admitting a little
-    too much harms nobody. So rate and burst are widened: both by `overage` (0.05 is
+    too much does no harm. So rate and burst are widened: both by `overage` (0.05 is
     5%), the burst by `extra_burst` and the rate by `extra_rate`, in the quota's
     unit. Over any time T an account gets at most (rate x T + burst) of the widened
     values, plus a debt of `max_debt`.
@@ -132,7 +132,7 @@
     def take_spent(self, now):
         """Return {account: tokens} spent since the last call by a starting coordinator.
 
-        Empty unless this one started without knowing earlier levels, and lately.
+        Empty unless this one started without knowing earlier levels, and recently.
         """
         if not self._is_joining(now):
             return {}
--- a/lovagepier/decisions/scheduler.py
+++ b/lovagepier/decisions/scheduler.py
@@ -139,7 +139,7 @@
         return None
 
     def withdraw(self, request_id, now):
-        """Drop a request that needs no grant any more; return whether it was queued."""
+        """Drop a request that no longer needs a grant; return whether it was queued."""
         return self.waiting.remove(request_id) is not None
 
     def find_dispatched(self, work):
--- a/lovagepier/decisions/start_rates.py
+++ b/lovagepier/decisions/start_rates.py
@@ -1,4 +1,4 @@
-"""How many requests of each tier have started lately."""
+"""How many requests of each tier have started recently."""
 
 import math
 
@@ -11,8 +11,8 @@
 class StartRates:
     """Exponentially decaying rates of starts, one per tier.
 
-    Answers a load in which higher tiers take all slots: what waits below them then
-    starts seldom or never, however many slots there are.
+    Where higher tiers take all slots, lower ones rarely start or never do, however
+    many slots there are.
     """
 
     __slots__ = ("_counts", "_first_at", "_updated_at")
--- a/lovagepier/decisions/waiting.py
+++ b/lovagepier/decisions/waiting.py
@@ -48,7 +48,7 @@
 class WaitingRequests:
     """A bounded queue of `Work` with strict priority between tiers.
 
-    Within a tier the account with the least service per weight goes first
+    Within a tier the account with the least service per weight has precedence
     (start-time fair queueing over estimated seconds), and within an account the
     request with the earliest latest start. Adding and removing take O(log n).
     """
--- a/lovagepier/decisions/work.py
+++ b/lovagepier/decisions/work.py
@@ -30,7 +30,7 @@
     - `exclude`: names of targets that must not get it.
     - `may_overbook`: whether it may wait at a full target for the next slot, as
       tier 0 may.
-    - `awaits_cache`: it is held back for a target that has its prefix cached.
+    - `awaits_cache`: it is queued for a target that has its prefix cached.
     - `sequence`: its number in order of arrival.
 
     Size:
@@ -131,7 +131,7 @@
     connections, so the request was not sent), vanished (the connection ended, or the
     target doesn't know the id), cut-off (the entry host lost its path to the target),
     not-run (no connection to the target, or it did not run the request), paused (the
-    same, and it wants nothing from the entry host for a while), returned (the grant
+    same, and it wants a pause from the entry host), returned (the grant
     was not used) and lost (no outcome will arrive). `in_time` tells whether the
     deadline was met.
     """
--- a/lovagepier/entry/_coordinator.py
+++ b/lovagepier/entry/_coordinator.py
@@ -414,7 +414,7 @@
             limits.on_stated(message, f"{entry}/{message.id}", now)
 
     def on_withdraw(self, entry, request_id, now):
-        """Drop a waiting request that needs no grant any more; see `Withdraw`."""
+        """Drop a waiting request that no longer needs a grant; see `Withdraw`."""
         for pool in self._pools.values():
             if pool.scheduler.withdraw(f"{entry}/{request_id}", now):
                 return
@@ -446,7 +446,7 @@
     # Periodic work
 
     def tick(self, now, is_coordinator=True):
-        """Refuse work that can't be served any more and retry targets that were down.
+        """Refuse work that can no longer be served and retry targets that were down.
 
         Rollouts advance only on the host that is the coordinator in use
         (`is_coordinator`), because only that one has the evidence.
--- a/lovagepier/entry/_followers.py
+++ b/lovagepier/entry/_followers.py
@@ -85,7 +85,7 @@
             old.close()
 
     def on_closed(self, link):
-        """Forget an entry host whose link ended."""
+        """Remove an entry host whose link ended."""
         if not link.peer or self.links.get(link.peer) is not link:
             return
         del self.links[link.peer]
--- a/lovagepier/entry/_frontend.py
+++ b/lovagepier/entry/_frontend.py
@@ -68,7 +68,7 @@
 class Frontend:
     """Serves callers' connections and holds what all calls share.
 
-    `stops_at` is None until the host is told to stop, then the loop time by which
+    `stops_at` is None until the host begins its shutdown, then the loop time by which
     all responses have to be complete. `has_catalog` is set once there is a
     configuration.
     """
--- a/lovagepier/entry/_response_notes.py
+++ b/lovagepier/entry/_response_notes.py
@@ -34,7 +34,7 @@
             self._frontend.connector.tell(tconn.via, message)
 
     def note_pause(self, target, tconn, response):
-        """Return whether the target wants nothing from this host for a while."""
+        """Return whether the target wants a pause from this host."""
         seconds = response.pause_s
         if seconds is None:
             _log.warning("a target's Retry-After can't be read", target=target.id)
--- a/lovagepier/entry/_statements.py
+++ b/lovagepier/entry/_statements.py
@@ -1,4 +1,4 @@
-"""What targets say of themselves: that they leave, or want nothing from a host."""
+"""Statements of targets: that they are leaving, or want a pause from a host."""
 
 import asyncio
 
@@ -52,7 +52,7 @@
     # Pauses
 
     def is_paused(self, target):
-        """Return whether a target wants nothing from this host now."""
+        """Return whether a target wants a pause from this host now."""
         return self._pauses.is_paused(
             self._host, target.id, target.incarnation, self._loop.time()
         )
--- a/lovagepier/entry/_target_checks.py
+++ b/lovagepier/entry/_target_checks.py
@@ -1,4 +1,4 @@
-"""Finds out why a target broke off or fell silent: a crash, a lost path or neither."""
+"""Finds out why a target closed early or is silent: a crash, a lost path or neither."""
 
 import asyncio
 
--- a/lovagepier/errors.py
+++ b/lovagepier/errors.py
@@ -17,7 +17,7 @@
     """Every error that callers and operators can get.
 
     NO_HOME means that no coordinator of the pool answers, ANSWER_LOST that
-    the response was lost or that nobody can tell whether the request ran before.
+    the response was lost or that it is unknown whether the request ran before.
     """
 
     BAD_REQUEST = "bad-request"
--- a/lovagepier/node/_node.py
+++ b/lovagepier/node/_node.py
@@ -315,7 +315,7 @@
     def ask_many(self, name, body, on_answer, on_error):
         """Send a message that gets one or more answers; return a handle.
 
-        See `Links.ask_many`. The handle is 0 if there is nothing to forget; the
+        See `Links.ask_many`. The handle is 0 if no answer is awaited; the
         error given to `on_error` is None if the node's address is unknown.
         """
         if name == self.cfg.node_name:
--- a/lovagepier/node/_permits.py
+++ b/lovagepier/node/_permits.py
@@ -138,7 +138,7 @@
         if self._node.clock() >= work.deadline:
             why = "the deadline passed before a permit came"
             return RequestError(ErrorKind.DEADLINE_WAITING, why)
-        why = f"asked {', '.join(tried) or 'nobody'}"
+        why = f"asked {', '.join(tried) or 'no node'}"
         return RequestError(ErrorKind.NO_HOME, why)
 
     def _refusal_error(self, answer):
--- a/trials/proxy.py
+++ b/trials/proxy.py
@@ -41,7 +41,7 @@
             flow.set()
 
     def silence(self, *directions):
-        """Hold back all bytes in the given directions: "to" and "from" the target."""
+        """Delay all bytes in the given directions: "to" and "from" the target."""
         for direction in directions:
             self._flows[direction].clear()
 
