--- a/lovagepier/node/_pool.py
+++ b/lovagepier/node/_pool.py
@@ -3,9 +3,11 @@
 import random
 
 from lovagepier.decisions.scheduler import PoolScheduler, SchedulerOptions
-from lovagepier.decisions.work import Grant, Join, Outcome, Refusal, Work
+from lovagepier.decisions.work import Outcome, Refusal, Work
 from lovagepier.errors import ErrorKind
 from lovagepier.node._actors import NodeActor, Tick
+from lovagepier.node._known_ids import KnownIds
+from lovagepier.node._pool_answers import PoolAnswers, redirection
 from lovagepier.node._pool_messages import (
     FirstByteReported,
     KnownIdsReported,
@@ -74,9 +76,7 @@
         self.epoch = f"{cfg.node_name}/{node.boot}/{node.next_epoch()}"
         self.started_at = node.clock()
         self._replies = {}
-        self._awaiting_known_ids = set()
-        self._deferred = []
-        self._silent_targets = set()
+        self._known_ids = KnownIds()
         self._draining = frozenset()
         self._successor = None
         self._poisoned = frozenset()
@@ -85,7 +85,7 @@
         self._last_status_at = float("-inf")
         self._announced_shed = None
         self._last_pause_at = float("-inf")
-        self.decision_counts = {"granted": 0, "refused": 0, "joined": 0}
+        self._answers = PoolAnswers(node, self.epoch)
 
     def on_start(self):
         """Add the pool's targets and ask each for its known request ids."""
@@ -98,7 +98,7 @@
             epoch=self.epoch,
         )
         for target in self._targets():
-            self._awaiting_known_ids.add(target.name)
+            self._known_ids.awaiting.add(target.name)
             self.node.fetch_known_ids(self.actor_ref, target)
 
     def _targets(self):
@@ -137,11 +137,11 @@
         """Grant, queue, join or refuse one request."""
         body = message.body
         if self._successor is not None:
-            message.reply(self._redirect(body))
+            message.reply(redirection(body.id, body.nonce, self._successor))
             return
-        if not body.fresh and self._awaiting_known_ids:
+        if not body.fresh and self._known_ids.awaiting:
             if self.node.clock() - self.started_at < MAX_KNOWN_IDS_WAIT_S:
-                self._deferred.append(message)
+                self._known_ids.defer(message)
                 message.reply(messages.PermitResponse("queued", body.id, body.nonce))
                 return
             self._stop_awaiting_known_ids()
@@ -159,7 +159,9 @@
             return self._refuse_unknown(work, message.reply)
         if body.may_cross_region and self._would_miss_deadline(work, now):
             why = "the expected wait is past the deadline"
-            message.reply(self._refusal(Refusal(work, ErrorKind.SHED, why, 1.0)))
+            message.reply(
+                self._answers.refusal(Refusal(work, ErrorKind.SHED, why, 1.0))
+            )
             return None
         self._refuse_earlier_caller(work)
         self._replies[work.id] = (message.reply, work.nonce)
@@ -178,10 +180,10 @@
         work = Work(body.id, "", "", 0, 0.0, fingerprint=body.fingerprint)
         known = self.scheduler.find_dispatched(work)
         if known is not None:
-            message.reply(self._answer(known))
-        elif self._awaiting_known_ids:
-            self._deferred.append(message)
-        elif not self._silent_targets:
+            message.reply(self._answers.decision(known))
+        elif self._known_ids.awaiting:
+            self._known_ids.defer(message)
+        elif not self._known_ids.silent:
             message.reply(messages.PermitResponse("unknown", body.id))
 
     def _refuse_earlier_caller(self, work):
@@ -190,7 +192,7 @@
             return
         reply, nonce = previous
         why = "the same id was sent again and is served there"
-        answer = self._refusal(Refusal(work, ErrorKind.KEY_IN_USE, why))
+        answer = self._answers.refusal(Refusal(work, ErrorKind.KEY_IN_USE, why))
         answer.nonce = nonce
         reply(answer)
 
@@ -201,7 +203,7 @@
         ids and a request that the previous coordinator granted may still run there.
         It passes if this coordinator knows its id, as it is then not run again.
         """
-        if work.attempt == 0 or not self._silent_targets:
+        if work.attempt == 0 or not self._known_ids.silent:
             return True
         is_new_coordinator = (
             self.node.clock() - self.started_at < self.node.cfg.callers_longest_deadline
@@ -212,38 +214,27 @@
 
     def _refuse_unknown(self, work, reply):
         why = "a target that may have run it does not say"
-        reply(self._refusal(Refusal(work, ErrorKind.ANSWER_LOST, why, 1.0)))
+        reply(self._answers.refusal(Refusal(work, ErrorKind.ANSWER_LOST, why, 1.0)))
 
     def _would_miss_deadline(self, work, now):
         return self.scheduler.expected_wait(work.tier) > work.deadline - now
 
-    def _redirect(self, body):
-        return messages.PermitResponse(
-            "moved", body.id, body.nonce, why=self._successor
-        )
-
     def on_known_ids(self, message):
         """Remember the ids that a target was given before this actor started."""
-        if message.ids is None:
-            self._silent_targets.add(message.target)
-        else:
-            self._silent_targets.discard(message.target)
-            for request_id in message.ids:
-                self.scheduler.note_dispatched(
-                    str(request_id), message.target, self.node.clock()
-                )
-        self._awaiting_known_ids.discard(message.target)
-        if not self._awaiting_known_ids:
+        self._known_ids.on_answer(message.target, message.ids)
+        for request_id in message.ids or ():
+            self.scheduler.note_dispatched(
+                str(request_id), message.target, self.node.clock()
+            )
+        if not self._known_ids.awaiting:
             self._process_deferred()
 
     def _stop_awaiting_known_ids(self):
-        self._silent_targets |= self._awaiting_known_ids
-        self._awaiting_known_ids.clear()
+        self._known_ids.stop_awaiting()
         self._process_deferred()
 
     def _process_deferred(self):
-        deferred, self._deferred = self._deferred, []
-        for message in deferred:
+        for message in self._known_ids.take_deferred():
             if isinstance(message, LookupRequested):
                 self.on_lookup_requested(message)
             else:
@@ -279,63 +270,12 @@
         self._announce_pause(now)
         for decision in decisions:
             waiting_reply = self._replies.pop(decision.work.id, None)
-            answer = self._answer(decision)
+            answer = self._answers.decision(decision)
             if waiting_reply is not None:
                 reply, nonce = waiting_reply
                 answer.nonce = nonce
                 reply(answer)
 
-    def _answer(self, decision):
-        if isinstance(decision, Grant):
-            return self._grant(decision)
-        if isinstance(decision, Join):
-            self.decision_counts["joined"] += 1
-            self._add_event(decision.work, "joined", "the id was dispatched before")
-            return messages.PermitResponse(
-                "join",
-                decision.work.id,
-                target=decision.target,
-                epoch=self.epoch,
-                finished=decision.finished,
-            )
-        return self._refusal(decision)
-
-    def _grant(self, grant):
-        self.decision_counts["granted"] += 1
-        work = grant.work
-        waited = self.node.clock() - work.arrived
-        self._add_event(
-            work,
-            "granted",
-            grant.why,
-            target=grant.target,
-            version=grant.version,
-            waited_ms=round(waited * 1000, 1),
-        )
-        return messages.PermitResponse(
-            "grant",
-            work.id,
-            target=grant.target,
-            version=grant.version,
-            epoch=self.epoch,
-        )
-
-    def _refusal(self, refusal):
-        self.decision_counts["refused"] += 1
-        work = refusal.work
-        self._add_event(work, f"refused: {refusal.kind}", refusal.why, tier=work.tier)
-        return messages.PermitResponse(
-            "refuse",
-            work.id,
-            work.nonce,
-            kind=str(refusal.kind),
-            why=refusal.why,
-            retry_after=refusal.retry_after,
-        )
-
-    def _add_event(self, work, event, why, **facts):
-        self.node.timeline.add("pool", event, why=why, request=work.id, **facts)
-
     # Outcomes
 
     def on_first_byte(self, message):
@@ -390,7 +330,7 @@
             self.scheduler.targets.cache_event(
                 message.target, (), report.evicted_blocks
             )
-        if message.target in self._silent_targets:
+        if message.target in self._known_ids.silent:
             target = self.node.view.targets.get(message.target)
             if target is not None:
                 self.node.fetch_known_ids(self.actor_ref, target)
@@ -420,7 +360,7 @@
         if self._successor is not None:
             return
         now = self.node.clock()
-        if self._awaiting_known_ids and now - self.started_at >= MAX_KNOWN_IDS_WAIT_S:
+        if self._known_ids.awaiting and now - self.started_at >= MAX_KNOWN_IDS_WAIT_S:
             self._stop_awaiting_known_ids()
         self._apply_config()
         self._apply_shares()
@@ -436,7 +376,7 @@
         status = {
             "epoch": self.epoch,
             "waiting": self.scheduler.waiting.sizes(),
-            "counts": dict(self.decision_counts),
+            "counts": dict(self._answers.counts),
             "targets": [_target_status(state) for state in self.scheduler.fleet],
         }
         self.node.pools.publish(self.subject, self.region, status)
@@ -467,10 +407,7 @@
             waiting_reply = self._replies.pop(work.id, None)
             if waiting_reply is not None:
                 reply, nonce = waiting_reply
-                answer = messages.PermitResponse(
-                    "moved", work.id, nonce, why=message.new_coordinator
-                )
-                reply(answer)
+                reply(redirection(work.id, nonce, message.new_coordinator))
         self.node.timeline.add(
             "pool",
             "home given up",
