Split the exchange: progress, grants, the caller's response and the relay of streams apart

What the parts share lies in CallProgress. The constant that two tests of test_entry_path patch has moved to _stream_relay, so they patch it there; their checks are as they were.

--- /dev/null
+++ b/lovagepier/entry/_grants.py
@@ -0,0 +1,129 @@
+"""Grants for one call: requested from the coordinator, reported and returned."""
+
+import asyncio
+import itertools
+
+from lovagepier.entry._messages import DispatchRequest, DispatchResult, Granted
+from lovagepier.entry.call import fingerprint
+from lovagepier.logs import component_logger
+
+__all__ = ["FailedOver", "Grants"]
+
+_log = component_logger("callers")
+_ids = itertools.count(1)
+
+
+class FailedOver(Exception):
+    """Another target takes over from one that did not respond in time."""
+
+
+class Grants:
+    """Requests the coordinator's decisions on one call.
+
+    `frontend` gives access to what all calls share, `progress` is the call's
+    `CallProgress`.
+    """
+
+    __slots__ = ("_cost_charged", "_frontend", "_loop", "_next", "_progress")
+
+    def __init__(self, frontend, progress):
+        self._frontend = frontend
+        self._progress = progress
+        self._loop = asyncio.get_running_loop()
+        self._cost_charged = False
+        self._next = None
+
+    async def next_decision(self):
+        """Return the decision on the next dispatch, or None for a poison request."""
+        decision = self._next or await self._request()
+        self._next = None
+        return decision
+
+    async def _request(self):
+        progress = self._progress
+        call = progress.call
+        route = call.route
+        account = call.account
+        now = self._loop.time()
+        is_first = not self._cost_charged
+        self._cost_charged = True
+        req = DispatchRequest(
+            id=f"{call.request_id}#{next(_ids)}",
+            service=route.service_for(call.request_id),
+            account=account.name if account else "",
+            route=route.name,
+            tier=self._frontend.tier_of(call),
+            remaining_s=progress.deadline - now,
+            soft_deadline_s=call.arrived_at + route.latency_objective_s - now,
+            prefill_tokens=call.prompt_tokens,
+            decode_tokens=call.output_tokens,
+            prefix_blocks=[list(part) for part in call.prefix_blocks],
+            fingerprint=fingerprint(call),
+            zone=self._frontend.cfg.host_zone,
+            attempt=progress.attempts,
+            exclude=progress.excluded.names(),
+            cost=account.cost(call) if account and is_first else 0.0,
+            patience_s=progress.patience_left(now),
+        )
+        if self._frontend.cluster.is_poisoned(req.fingerprint):
+            return None
+        return await self._frontend.cluster.requests.dispatch(req)
+
+    async def request_failover(self, reading):
+        """Request another target; raise `FailedOver` if it comes before `reading`."""
+        requesting = self._loop.create_task(self._request())
+        try:
+            await asyncio.wait(
+                (reading, requesting), return_when=asyncio.FIRST_COMPLETED
+            )
+            if requesting.done() and isinstance(requesting.result(), Granted):
+                self._next = requesting.result()
+                if not reading.done():
+                    raise FailedOver
+                self._return_next()
+        finally:
+            requesting.cancel()
+
+    def _return_next(self):
+        self.report(self._next, "returned", self._loop.time())
+        self._next = None
+
+    def report_first_event(self, grant, seconds):
+        """Report that the first event came `seconds` after the dispatch."""
+        self._frontend.cluster.requests.first_event(grant.id, seconds)
+
+    def report(
+        self, grant, status, started_at, first=None, tokens=0, via="", ended_at=None
+    ):
+        """Report how the dispatch of a grant ended.
+
+        `first` are the seconds to the first event, None if there was none. `via` is
+        the host that the connection went through, empty if it was direct.
+        """
+        progress = self._progress
+        tier = progress.route.tier
+        seconds = (ended_at or self._loop.time()) - started_at
+        total = seconds if status == "ok" else None
+        metrics = self._frontend.metrics
+        metrics.count(f"dispatch_{status.replace('-', '_')}", tier)
+        metrics.time("dispatch", seconds, tier)
+        if first is not None:
+            metrics.time("first_event", first, tier)
+        self._frontend.cluster.requests.report_result(
+            DispatchResult(grant.id, grant.target, status, first, total, tokens)
+        )
+        _log.info(
+            "dispatch ended",
+            request=progress.call.request_id,
+            target=grant.target,
+            status=status,
+            why=grant.why,
+            first=first and round(first, 4),
+            seconds=round(seconds, 4),
+            events=progress.events,
+            route=progress.route.name,
+            method=progress.call.method,
+            attempt=progress.attempts,
+            waited=round(started_at - progress.call.arrived_at, 4),
+            via=via,
+        )
--- /dev/null
+++ b/lovagepier/entry/_stream_relay.py
@@ -0,0 +1,109 @@
+"""Relays the event streams of targets to the caller as one stream."""
+
+import asyncio
+
+from lovagepier.entry._events import EventSplitter, EventTooLong
+from lovagepier.entry._target_conn import TargetConnectionLost
+from lovagepier.logs import component_logger
+
+__all__ = ["StreamRelay"]
+
+# How long a resumable stream may be silent before another target is requested: a
+# multiple of the route's maximum event gap, within these bounds.
+SILENCE_TIMEOUT_GAPS = 2.0
+MIN_SILENCE_TIMEOUT_S = 0.8
+MAX_SILENCE_TIMEOUT_S = 2.5
+
+_log = component_logger("callers")
+
+
+class StreamRelay:
+    """Relays whole events; a further target's stream goes on after the last one.
+
+    `progress` is the call's `CallProgress`, `grants` its `Grants`, `caller` its
+    `CallerResponse`.
+    """
+
+    __slots__ = ("_caller", "_grants", "_loop", "_progress", "_splitter")
+
+    def __init__(self, progress, grants, caller):
+        self._progress = progress
+        self._grants = grants
+        self._caller = caller
+        self._loop = asyncio.get_running_loop()
+        self._splitter = EventSplitter(progress.call.last_event_id)
+
+    @property
+    def last_id(self):
+        """The id of the last event that was relayed, empty if it had none."""
+        return self._splitter.last_id
+
+    async def run(self, grant, tconn, response, started_at):
+        """Relay a target's stream to its end; return the seconds to its first event.
+
+        Raise `TargetConnectionLost` if it broke off, `FailedOver` if another target
+        takes over.
+        """
+        progress = self._progress
+        if progress.response_started:
+            self._splitter = EventSplitter(self._splitter.last_id, skip=True)
+            progress.events = 0
+        first = None
+        progress.progress_at = self._loop.time()
+        while (data := await self._next_data(tconn)) is not None:
+            events = self._feed(data)
+            if not events:
+                continue
+            progress.progress_at = self._loop.time()
+            if first is None:
+                first = self._loop.time() - started_at
+                self._grants.report_first_event(grant, first)
+            self._caller.start_stream(response)
+            await self._caller.send_events(events)
+        if self._splitter.incomplete:
+            raise TargetConnectionLost("the stream ended inside an event")
+        self._caller.start_stream(response)
+        self._caller.end_stream()
+        return first
+
+    def _feed(self, data):
+        try:
+            return self._splitter.feed(data)
+        except EventTooLong as exc:
+            raise TargetConnectionLost(str(exc))
+        finally:
+            self._progress.events = self._splitter.count
+
+    async def _next_data(self, tconn):
+        """Return the next bytes of a stream; raise `FailedOver` if another takes over.
+
+        If the target completes no event for too long, another one is requested, but
+        this target may still continue until the coordinator grants that. Bytes that
+        complete no event do not count.
+        """
+        progress = self._progress
+        if not progress.route.resumable or not progress.may_execute_again:
+            return await tconn.read_data()
+        try:
+            silent_at = progress.progress_at + self._silence_timeout()
+            async with asyncio.timeout_at(silent_at):
+                return await tconn.read_data()
+        except TimeoutError:
+            pass
+        _log.info(
+            "a stream fell silent",
+            request=progress.call.request_id,
+            last=self._splitter.last_id,
+        )
+        reading = self._loop.create_task(tconn.read_data())
+        try:
+            await self._grants.request_failover(reading)
+            # The next request for another target waits as long as the first.
+            progress.progress_at = self._loop.time()
+            return await reading
+        finally:
+            reading.cancel()
+
+    def _silence_timeout(self):
+        timeout_s = self._progress.route.max_event_gap_s * SILENCE_TIMEOUT_GAPS
+        return min(max(timeout_s, MIN_SILENCE_TIMEOUT_S), MAX_SILENCE_TIMEOUT_S)
--- a/test/test_entry_path.py
+++ b/test/test_entry_path.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lovagepier.entry import _cluster, _exchange
+from lovagepier.entry import _cluster, _stream_relay
 from lovagepier.entry._frontend import REFUSE_AFTER_S
 from lovagepier.entry._view import encode_host
 from test.entry_builders import (
@@ -146,7 +146,7 @@
 
 
 def test_a_silent_stream_resumes_at_another_target(monkeypatch):
-    monkeypatch.setattr(_exchange, "MIN_SILENCE_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(_stream_relay, "MIN_SILENCE_TIMEOUT_S", 0.1)
 
     async def scenario(fleet):
         fleet.targets["m1"].mode = "silent_stream"
@@ -168,7 +168,7 @@
 
 
 def test_a_silent_stream_is_not_cut_without_another_target(monkeypatch):
-    monkeypatch.setattr(_exchange, "MIN_SILENCE_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(_stream_relay, "MIN_SILENCE_TIMEOUT_S", 0.1)
 
     async def scenario(fleet):
         fleet.targets["m1"].mode = "stream"
