Refuse a request as poison where its host knows the verdict already

Callers saw 503 with a time to come back for a body that crashed three targets. A copy that was granted a target which had just ended was refused the connection; when it asked again, its own host knew the verdict and gave no decision, which reads as 'no target took it'. Ruled out: a copy that reached a target after the verdict (no run at m2 to m4 or the new ones). The host now answers with the same refusal as the coordinator.

--- a/lovagepier/entry/_grants.py
+++ b/lovagepier/entry/_grants.py
@@ -3,8 +3,14 @@
 import asyncio
 import itertools
 
-from lovagepier.entry._messages import DispatchRequest, DispatchResult, Granted
+from lovagepier.entry._messages import (
+    DispatchRequest,
+    DispatchResult,
+    Granted,
+    Refused,
+)
 from lovagepier.entry.call import fingerprint
+from lovagepier.errors import ErrorKind
 from lovagepier.logs import component_logger
 
 __all__ = ["FailedOver", "Grants"]
@@ -34,7 +40,7 @@
         self._next = None
 
     async def next_decision(self):
-        """Return the decision on the next dispatch, or None for a poison request."""
+        """Return the decision on the next dispatch: `Granted` or `Refused`."""
         decision = self._next or await self._request()
         self._next = None
         return decision
@@ -66,7 +72,8 @@
             patience_s=progress.patience_left(now),
         )
         if self._frontend.cluster.is_poisoned(req.fingerprint):
-            return None
+            why = "targets died each time this body ran"
+            return Refused(req.id, ErrorKind.SUSPECT_REQUEST, why, 0.0)
         return await self._frontend.cluster.requests.dispatch(req)
 
     async def request_failover(self, reading):
--- a/test/test_crashes.py
+++ b/test/test_crashes.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from lovagepier.decisions.poison import Run
+from lovagepier.entry._target_conn import ConnectFailed
 from lovagepier.entry.call import Call, fingerprint
 from test.entry_builders import HOST, call, entry_fleet, wait_until
 
@@ -219,3 +220,22 @@
         assert not any(target.runs for target in fresh)
 
     run_scenario(scenario, hosts=3)
+
+
+def test_a_verdict_that_arrives_while_a_request_is_refused_a_connection_ends_it():
+    """Its caller was asked to come back: 503 for a body that no target may run."""
+
+    async def scenario(fleet):
+        (host,) = fleet.hosts
+        detector = host.coordinator.poison_detector
+        body = fingerprint_of(host, "/note/x")
+
+        async def refuse(_target):
+            detector.merge_poisoned([body], host._loop.time())
+            raise ConnectFailed("refused", refused=True)
+
+        host.frontend.connector.open = refuse
+        assert (await call(host, "/note/x", "r1")).status == 422
+        assert not fleet.targets["m1"].runs
+
+    run_scenario(scenario)
