Entries of targets: read fields within bounds, and names that a header can carry

Callers got no answer (the connection was closed), or hosts no longer used what the store said later. An entry with slots of 401 digits was decoded, and each refresh of the schedulers ended with an OverflowError where slots are multiplied by a share: targets that came later got no requests, draining ones kept theirs. An id with a line break or half a surrogate pair was granted, and the head of the request could not be made.

Every field is now checked by type and by range where it is decoded: whole numbers are no booleans or fractions, ports are ASCII digits, addresses have no scope, texts are printable and short, a field is given once, and nothing is nested deeper than the format is. A key that can't be encoded reaches no peer. Missing slots count as a missing field; they were taken for one slot before.

Ruled out: depth, digits and ports by themselves. They raised errors that the view expected, before this.

--- a/lovagepier/entry/_replication.py
+++ b/lovagepier/entry/_replication.py
@@ -7,7 +7,7 @@
 
 from lovagepier.entry._deltas import apply_delta, make_delta
 from lovagepier.entry._messages import SnapshotRequest, StoreDelta, StoreSnapshot
-from lovagepier.platform import Event, Item
+from lovagepier.platform import Event, Item, is_key
 
 __all__ = ["Replication"]
 
@@ -94,7 +94,8 @@
         if self._unsent_after is None:
             self._unsent_after = after
         for key, before in changed.items():
-            self._unsent_changes.setdefault(key, before)
+            if is_key(key):
+                self._unsent_changes.setdefault(key, before)
 
     def discard_changes(self):
         """Drop recorded changes, because the whole contents are read again.
--- a/lovagepier/entry/_view.py
+++ b/lovagepier/entry/_view.py
@@ -21,6 +21,8 @@
 LEFT_RETENTION_S = 120.0
 # Incarnations remembered as leaving; the ones that were marked last stay.
 MAX_LEAVING = 2000
+# Characters of what a document holds that a line of the log repeats.
+MAX_LOGGED_CHARS = 200
 
 _log = component_logger("config")
 
@@ -44,6 +46,19 @@
     )
 
 
+def _log_undecoded(key, why):
+    _log.warning(
+        "could not decode a document of the store",
+        key=_printable(key),
+        why=_printable(str(why)),
+    )
+
+
+def _printable(text):
+    """Return the start of a text of any writer as ASCII, for a line of the log."""
+    return text[:MAX_LOGGED_CHARS].encode("ascii", "backslashreplace").decode()
+
+
 class StoreView:
     """The catalog, targets, hosts and rollout orders that this host works with.
 
@@ -168,6 +183,9 @@
     def _put(self, item, now):
         """Apply a key's new value; return whether it is kept."""
         key = item.key
+        if not platform.is_key(key):
+            _log_undecoded(key, "the key is too long or can't be encoded")
+            return False
         if key == platform.CONFIG_KEY:
             return self._put_catalog(item)
         self.items[key] = item
@@ -182,9 +200,7 @@
                 order = platform.decode_rollout(item.value, item.revision)
                 self.orders[order.service] = order
         except Exception as exc:  # noqa: BLE001  one entry must not hide the others
-            _log.warning(
-                "could not decode a document of the store", key=key, why=str(exc)
-            )
+            _log_undecoded(key, exc)
         return True
 
     def _put_catalog(self, item):
@@ -192,9 +208,7 @@
         try:
             catalog = platform.decode_catalog(item.value)
         except platform.DocumentError as exc:
-            _log.warning(
-                "could not decode a document of the store", key=item.key, why=str(exc)
-            )
+            _log_undecoded(item.key, exc)
             return False
         known = self.items.get(item.key)
         is_known = known is not None and catalog.version == self.version
--- a/lovagepier/platform/__init__.py
+++ b/lovagepier/platform/__init__.py
@@ -4,7 +4,6 @@
 from lovagepier.platform._documents import (
     CONFIG_KEY,
     TARGET_PREFIX,
-    DocumentError,
     decode_address,
     decode_catalog,
     decode_rollout,
@@ -14,6 +13,15 @@
     rollout_service,
     rollout_state_key,
 )
+from lovagepier.platform._fields import (
+    MAX_DOCUMENT_BYTES,
+    DocumentError,
+    is_key,
+    load_document,
+    read_name,
+    read_text,
+    read_whole,
+)
 from lovagepier.platform._headers import (
     TargetResponse,
     decode_call,
@@ -27,6 +35,7 @@
 
 __all__ = [
     "CONFIG_KEY",
+    "MAX_DOCUMENT_BYTES",
     "TARGET_PREFIX",
     "DocumentError",
     "Event",
@@ -46,8 +55,13 @@
     "encode_call",
     "encode_rollout_state",
     "era_of",
+    "is_key",
+    "load_document",
     "make_revision",
     "number_of",
+    "read_name",
+    "read_text",
+    "read_whole",
     "rollout_service",
     "rollout_state_key",
     "relayed_headers",
--- a/lovagepier/platform/_documents.py
+++ b/lovagepier/platform/_documents.py
@@ -11,12 +11,19 @@
     Service,
 )
 from lovagepier.entry.store_types import RolloutOrder, Target
+from lovagepier.platform._fields import (
+    DocumentError,
+    load_configuration,
+    load_document,
+    read_name,
+    read_text,
+    read_whole,
+)
 from lovagepier.platform._malformed import MALFORMED
 
 __all__ = [
     "CONFIG_KEY",
     "TARGET_PREFIX",
-    "DocumentError",
     "decode_address",
     "decode_catalog",
     "decode_rollout",
@@ -33,6 +40,11 @@
 _ROLLOUT_STATE_PREFIX = "status/rollout/"
 # Quota cost of a call without token counts if the account names none.
 _DEFAULT_COST = 1
+# The largest targets run some thousands of requests at once.
+MAX_SLOTS = 100_000
+# Unix time in ms at the end of the year 2286.
+MAX_UNIX_MS = 10**13 - 1
+MAX_COUNT = 2**63 - 1
 # Callers abandon a stream, also before its first event, after the longest of this time
 # and these multiples of its latency objective and of its maximum event gap.
 MIN_PATIENCE_S = 2.0
@@ -49,20 +61,6 @@
 _STORED_STATES = {state: stored for stored, state in _STATES.items()}
 
 
-class DocumentError(ValueError):
-    """A document in the store that is not JSON or lacks the expected fields."""
-
-
-def _load(data):
-    try:
-        document = json.loads(data)
-    except (ValueError, RecursionError) as exc:
-        raise DocumentError(f"is not JSON: {exc}")
-    if not isinstance(document, dict):
-        raise DocumentError("is not an object")
-    return document
-
-
 def _positive(value):
     number = float(value)
     if not 0.0 < number < float("inf"):
@@ -142,7 +140,7 @@
 
 def decode_catalog(data):
     """Return the `Catalog` in a configuration document; raise `DocumentError`."""
-    raw = _load(data)
+    raw = load_configuration(data)
     try:
         return Catalog(
             version=int(raw["version"]),
@@ -157,33 +155,44 @@
 
 def decode_address(text):
     """Return (IP address, port) of HOST:PORT; raise ValueError for anything else."""
-    host, _, port = str(text).rpartition(":")
+    if not isinstance(text, str):
+        raise ValueError("the address is not a text")
+    host, _, port = text.rpartition(":")
+    if not (port.isascii() and port.isdigit() and len(port) <= 5):
+        raise ValueError("the port is not a number")
     number = int(port)
     if not 0 < number < 65536:
-        raise ValueError(f"port {port}")
-    return str(ipaddress.ip_address(host)), number
+        raise ValueError(f"port {number}")
+    # A scope may be any text, and resolving it may need a name server.
+    address = ipaddress.ip_address(host.partition("%")[0])
+    if "%" in host or address.is_unspecified or address.is_multicast:
+        raise ValueError("the address is not that of a host")
+    return str(address), number
 
 
 def decode_target(key, data):
     """Return the `Target` stored under `key`; raise `DocumentError`."""
-    raw = _load(data)
+    raw = load_document(data)
     try:
         host, port = decode_address(raw["address"])
-        if raw["state"] not in ("ready", "draining"):
-            raise ValueError(f"state {raw['state']!r}")
-        for name in ("service", "zone", "version"):
-            if not isinstance(raw[name], str):
-                raise TypeError(name)
+        state = read_text(raw, "state")
+        if state not in ("ready", "draining"):
+            raise ValueError(f"state {state!r}")
+        for name, most in (("cold_left_ms", MAX_UNIX_MS), ("seq", MAX_COUNT)):
+            if name in raw:
+                read_whole(raw, name, 0, most)
         return Target(
-            id=key[len(TARGET_PREFIX) :],
-            service=raw["service"],
+            id=read_name(key[len(TARGET_PREFIX) :]),
+            service=read_text(raw, "service"),
             host=host,
             port=port,
-            zone=raw["zone"],
-            version=raw["version"],
-            slots=max(int(raw.get("slots", 1)), 1),
-            draining=raw["state"] == "draining",
-            started_at_ms=int(raw.get("born") or 0),
+            zone=read_text(raw, "zone"),
+            version=read_text(raw, "version"),
+            slots=read_whole(raw, "slots", 1, MAX_SLOTS),
+            draining=state == "draining",
+            started_at_ms=read_whole(raw, "born", 0, MAX_UNIX_MS)
+            if "born" in raw
+            else 0,
         )
     except MALFORMED as exc:
         raise DocumentError(f"is malformed: {type(exc).__name__} {exc}")
@@ -199,7 +208,7 @@
 
     `revision` is the store revision at which it was written.
     """
-    raw = _load(data)
+    raw = load_document(data)
     try:
         return RolloutOrder(
             service=str(raw["service"]),
@@ -241,7 +250,7 @@
     Raise `DocumentError` if it can't be read. The start time is Unix seconds, 0
     if unknown.
     """
-    raw = _load(data)
+    raw = load_document(data)
     try:
         state = _STATES[raw["state"]]
         revision, version = int(raw.get("revision", 0)), str(raw.get("target", ""))
--- a/test/test_odd_entries_path.py
+++ b/test/test_odd_entries_path.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import contextlib
+import itertools
 import json
 
 import pytest
@@ -13,6 +14,7 @@
 from test.entry_builders import call, config, entry_fleet, wait_until
 
 ODD = [(key, make) for _, key, make in odd_documents.ODD_TARGETS]
+_ids = itertools.count()
 NAMES = [name for name, _, _ in odd_documents.ODD_TARGETS]
 
 
@@ -27,7 +29,7 @@
     async def _run(self):
         while True:
             host = self._hosts[len(self.statuses) % len(self._hosts)]
-            response = await call(host, "/read/x", f"c{len(self.statuses)}")
+            response = await call(host, "/read/x", f"c{next(_ids)}")
             self.statuses.append(response.status)
 
     async def stop(self):
@@ -51,7 +53,7 @@
         await wait_until(lambda host=host: host.view.target("w1").draining)
     before = len(fleet.targets["w1"].runs)
     calls = _Calls(fleet.hosts)
-    await wait_until(lambda: len(later.runs) >= 4)
+    await wait_until(lambda: len(later.runs) >= 4 and len(calls.statuses) >= 4)
     await calls.stop()
     assert set(calls.statuses) == {200}
     # A request that was granted before may still arrive.
