Store client: one unreadable row hides no other, and no error ends the watch

Hosts no longer learnt what the store said, until they were started again. A row of a page or of a watch's answer that could not be read made the whole answer a fault, and the same call was made again with the same answer. An answer longer than a client reads did so too. A key with half a surrogate pair at the end of a page, an era header like the digit two in superscript, or any other unexpected error ended the thread that watches, or the one that keeps the registration: pykka stops an actor with its first error.

A row that can't be read is skipped and logged; a value that can't be read names nothing, but the key and its revision count. After an answer of a watch that can't be read, the contents are scanned, in pages. The actors log an unexpected error, wait and go on; the watch then scans, as what the call brought may be lost.

Pages and watches of the platform's store with such rows were not seen.

--- a/lovagepier/entry/_store_actors.py
+++ b/lovagepier/entry/_store_actors.py
@@ -110,15 +110,22 @@
 
     def on_receive(self, message):
         """Make one call to the store, unless paused, and schedule the next."""
-        if not self._wanted.wait(PAUSED_CHECK_INTERVAL_S):
-            self.actor_ref.tell(_Step())
-            return
+        try:
+            if self._wanted.wait(PAUSED_CHECK_INTERVAL_S):
+                self._step()
+        except Exception as exc:  # noqa: BLE001  an error would end the actor
+            _log.error("a step of the watch failed", exc_info=exc)
+            # What the call brought may be lost.
+            self._must_rescan = True
+            self._backoff.failed()
+        self.actor_ref.tell(_Step())
+
+    def _step(self):
         self._after = max(self._after or 0, self._known()) or None
         if self._after is None or self._must_rescan:
             self._scan()
         else:
             self._watch()
-        self.actor_ref.tell(_Step())
 
     def _scan(self):
         answer = self._store.scan("")
@@ -142,6 +149,8 @@
                 )
                 self._must_rescan = True
                 return
+            # The pages of a scan are shorter, and without the history.
+            self._must_rescan = answer.err_value.is_unreadable
             self._failed(answer.err_value)
             return
         events, self._after = answer.ok_value
@@ -188,9 +197,18 @@
 
     def on_receive(self, message):
         """Make the write of a `WriteKey`, else register or renew if it is time."""
-        if isinstance(message, WriteKey):
-            self._on_written(message, self._write(message))
-            return
+        try:
+            if isinstance(message, WriteKey):
+                self._on_written(message, self._write(message))
+                return
+            self._step()
+        except Exception as exc:  # noqa: BLE001  an error would end the actor
+            _log.error("a call to the store failed", exc_info=exc)
+            self._backoff.failed()
+        if isinstance(message, _Step) and self._key is not None:
+            self.actor_ref.tell(_Step())
+
+    def _step(self):
         if self._key is None:
             return
         if self._lease is None:
@@ -199,7 +217,6 @@
             self._renew()
         else:
             time.sleep(REGISTRAR_IDLE_S)
-        self.actor_ref.tell(_Step())
 
     def _write(self, message):
         if not message.lease_s:
--- a/lovagepier/platform/_store.py
+++ b/lovagepier/platform/_store.py
@@ -9,6 +9,7 @@
 import urllib3
 from result import Err, Ok
 
+from lovagepier.logs import component_logger
 from lovagepier.platform._malformed import MALFORMED
 from lovagepier.platform._revisions import era_of, make_revision, number_of
 
@@ -27,9 +28,12 @@
 # Bounds a scan in case the store reports more pages forever.
 MAX_PAGES = 10_000
 _ERA = "Store-Era"
+MAX_ERA_DIGITS = 15
 _GONE = 410
 _PRECONDITION_FAILED = 412
 
+_log = component_logger("platform")
+
 
 @dataclass(slots=True, frozen=True)
 class Item:
@@ -58,27 +62,68 @@
 
     `status` is the HTTP status, 0 without a valid response. `executed` is "no" if
     the status means that the store did not execute the call, "maybe" otherwise.
+    `is_unreadable` tells that the store answered, but not in a form or length that can
+    be read: the same call may get the same answer for ever.
     """
 
-    def __init__(self, status, why):
+    def __init__(self, status, why, is_unreadable=False):
         super().__init__(f"{status or 'no answer'}: {why}")
         self.status = status
+        self.is_unreadable = is_unreadable
         self.executed = "no" if status in (404, 410, 412, 429, 503) else "maybe"
 
 
+class _AnswerTooLong(urllib3.exceptions.ProtocolError):
+    """The body of an answer exceeds `MAX_ANSWER_BYTES`."""
+
+
 def _item(raw, era):
     return Item(
-        str(raw["key"]),
-        base64.b64decode(raw["value"]),
+        _key(raw),
+        _value(raw),
         make_revision(era, int(raw["revision"])),
         make_revision(era, int(raw["created_rev"])),
     )
 
 
+def _key(raw):
+    if not isinstance(raw["key"], str):
+        raise ValueError("the key is not a text")
+    return raw["key"]
+
+
+def _value(raw):
+    """Return the bytes of an item; none if they can't be read, which name nothing."""
+    try:
+        return base64.b64decode(raw["value"], validate=True)
+    except MALFORMED as exc:
+        _log.warning("could not read a value of the store", why=type(exc).__name__)
+        return b""
+
+
 def _event(raw, era):
     revision = make_revision(era, int(raw["revision"]))
     item = None if raw.get("deleted") else _item(raw, era)
-    return Event(str(raw["key"]), revision, item)
+    return Event(_key(raw), revision, item)
+
+
+def _readable(rows, read, era):
+    """Return what `read` makes of each row, without those that can't be read."""
+    found = []
+    for raw in rows:
+        try:
+            found.append(read(raw, era))
+        except MALFORMED as exc:
+            _log.warning("skipped a row of the store", why=type(exc).__name__)
+    return found
+
+
+def _last_key(rows):
+    """Return the last key of a page; raise ValueError if no row has one."""
+    for raw in reversed(rows):
+        if isinstance(raw, dict) and isinstance(raw.get("key"), str):
+            return raw["key"]
+    raise ValueError("a page without keys")
 
 
 def _field(result, read):
@@ -88,7 +133,7 @@
     try:
         return Ok(read(result.ok_value))
     except MALFORMED as exc:
-        return Err(StoreFault(0, f"malformed answer: {exc}"))
+        return Err(StoreFault(0, f"malformed answer: {exc}", is_unreadable=True))
 
 
 class PlatformStore:
@@ -125,7 +170,8 @@
         except urllib3.exceptions.HTTPError as exc:
             # The connection may be dead: the next call has to open a new one.
             self._http.clear()
-            return Err(StoreFault(0, type(exc).__name__))
+            is_unreadable = isinstance(exc, _AnswerTooLong)
+            return Err(StoreFault(0, type(exc).__name__, is_unreadable))
         if self._note_era(resp.headers.get(_ERA)) < self.era:
             return Err(StoreFault(0, "an answer of an earlier era"))
         if resp.status != 200:
@@ -133,11 +179,14 @@
         try:
             return Ok(json.loads(data))
         except (ValueError, RecursionError):
-            return Err(StoreFault(0, "the answer is not JSON"))
+            return Err(StoreFault(0, "the answer is not JSON", is_unreadable=True))
 
     def _note_era(self, stated):
         """Return the era that an answer stated, the known one if none can be read."""
-        era = int(stated) if stated and stated.strip().isdigit() else self.era
+        text = (stated or "").strip()
+        # Other scripts have digits that `int` does not read.
+        is_number = text.isascii() and text.isdigit() and len(text) <= MAX_ERA_DIGITS
+        era = int(text) if is_number else self.era
         self.era = max(era, self.era)
         return era
 
@@ -148,7 +197,10 @@
         while data := resp.read1(READ_CHUNK_BYTES):
             parts.append(data)
             size += len(data)
-            if size > MAX_ANSWER_BYTES or time.monotonic() > until:
+            if size > MAX_ANSWER_BYTES:
+                resp.close()
+                raise _AnswerTooLong("the answer is too long")
+            if time.monotonic() > until:
                 resp.close()
                 raise urllib3.exceptions.ProtocolError("the answer does not end")
         return b"".join(parts)
@@ -167,7 +219,9 @@
             query = {"prefix": prefix}
             if after:
                 query["after"] = after
-            result = self._call("GET", f"/kv-range?{urlencode(query)}")
+            # A key may hold what can't be encoded otherwise.
+            text = urlencode(query, errors="surrogatepass")
+            result = self._call("GET", f"/kv-range?{text}")
             if isinstance(result, Err):
                 return result
             page = result.ok_value
@@ -175,14 +229,15 @@
                 return Err(StoreFault(0, "the era changed during a scan"))
             era = self.era
             try:
-                items += [_item(raw, era) for raw in page["items"]]
+                rows = page["items"]
+                items += _readable(rows, _item, era)
                 if as_of is None:
                     as_of = make_revision(era, int(page["as_of"]))
+                if not page.get("has_more") or not rows:
+                    break
+                after = _last_key(rows)
             except MALFORMED as exc:
                 return Err(StoreFault(0, f"malformed page: {exc}"))
-            if not page.get("has_more") or not page["items"]:
-                break
-            after = items[-1].key
         return Ok((items, as_of))
 
     def watch(self, prefix, after, wait_s):
@@ -205,7 +260,7 @@
         return _field(
             result,
             lambda raw: (
-                [_event(row, era) for row in raw["events"]],
+                _readable(raw["events"], _event, era),
                 make_revision(era, int(raw["as_of"])),
             ),
         )
