View: keep no value of a document that can't be decoded

A host that starts, or that fell behind, gets a peer's view as one frame, which may have 4 MiB.

A delta against a document whose value was not kept is not applied: the sender may be of a version that could decode it.

--- a/lovagepier/entry/_deltas.py
+++ b/lovagepier/entry/_deltas.py
@@ -22,10 +22,10 @@
     """Return the steps that turn `old` bytes into `new`.
 
     A step is [first row, row after the last] to copy from `old`, or new bytes.
-    Returns None if `new` should be sent whole: there is no `old`, `new` is short,
-    or the delta would not be less than half as long.
+    Returns None if `new` should be sent whole: there is no `old` or it is empty, `new`
+    is short, or the delta would not be less than half as long.
     """
-    if old is None or len(new) < MIN_DELTA_BYTES:
+    if not old or len(new) < MIN_DELTA_BYTES:
         return None
     old_rows, new_rows = _rows(old), _rows(new)
     matcher = SequenceMatcher(None, old_rows, new_rows, autojunk=False)
--- a/lovagepier/entry/_replication.py
+++ b/lovagepier/entry/_replication.py
@@ -148,7 +148,8 @@
             known = self._view.items.get(key)
             if known is not None and known.revision >= revision:
                 return Event(key, known.revision, known)
-            if known is None or known.revision != base:
+            # A document that can't be decoded here has no value, but may at the sender.
+            if known is None or known.revision != base or not known.value:
                 return None
             value = apply_delta(known.value, value)
         return Event(key, revision, Item(key, value, revision, create_revision))
--- a/lovagepier/entry/_view.py
+++ b/lovagepier/entry/_view.py
@@ -67,7 +67,8 @@
 class StoreView:
     """The catalog, targets, hosts and rollout orders that this host works with.
 
-    `poisoned` holds the names that were proved poisonous, by key.
+    `poisoned` holds the names that were proved poisonous, by key. `items` are the
+    documents by key, without the values of those that can't be decoded.
 
     The catalog's version only increases, also while the store shows an older one.
     `as_of` is the newest store revision applied. `last_answer_at` is when the store
@@ -193,7 +194,6 @@
             return False
         if key == platform.CONFIG_KEY:
             return self._put_catalog(item)
-        self.items[key] = item
         try:
             if key.startswith(platform.TARGET_PREFIX):
                 self._put_target(key, item, now)
@@ -205,8 +205,13 @@
                 self._put_order(platform.rollout_service(key), item)
             elif platform.is_rollout_state(key):
                 platform.decode_rollout_state(item.value)
+            elif len(item.value) > platform.MAX_DOCUMENT_BYTES:
+                raise platform.DocumentError(f"has {len(item.value)} bytes")
         except Exception as exc:  # noqa: BLE001  one entry must not hide the others
             _log_undecoded(key, exc)
+            # Its value would only fill snapshots, and frames have a size limit.
+            item = replace(item, value=b"")
+        self.items[key] = item
         return True
 
     def _put_order(self, service, item):
@@ -248,6 +253,7 @@
         self.catalog = catalog
 
     def _put_target(self, key, item, now):
+        # What can't be decoded names no target, so the one before is dropped first.
         before = self.targets.pop(key, None)
         self._lapsed.pop(key, None)
         target = platform.decode_target(key, item.value)
--- a/test/test_odd_entries.py
+++ b/test/test_odd_entries.py
@@ -257,6 +257,41 @@
     assert set(host.view.targets) == {GOOD.key}
 
 
+def test_a_target_whose_entry_becomes_too_long_is_no_longer_used():
+    key = platform.TARGET_PREFIX + "odd"
+    good = json.dumps(odd_documents.TARGET).encode()
+    long = odd_documents.spoil(odd_documents.TARGET, note=f'"{"n" * 100_000}"')
+    host = pass_through([(key, good), (key, long)])
+    assert set(host.view.targets) == {GOOD.key}
+
+
+def test_a_delta_against_a_document_that_was_not_kept_is_not_applied():
+    """Replays a sender of another version that could decode the document before."""
+    key = platform.TARGET_PREFIX + "odd"
+    before = b'{"a":1},' * 500
+    after = before + json.dumps(odd_documents.TARGET).encode()
+
+    async def scenario():
+        sender, receiver = Host(), Host()
+        sender.deltas = []
+        for host in (sender, receiver):
+            host.view.on_scan([CONFIG, GOOD], 5, 1.0)
+            host.apply([(key, before, 6)])
+        sender.view.items[key] = platform.Item(key, before, 6, 6)
+        sender.replication.send_delta([])
+        sender.replication.record_changes({key: sender.view.items[key]}, 6)
+        sender.view.items[key] = platform.Item(key, after, 7, 6)
+        sender.view.as_of = 7
+        sender.replication.send_delta([_DeltaLink(sender)])
+        (delta,) = sender.deltas
+        assert len(delta.packed) < len(after)
+        receiver.replication.on_delta(delta)
+        assert receiver.view.items[key].value in (b"", after)
+        assert receiver.view.as_of == 6
+
+    asyncio.run(scenario())
+
+
 def test_entries_of_services_that_no_configuration_names_do_not_fill_a_roster():
     rows = [
         (f"servers/w{n}", odd_documents.spoil(odd_documents.TARGET, service=f'"s{n}"'))
