Coordinator: no scheduler for services that no configuration names

An entry may name any service, and each one got a scheduler, a place in each tick and its name in each roster to each follower, while no request can ask for it. Targets of other services are left out, except where a scheduler exists: requests may have begun under an earlier configuration. A request for a service that only its sender's configuration names has the scheduler filled from the view before it is decided.

An error while schedulers are refreshed no longer keeps a host from choosing its coordinator and from sending what changed.

--- a/lovagepier/entry/_coordinator.py
+++ b/lovagepier/entry/_coordinator.py
@@ -19,6 +19,7 @@
 from lovagepier.entry._messages import Granted, Refused
 from lovagepier.entry._rollouts import Rollouts
 from lovagepier.entry._stated_limits import StatedLimits
+from lovagepier.entry._target_groups import targets_by_service
 from lovagepier.entry._zones import make_zone_cost
 from lovagepier.entry.catalog import ROUTE_TIERS
 from lovagepier.errors import ErrorKind
@@ -131,7 +132,7 @@
         """Update targets and rollouts from the view of the store."""
         self.rollouts.refresh(now)
         self.rollouts.take_changed()
-        targets = self._targets_by_service()
+        targets = targets_by_service(self._view, self._pools)
         for service in set(targets) | set(self._pools):
             self._refresh_pool(service, targets.get(service, {}), now)
         for limits in self.stated_limits.values():
@@ -149,12 +150,6 @@
                 poisoned=crash.poisoned,
             )
 
-    def _targets_by_service(self):
-        by_service = {}
-        for target in self._view.targets.values():
-            by_service.setdefault(target.service, {})[target.id] = target
-        return by_service
-
     def _refresh_pool(self, service, targets, now):
         pool = self._pool(service)
         self._apply_rollout(service, pool, now)
@@ -208,8 +203,13 @@
         The store need not have changed: it may be down while a rollback takes effect.
         """
         for service in self.rollouts.take_changed():
-            targets = self._targets_by_service().get(service, {})
-            self._refresh_pool(service, targets, now)
+            self._fill_pool(service, now)
+
+    def _fill_pool(self, service, now):
+        """Return a service's pool with the targets of the view."""
+        targets = targets_by_service(self._view, (service,)).get(service, {})
+        self._refresh_pool(service, targets, now)
+        return self._pools[service]
 
     def _apply_rollout(self, service, pool, now):
         share = self.rollouts.share(service, now)
@@ -255,7 +255,8 @@
         for limits in self.stated_limits.values():
             limits.take_over(now)
         for service, level in (retry_levels or {}).items():
-            self._pool(service).scheduler.retry_budget.adopt(level)
+            pool = self._pools.get(service) or self._fill_pool(service, now)
+            pool.scheduler.retry_budget.adopt(level)
 
     def retry_levels(self):
         """Return {service: tokens left in its retry budget}."""
@@ -272,7 +273,7 @@
         if refusal is not None:
             self._send(entry, refusal)
             return
-        pool = self._pool(req.service)
+        pool = self._pools.get(req.service) or self._fill_pool(req.service, now)
         if req.attempt == 0:
             self.rollouts.count_sent(req.service)
         work = self._make_work(entry, req, now)
@@ -432,7 +433,7 @@
         self.pauses.merge_rows(entry, report.pauses, now)
         self._apply_stage_changes(now)
         for req, target in report.running:
-            pool = self._pool(req.service)
+            pool = self._pools.get(req.service) or self._fill_pool(req.service, now)
             pool.scheduler.adopt_running(self._make_work(entry, req, now), target, now)
 
     def on_entry_lost(self, entry, now):
--- a/lovagepier/entry/_host.py
+++ b/lovagepier/entry/_host.py
@@ -257,7 +257,10 @@
         self._verdicts.read(self._loop.time())
         # The number of hosts decides how much of each quota this one may admit.
         self.cluster.update_shares()
-        self.coordinator.refresh(self._loop.time())
+        try:
+            self.coordinator.refresh(self._loop.time())
+        except Exception as exc:  # noqa: BLE001  changes must still reach the followers
+            _log.error("could not refresh the schedulers", exc_info=exc)
         self.cluster.choose_coordinator()
         incarnations = {target.incarnation for target in self.view.targets.values()}
         self.frontend.target_connections.close_stale(incarnations)
--- a/lovagepier/entry/catalog.py
+++ b/lovagepier/entry/catalog.py
@@ -103,6 +103,7 @@
         "accounts",
         "limits",
         "routes",
+        "service_names",
         "services",
         "version",
     )
@@ -111,6 +112,9 @@
         self.version = version
         self.routes = routes
         self.services = services
+        self.service_names = frozenset(services).union(
+            name for route in routes for name, _ in route.services
+        )
         self.limits = limits
         self.accounts = {account.name: account for account in accounts}
         self._account_by_key = {key: each for each in accounts for key in each.keys}
