Configuration: numbers out of range are clamped, so that the rest is in force

A confirmed configuration did not come into force on any host because of one number: a time-out of 401 digits (OverflowError), or a limit of 1e400 (infinite). A quota without bound made its bucket not a number, and tokens per event of any size overflowed where durations are divided by them. NaN, which is no JSON, was read.

Times, limits, quotas, weights and tiers are clamped to bounds in which sums and products stay exact. Names must be printable, as they become header values and parts of messages; a version must fit 63 bits.

--- a/lovagepier/platform/_documents.py
+++ b/lovagepier/platform/_documents.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 import json
+import math
 
 from lovagepier.entry.catalog import (
     Account,
@@ -50,6 +51,9 @@
 MAX_REVISION = 2**96
 # Some thirty years.
 MAX_DURATION_S = 1e9
+# Bounds of the numbers in a configuration: sums and products stay exact.
+MAX_AMOUNT = 10**12
+MAX_STRIDE = 10**6
 # Callers abandon a stream, also before its first event, after the longest of this time
 # and these multiples of its latency objective and of its maximum event gap.
 MIN_PATIENCE_S = 2.0
@@ -73,15 +77,41 @@
     return number
 
 
+def _clamped(value, most):
+    """Return a number of a configuration within 0 and `most`.
+
+    A valid configuration must come into force, whatever is absurd in it.
+    """
+    if isinstance(value, (str, float)):
+        value = float(value)
+        if math.isnan(value):
+            raise ValueError("not a number")
+    return min(max(value, 0), most)
+
+
 def _seconds(raw, name, default):
-    return float(raw.get(name, default)) / 1000.0
+    return _clamped(raw.get(name, default), MAX_DURATION_S) / 1000.0
+
+
+def _whole(value, most=MAX_AMOUNT):
+    return int(_clamped(value, most))
+
+
+def _name(raw, field):
+    name = str(raw[field])
+    if not name.isprintable():
+        raise ValueError(f"{field} has characters that names don't have")
+    return name
 
 
 def _services_of(raw):
     split = raw.get("traffic_split") or []
     if split:
-        return tuple((str(row["service"]), float(row["weight"])) for row in split)
-    return ((str(raw["service"]), 1.0),)
+        return tuple(
+            (_name(row, "service"), float(_clamped(row["weight"], MAX_AMOUNT)))
+            for row in split
+        )
+    return ((_name(raw, "service"), 1.0),)
 
 
 def _patience(streams, objective_s, gap_s):
@@ -97,7 +127,7 @@
     objective_s = _seconds(raw, "target_latency_ms", 0)
     gap_s = _seconds(raw, "gap_aim_ms", 0)
     return Route(
-        name=str(raw["name"]),
+        name=_name(raw, "name"),
         host=str(raw["host"]).lower(),
         prefix=str(raw["prefix"]),
         retryable=retryable or (streams and resumable),
@@ -107,9 +137,9 @@
         latency_objective_s=objective_s,
         max_event_gap_s=gap_s,
         patience_s=_patience(streams, objective_s, gap_s),
-        tier=int(raw.get("priority", 0)),
+        tier=_whole(raw.get("priority", 0)),
         services=_services_of(raw),
-        max_attempts=max(int(raw.get("max_attempts", 1)), 1),
+        max_attempts=max(_whole(raw.get("max_attempts", 1)), 1),
         public=bool(raw.get("public", False)),
     )
 
@@ -117,40 +147,50 @@
 def _service(raw):
     engine = raw.get("engine") or {}
     return Service(
-        name=str(raw["name"]),
-        tokens_per_event=max(int(engine.get("stride", 1)), 1),
+        name=_name(raw, "name"),
+        tokens_per_event=max(_whole(engine.get("stride", 1), MAX_STRIDE), 1),
     )
 
 
 def _account(raw):
     return Account(
-        name=str(raw["name"]),
+        name=_name(raw, "name"),
         keys=tuple(str(key) for key in raw.get("api_keys", [])),
-        tier=int(raw["priority"]) if raw.get("priority") is not None else None,
-        rate=float(raw.get("rate_per_s") or 0),
-        burst=float(raw.get("burst") or 0),
+        tier=_whole(raw["priority"]) if raw.get("priority") is not None else None,
+        rate=float(_clamped(raw.get("rate_per_s") or 0, MAX_AMOUNT)),
+        burst=float(_clamped(raw.get("burst") or 0, MAX_AMOUNT)),
         counts_tokens=raw.get("unit") == "token_count",
-        default_cost=float(raw.get("plain_tokens") or _DEFAULT_COST),
+        default_cost=float(
+            _clamped(raw.get("plain_tokens") or _DEFAULT_COST, MAX_AMOUNT)
+        ),
     )
 
 
 def _limits(raw):
     return CallerLimits(
-        max_head_bytes=int(raw.get("max_header_bytes", 16384)),
-        max_body_bytes=int(raw.get("max_body_bytes", 4 << 20)),
+        max_head_bytes=_whole(raw.get("max_header_bytes", 16384)),
+        max_body_bytes=_whole(raw.get("max_body_bytes", 4 << 20)),
         head_timeout_s=_seconds(raw, "header_timeout_ms", 3000),
         idle_timeout_s=_seconds(raw, "idle_timeout_ms", 15000),
     )
 
 
+def _version(value):
+    version = int(value)
+    if not 0 <= version <= MAX_COUNT:
+        raise ValueError("version is out of range")
+    return version
+
+
 def decode_catalog(data):
     """Return the `Catalog` in a configuration document; raise `DocumentError`."""
     raw = load_configuration(data)
     try:
+        services = [_service(row) for row in raw.get("services", [])]
         return Catalog(
-            version=int(raw["version"]),
+            version=_version(raw["version"]),
             routes=[_route(row) for row in raw.get("routes", [])],
-            services={row["name"]: _service(row) for row in raw.get("services", [])},
+            services={each.name: each for each in services},
             accounts=[_account(row) for row in raw.get("tenants", [])],
             limits=_limits(raw.get("limits") or {}),
         )
--- a/lovagepier/platform/_fields.py
+++ b/lovagepier/platform/_fields.py
@@ -18,7 +18,7 @@
 
 # Documents other than the configuration describe one thing and are short.
 MAX_DOCUMENT_BYTES = 32 * 1024
-# Documents of this format have at most three levels.
+# These documents have at most three levels.
 MAX_DEPTH = 16
 MAX_TEXT_CHARS = 200
 MAX_KEY_BYTES = 200
@@ -56,8 +56,6 @@
         raise DocumentError(f"is not JSON: {type(exc).__name__}")
     if not isinstance(document, dict):
         raise DocumentError("is not an object")
-    if _is_deeper(document, MAX_DEPTH):
-        raise DocumentError("is nested too deeply")
     return document
 
 
@@ -65,7 +63,10 @@
     """Return the fields of a short document; raise `DocumentError`."""
     if len(data) > MAX_DOCUMENT_BYTES:
         raise DocumentError(f"has {len(data)} bytes")
-    return _load(data, _unique)
+    document = _load(data, _unique)
+    if _is_deeper(document, MAX_DEPTH):
+        raise DocumentError("is nested too deeply")
+    return document
 
 
 def load_configuration(data):
