Headers and look-ups: numbers out of range count as absent, a malformed target is no look-up

A caller got no answer, only a closed connection, for a count like the digit two in superscript (a digit by isdigit, but no number) or of 5,000 digits, and for a look-up of //[. Counts of 400 digits were passed on to the coordinator, where they overflow when they are divided by a rate; by reading, the request is then registered at its target already, and each later step of that target fails until it ends. A target's Keep-Alive with such a digit broke the response.

Counts are ASCII digits, nine at most. A caller's count with a plus sign or underscores, which int reads, now counts as absent, too.

Not shown by a run: what a count of 400 digits does to other requests of a target.

--- a/lovagepier/platform/_directory.py
+++ b/lovagepier/platform/_directory.py
@@ -13,7 +13,11 @@
 
     A missing query parameter gives an empty string.
     """
-    parts = urlsplit(target)
+    try:
+        parts = urlsplit(target)
+    except ValueError:
+        # Such as an unclosed bracket of an IPv6 address.
+        return None
     if parts.path != LOOKUP_PATH:
         return None
     query = parse_qs(parts.query)
--- a/lovagepier/platform/_headers.py
+++ b/lovagepier/platform/_headers.py
@@ -25,6 +25,8 @@
 _REJECTION_LIMIT = b"server-brittle"
 _LEAVING = b"server-leaving"
 _MAX_PAUSE_S = 86400.0
+# Counts beyond this are not counts of tokens; estimates divide and multiply them.
+_MAX_COUNT_DIGITS = 9
 _KEY_SCHEME = "token "
 
 # Hop-by-hop headers (RFC 9110, section 7.6.1).
@@ -122,14 +124,18 @@
 
 def _token_counts(value):
     """Return (prompt tokens, maximum output tokens), or None if unreadable."""
-    parts = _text(value).split(",")
-    if len(parts) != 2:
+    parts = [part.strip() for part in _text(value).split(",")]
+    if len(parts) != 2 or not all(map(_is_count, parts)):
         return None
-    try:
-        counts = int(parts[0]), int(parts[1])
-    except ValueError:
-        return None
-    return counts if min(counts) >= 0 else None
+    return int(parts[0]), int(parts[1])
+
+
+def _is_count(text):
+    """Return whether a text is a whole number of a size that counts have.
+
+    Superscript digits pass `isdigit`, but `int` does not read them.
+    """
+    return text.isascii() and text.isdigit() and len(text) <= _MAX_COUNT_DIGITS
 
 
 def _prefix_blocks(value):
@@ -140,14 +146,14 @@
     blocks = []
     for part in _text(value).split(","):
         name, _, tokens = part.strip().partition(":")
-        if name and tokens.isdigit():
+        if name and _is_count(tokens):
             blocks.append((name, int(tokens)))
     return tuple(blocks)
 
 
 def _number(value, default):
     text = _text(value)
-    return int(text) if text.isdigit() else default
+    return int(text) if _is_count(text) else default
 
 
 def _key(headers):
@@ -247,7 +253,7 @@
 def _idle_timeout(value):
     for part in _text(value).split(","):
         name, _, number = part.strip().partition("=")
-        if name.lower() == "timeout" and number.isdigit():
+        if name.lower() == "timeout" and _is_count(number):
             return float(number)
     return None
 
