--- a/lovagepier/entry/_frontend.py
+++ b/lovagepier/entry/_frontend.py
@@ -298,6 +298,8 @@
             "store_era": era_of(self.view.as_of),
             "store_revision": number_of(self.view.as_of),
             "store_age_seconds": round(self.view.store_age(now), 3),
+            "unreadable_documents": self.view.undecoded_count,
+            "unreadable_document_changes": self.view.undecoded_changes,
             "targets": len(self.view.targets),
             "hosts": len(self.view.members()),
             "callers_open": len(self._caller_conns),
--- a/lovagepier/entry/_view.py
+++ b/lovagepier/entry/_view.py
@@ -51,14 +51,6 @@
     )
 
 
-def _log_undecoded(key, why):
-    _log.warning(
-        "could not decode a document of the store",
-        key=_printable(key),
-        why=_printable(str(why)),
-    )
-
-
 def _printable(text):
     """Return the start of a text of any writer as ASCII, for a line of the log."""
     return text[:MAX_LOGGED_CHARS].encode("ascii", "backslashreplace").decode()
@@ -68,7 +60,8 @@
     """The catalog, targets, hosts and rollout orders that this host works with.
 
     `poisoned` holds the names that were proved poisonous, by key. `items` are the
-    documents by key, without the values of those that can't be decoded.
+    documents by key, without the values of those that can't be decoded;
+    `undecoded_changes` counts the changes of these.
 
     The catalog's version only increases, also while the store shows an older one.
     `as_of` is the newest store revision applied. `last_answer_at` is when the store
@@ -100,6 +93,8 @@
         self._era_began = 0
         self._lapsed = {}
         self._left = {}
+        self._undecoded = {}
+        self.undecoded_changes = 0
 
     # Updates
 
@@ -163,6 +158,8 @@
             self._begin_era(as_of, now)
         fresh = {item.key: item for item in items}
         changed = []
+        for key in [key for key in self._undecoded if key not in fresh]:
+            del self._undecoded[key]
         for key in [key for key in self.items if key not in fresh]:
             self._remove(key, now)
             changed.append(key)
@@ -176,6 +173,8 @@
         return changed
 
     def _apply(self, event, now):
+        if event.item is None:
+            self._undecoded.pop(event.key, None)
         known = self.items.get(event.key)
         if known is not None and known.revision >= event.revision:
             return False
@@ -190,7 +189,7 @@
         """Apply a key's new value; return whether it is kept."""
         key = item.key
         if not platform.is_key(key):
-            _log_undecoded(key, "the key is too long or can't be encoded")
+            self._note_undecoded(item, "the key is too long or can't be encoded")
             return False
         if key == platform.CONFIG_KEY:
             return self._put_catalog(item)
@@ -208,12 +207,26 @@
             elif len(item.value) > platform.MAX_DOCUMENT_BYTES:
                 raise platform.DocumentError(f"has {len(item.value)} bytes")
         except Exception as exc:  # noqa: BLE001  one entry must not hide the others
-            _log_undecoded(key, exc)
+            self._note_undecoded(item, exc)
             # Its value would only fill snapshots, and frames have a size limit.
             item = replace(item, value=b"")
+        else:
+            self._undecoded.pop(key, None)
         self.items[key] = item
         return True
 
+    def _note_undecoded(self, item, why):
+        """Count and log a document that can't be decoded, once for each change."""
+        if self._undecoded.get(item.key) == item.revision:
+            return
+        self._undecoded[item.key] = item.revision
+        self.undecoded_changes += 1
+        _log.warning(
+            "could not decode a document of the store",
+            key=_printable(item.key),
+            why=_printable(str(why)),
+        )
+
     def _put_order(self, service, item):
         order = platform.decode_rollout(item.value, item.revision)
         if order.service != service:
@@ -225,8 +238,9 @@
         try:
             catalog = platform.decode_catalog(item.value)
         except platform.DocumentError as exc:
-            _log_undecoded(item.key, exc)
+            self._note_undecoded(item, exc)
             return False
+        self._undecoded.pop(item.key, None)
         known = self.items.get(item.key)
         is_known = known is not None and catalog.version == self.version
         if is_known and known.revision >= item.revision:
@@ -345,6 +359,11 @@
         """The version of the configuration, 0 before there is one."""
         return self.catalog.version if self.catalog else 0
 
+    @property
+    def undecoded_count(self):
+        """Number of documents in the store that can't be decoded."""
+        return len(self._undecoded)
+
     def store_age(self, now):
         """Return the seconds since the store last answered, a large number if never."""
         return 1e6 if self.last_answer_at is None else now - self.last_answer_at
