--- a/lovagepier/platform/_documents.py
+++ b/lovagepier/platform/_documents.py
@@ -14,6 +14,7 @@
 from lovagepier.entry.store_types import RolloutOrder, Target
 from lovagepier.platform._fields import (
     DocumentError,
+    check_number,
     load_configuration,
     load_document,
     read_name,
@@ -223,9 +224,9 @@
         state = read_text(raw, "state")
         if state not in ("ready", "draining"):
             raise ValueError(f"state {state!r}")
-        for name, most in (("cold_left_ms", MAX_UNIX_MS), ("seq", MAX_COUNT)):
-            if name in raw:
-                read_whole(raw, name, 0, most)
+        # Not used here, but what states nonsense in one field may in others.
+        check_number(raw, "cold_left_ms", MAX_UNIX_MS)
+        check_number(raw, "seq", MAX_COUNT)
         return Target(
             id=read_name(key[len(TARGET_PREFIX) :]),
             service=read_text(raw, "service"),
--- a/lovagepier/platform/_fields.py
+++ b/lovagepier/platform/_fields.py
@@ -8,6 +8,7 @@
 __all__ = [
     "MAX_DOCUMENT_BYTES",
     "DocumentError",
+    "check_number",
     "is_key",
     "load_configuration",
     "load_document",
@@ -101,6 +102,15 @@
     return value
 
 
+def check_number(raw, name, most):
+    """Raise ValueError if a field is there and is no number from 0 to `most`."""
+    value = raw.get(name, 0)
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise ValueError(f"{name} is not a number")
+    if not 0 <= value <= most:
+        raise ValueError(f"{name} is out of range")
+
+
 def is_key(text):
     """Return whether a text can be a key of the store."""
     if len(text) > MAX_KEY_BYTES:
--- a/test/test_odd_entries.py
+++ b/test/test_odd_entries.py
@@ -257,6 +257,23 @@
     assert set(host.view.targets) == {GOOD.key}
 
 
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"cold_left_ms": "812.5"},
+        {"seq": None, "cold_left_ms": None, "born": None},
+        {"born": "0", "seq": "0", "slots": "1"},
+        {"labels": '{"rack": ["r1"]}'},
+        {"zone": '""', "version": '"v1 \u03b2"'},
+        {"address": '"10.0.0.1:65535"'},
+    ],
+)
+def test_a_plain_entry_names_a_target(fields):
+    key = platform.TARGET_PREFIX + "w9"
+    host = pass_through([(key, odd_documents.spoil(odd_documents.TARGET, **fields))])
+    assert key in host.view.targets
+
+
 def test_a_target_whose_entry_becomes_too_long_is_no_longer_used():
     key = platform.TARGET_PREFIX + "odd"
     good = json.dumps(odd_documents.TARGET).encode()
