--- a/test/odd_documents.py
+++ b/test/odd_documents.py
@@ -113,6 +113,15 @@
     return f"{{{fields}}}"
 
 
+# What has broken a later step: drawn as often as all other values.
+HARD = (
+    *(json.dumps(text) for text in (HALF_PAIR, "a\r\nb: c", "", "v" * 5000)),
+    *(HUGE, LONGER_THAN_INT, "1e400", "1e308", "-1", "0", "NaN", str(2**63)),
+    *("true", "null", "[]", "{}", "[" * 900 + "]" * 900),
+)
+hard = st.sampled_from(HARD)
+
+
 @st.composite
 def spoilt(draw, document):
     """Draw the bytes of a document with fields replaced, missing, doubled or added."""
@@ -121,7 +130,7 @@
         name = draw(st.sampled_from(sorted(document)))
         kind = draw(st.sampled_from(("replace", "replace", "remove", "double", "add")))
         if kind == "replace":
-            text = draw(values)
+            text = draw(st.one_of(hard, values))
             pairs = [(n, text if n == name else known) for n, known in pairs]
         elif kind == "remove":
             pairs = [(n, known) for n, known in pairs if n != name]
@@ -192,3 +201,32 @@
     ("bytes", "odd", lambda raw: b"\xff\xfe\x00"),
     ("megabyte", "odd", lambda raw: b"\x01" * 700_000),
 )
+
+# A key and its document, of each kind.
+KINDS = (
+    ("servers/odd", TARGET),
+    ("lovagepier/hosts/n7.b", HOST),
+    ("lovagepier/poison/odd", {"name": "x"}),
+    ("op/rollout/ledger", ORDER),
+    ("status/rollout/ledger", STATE),
+)
+
+
+def configurations(value):
+    """Yield configurations with JSON text for one field of any part."""
+    parts = {
+        "routes": {"traffic_split": [{"service": "ledger", "weight": 1}]},
+        "services": {"engine": {"stride": 2}},
+        "tenants": {"rate_per_s": 5, "burst": 5, "unit": "requests", "plain_tokens": 1},
+        "limits": {},
+    }
+    raw = config(3)
+    for part, more in parts.items():
+        first = raw[part] if part == "limits" else raw[part][0]
+        first = {"gap_aim_ms": 1, **first, **more}
+        for field in first:
+            text = spoil(first, **{field: value}).decode()
+            text = text if part == "limits" else f"[{text}]"
+            yield f"{part}.{field}", spoil(raw, **{part: text})
+    for field in ("version", *parts):
+        yield field, spoil(raw, **{field: value})
--- a/test/test_odd_entries.py
+++ b/test/test_odd_entries.py
@@ -226,6 +226,23 @@
         assert host.view.target("good") is not None
 
 
+@pytest.mark.parametrize("key, document", odd_documents.KINDS)
+def test_no_value_of_any_field_breaks_a_later_step(key, document):
+    order = ("op/rollout/ledger", json.dumps(odd_documents.ORDER).encode())
+    for field in document:
+        for value in odd_documents.HARD:
+            odd = odd_documents.spoil(document, **{field: value})
+            host = pass_through([order, (key, odd)])
+            assert host.view.target("good") is not None, (field, value[:20])
+
+
+@pytest.mark.parametrize("value", odd_documents.HARD, ids=lambda value: value[:12])
+def test_no_value_of_a_configuration_breaks_a_later_step(value):
+    for field, odd in odd_documents.configurations(value):
+        host = pass_through([(platform.CONFIG_KEY, odd)])
+        assert host.view.target("good") is not None, field
+
+
 @pytest.mark.parametrize(
     "key, make",
     [(key, make) for _, key, make in odd_documents.ODD_TARGETS],
