Registrations: an address that no link can be opened to is that of no host

A registration with an IPv6 address counted as a host, and each attempt to link to it ended a task with a ValueError of the URL's port, which was logged as an unexpected error twice a second.

--- a/lovagepier/entry/_view.py
+++ b/lovagepier/entry/_view.py
@@ -42,6 +42,8 @@
     if platform.read_text(raw, "name") != platform.read_name(name):
         raise platform.DocumentError("names another host than its key")
     host, port = platform.decode_address(raw["peers"])
+    if ":" in host:
+        raise platform.DocumentError("links are opened to IPv4 addresses only")
     return HostRecord(
         name=name,
         peer_address=f"{host}:{port}",
--- a/test/test_odd_entries_path.py
+++ b/test/test_odd_entries_path.py
@@ -10,6 +10,7 @@
 
 from lovagepier import platform
 from lovagepier.entry import _cluster
+from lovagepier.entry._view import encode_host
 from test import odd_documents
 from test.entry_builders import call, config, entry_fleet, wait_until
 
@@ -283,6 +284,20 @@
     asyncio.run(scenario())
 
 
+def test_a_registration_that_no_link_can_be_opened_to_is_not_dialed(capsys):
+    async def scenario():
+        async with entry_fleet() as fleet:
+            for number, address in enumerate(("fe80::1:9", "a.example:9", "0.0.0.0:9")):
+                odd = encode_host(f"n{number + 7}", address, 9)
+                await fleet.store.write(f"lovagepier/hosts/n{number + 7}.x", odd)
+            await follow_on(fleet)
+            await asyncio.sleep(1.0)
+            assert set(fleet.hosts[0].view.members()) == {"n1"}
+
+    asyncio.run(scenario())
+    assert "unexpected error" not in capsys.readouterr().out
+
+
 def test_an_unreadable_entry_of_a_host_keeps_what_was_known():
     async def scenario():
         async with entry_fleet(hosts=2) as fleet:
