--- a/test/test_odd_entries_path.py
+++ b/test/test_odd_entries_path.py
@@ -12,7 +12,15 @@
 from lovagepier.entry import _cluster
 from lovagepier.entry._view import encode_host
 from test import odd_documents
-from test.entry_builders import call, config, entry_fleet, wait_until
+from test.entry_builders import (
+    call,
+    config,
+    connect,
+    entry_fleet,
+    raw_request,
+    read_response,
+    wait_until,
+)
 
 ODD = [(key, make) for _, key, make in odd_documents.ODD_TARGETS]
 _ids = itertools.count()
@@ -284,6 +292,28 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(
+    "header",
+    [f"X-Token-Count: {'9' * 400},5", f"X-Token-Count: 5,{'9' * 400}"]
+    + [f"X-Prompt-Prefix: b:{'9' * 400}", f"X-Length-Hint: {'9' * 400}"]
+    + ["X-Token-Count: \xb2,5", f"X-Token-Count: {'9' * 9},{'9' * 9}"],
+)
+def test_a_count_out_of_range_stops_no_other_request(header):
+    async def scenario():
+        async with entry_fleet() as fleet:
+            host = fleet.hosts[0]
+            reader, writer = await connect(host)
+            data = raw_request("/read/x", "odd", headers=[header]).decode()
+            writer.write(data.encode("latin-1"))
+            async with asyncio.timeout(5):
+                assert (await read_response(reader)).status in (200, 429, 503, 504)
+            writer.close()
+            for number in range(5):
+                assert (await call(host, "/read/x", f"r{number}")).status == 200
+
+    asyncio.run(scenario())
+
+
 def test_a_registration_that_no_link_can_be_opened_to_is_not_dialed(capsys):
     async def scenario():
         async with entry_fleet() as fleet:
