Coordinator: bound the counts of tokens that other hosts send

A host of an earlier version passes on a caller's count of any size: the request is registered at its target, and each later request of that target ends with an OverflowError.

Evidence: two of the four cases of test_a_count_from_a_host_of_another_version_stops_no_target fail with the coordinator before this commit; all pass with it.

--- a/lovagepier/decisions/work.py
+++ b/lovagepier/decisions/work.py
@@ -5,7 +5,15 @@
 
 from dataclasses import dataclass
 
-__all__ = ["Grant", "Join", "Outcome", "Refusal", "Work"]
+__all__ = ["Grant", "Join", "Outcome", "Refusal", "Work", "bounded_tokens"]
+
+# Larger numbers are no counts of tokens, and may overflow where times are estimated.
+MAX_TOKENS = 10**9
+
+
+def bounded_tokens(count):
+    """Return a count of tokens within bounds, whoever stated it."""
+    return min(max(count, 0), MAX_TOKENS)
 
 
 @dataclass(slots=True)
--- a/lovagepier/entry/_coordinator.py
+++ b/lovagepier/entry/_coordinator.py
@@ -14,7 +14,7 @@
 from lovagepier.decisions.quotas import Quotas
 from lovagepier.decisions.rendezvous import hash_fraction
 from lovagepier.decisions.scheduler import PoolScheduler, SchedulerOptions
-from lovagepier.decisions.work import Grant, Outcome, Refusal, Work
+from lovagepier.decisions.work import Grant, Outcome, Refusal, Work, bounded_tokens
 from lovagepier.entry._budgets import make_quotas, make_retry_budget
 from lovagepier.entry._messages import Granted, Refused
 from lovagepier.entry._rollouts import Rollouts
@@ -326,11 +326,11 @@
             soft_deadline=now + req.soft_deadline_s,
             abandoned_at=now + req.patience_s if req.patience_s else math.inf,
             route=req.route,
-            prefill_tokens=req.prefill_tokens,
-            max_decode_tokens=req.decode_tokens,
-            decode_tokens=req.decode_tokens,
+            prefill_tokens=bounded_tokens(req.prefill_tokens),
+            max_decode_tokens=bounded_tokens(req.decode_tokens),
+            decode_tokens=bounded_tokens(req.decode_tokens),
             blocks=tuple(name for name, _ in req.prefix_blocks),
-            block_tokens=tuple(tokens for _, tokens in req.prefix_blocks),
+            block_tokens=tuple(bounded_tokens(size) for _, size in req.prefix_blocks),
             draw=hash_fraction(req.id),
             fingerprint=req.fingerprint,
             # The last part belongs to this request or its session alone.
@@ -360,7 +360,7 @@
             result.status,
             result.first,
             result.total,
-            result.tokens,
+            bounded_tokens(result.tokens),
         )
         for service, pool in self._pools.items():
             found = pool.scheduler.find_running(work_id)
--- a/test/test_odd_entries.py
+++ b/test/test_odd_entries.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import io
 import ipaddress
 import json
@@ -375,6 +376,32 @@
     assert json.loads(value)["state"] == "running"
 
 
+@pytest.mark.parametrize(
+    "fields",
+    [{"prefill_tokens": 10**400}, {"decode_tokens": 10**400}, {"decode_tokens": -5}]
+    + [{"prefix_blocks": [["b", 10**400], ["c", 1]]}],
+)
+def test_a_count_from_a_host_of_another_version_stops_no_target(fields):
+    async def scenario():
+        host = Host()
+        host.view.on_scan([CONFIG, GOOD], 5, 1.0)
+        host.coordinator.refresh(100.0)
+        odd = dataclasses.replace(dispatch_request("odd"), **fields)
+        host.coordinator.on_dispatch_request("n2", odd, 100.1)
+        huge = DispatchResult("odd", "good", "ok", 0.1, 0.2, 10**400)
+        host.coordinator.on_result("n2", huge, 100.2)
+        for number in range(6):
+            before = len(host.sent)
+            request = dispatch_request(number)
+            host.coordinator.on_dispatch_request("n1", request, 101.0 + number)
+            (granted,) = host.sent[before:]
+            assert isinstance(granted, Granted)
+            done = DispatchResult(granted.id, granted.target, "ok", 0.01, 0.02, 3)
+            host.coordinator.on_result("n1", done, 101.1 + number)
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("text", [b"\xb2", b"9" * 400, b"1" * 5000, b"-1", b"1e400"])
 @pytest.mark.parametrize(
     "name, form",
