--- a/lovagepier/entry/_view.py
+++ b/lovagepier/entry/_view.py
@@ -21,6 +21,10 @@
 LEFT_RETENTION_S = 120.0
 # Incarnations remembered as leaving; the ones that were marked last stay.
 MAX_LEAVING = 2000
+# No host states a higher capacity score.
+MAX_CAPACITY_SCORE = 1000
+# Characters of what a document holds that a line of the log repeats.
+MAX_LOGGED_CHARS = 200
 
 _log = component_logger("config")
 
@@ -33,21 +37,33 @@
 
 
 def _decode_host(item):
-    raw = json.loads(item.value)
+    raw = platform.load_document(item.value)
+    name, _, boot = item.key[len(HOST_PREFIX) :].rpartition(".")
+    if platform.read_text(raw, "name") != platform.read_name(name):
+        raise platform.DocumentError("names another host than its key")
     host, port = platform.decode_address(raw["peers"])
+    if ":" in host:
+        raise platform.DocumentError("links are opened to IPv4 addresses only")
     return HostRecord(
-        name=str(raw["name"]),
+        name=name,
         peer_address=f"{host}:{port}",
         create_revision=item.create_revision,
-        capacity_score=int(raw["power"]),
-        boot=item.key.rpartition(".")[2],
+        capacity_score=platform.read_whole(raw, "power", 0, MAX_CAPACITY_SCORE),
+        boot=platform.read_name(boot),
     )
 
 
+def _printable(text):
+    """Return the start of a text of any writer as ASCII, for a line of the log."""
+    return text[:MAX_LOGGED_CHARS].encode("ascii", "backslashreplace").decode()
+
+
 class StoreView:
     """The catalog, targets, hosts and rollout orders that this host works with.
 
-    `poisoned` holds the names that were proved poisonous, by key.
+    `poisoned` holds the names that were proved poisonous, by key. `items` are the
+    documents by key, without the values of those that can't be decoded;
+    `undecoded_changes` counts the changes of these.
 
     The catalog's version only increases, also while the store shows an older one.
     `as_of` is the newest store revision applied. `last_answer_at` is when the store
@@ -79,6 +95,8 @@
         self._era_began = 0
         self._lapsed = {}
         self._left = {}
+        self._undecoded = {}
+        self.undecoded_changes = 0
 
     # Updates
 
@@ -142,6 +160,8 @@
             self._begin_era(as_of, now)
         fresh = {item.key: item for item in items}
         changed = []
+        for key in [key for key in self._undecoded if key not in fresh]:
+            del self._undecoded[key]
         for key in [key for key in self.items if key not in fresh]:
             self._remove(key, now)
             changed.append(key)
@@ -155,6 +175,8 @@
         return changed
 
     def _apply(self, event, now):
+        if event.item is None:
+            self._undecoded.pop(event.key, None)
         known = self.items.get(event.key)
         if known is not None and known.revision >= event.revision:
             return False
@@ -168,34 +190,59 @@
     def _put(self, item, now):
         """Apply a key's new value; return whether it is kept."""
         key = item.key
+        if not platform.is_key(key):
+            self._note_undecoded(item, "the key is too long or can't be encoded")
+            return False
         if key == platform.CONFIG_KEY:
             return self._put_catalog(item)
-        self.items[key] = item
         try:
             if key.startswith(platform.TARGET_PREFIX):
                 self._put_target(key, item, now)
             elif key.startswith(HOST_PREFIX):
                 self.hosts[key] = _decode_host(item)
             elif key.startswith(POISON_PREFIX):
-                self.poisoned[key] = decode_verdict(item.value)
+                self.poisoned[key] = decode_verdict(key, item.value)
             elif platform.rollout_service(key):
-                order = platform.decode_rollout(item.value, item.revision)
-                self.orders[order.service] = order
+                self._put_order(platform.rollout_service(key), item)
+            elif platform.is_rollout_state(key):
+                platform.decode_rollout_state(item.value)
+            elif len(item.value) > platform.MAX_DOCUMENT_BYTES:
+                raise platform.DocumentError(f"has {len(item.value)} bytes")
         except Exception as exc:  # noqa: BLE001  one entry must not hide the others
-            _log.warning(
-                "could not decode a document of the store", key=key, why=str(exc)
-            )
+            self._note_undecoded(item, exc)
+            # Its value would only fill snapshots, and frames have a size limit.
+            item = replace(item, value=b"")
+        else:
+            self._undecoded.pop(key, None)
+        self.items[key] = item
         return True
 
+    def _note_undecoded(self, item, why):
+        """Count and log a document that can't be decoded, once for each change."""
+        if self._undecoded.get(item.key) == item.revision:
+            return
+        self._undecoded[item.key] = item.revision
+        self.undecoded_changes += 1
+        _log.warning(
+            "could not decode a document of the store",
+            key=_printable(item.key),
+            why=_printable(str(why)),
+        )
+
+    def _put_order(self, service, item):
+        order = platform.decode_rollout(item.value, item.revision)
+        if order.service != service:
+            raise platform.DocumentError("names another service than its key")
+        self.orders[service] = order
+
     def _put_catalog(self, item):
         """Keep a configuration document unless it is older than the one in force."""
         try:
             catalog = platform.decode_catalog(item.value)
         except platform.DocumentError as exc:
-            _log.warning(
-                "could not decode a document of the store", key=item.key, why=str(exc)
-            )
+            self._note_undecoded(item, exc)
             return False
+        self._undecoded.pop(item.key, None)
         known = self.items.get(item.key)
         is_known = known is not None and catalog.version == self.version
         if is_known and known.revision >= item.revision:
@@ -222,6 +269,7 @@
         self.catalog = catalog
 
     def _put_target(self, key, item, now):
+        # What can't be decoded names no target, so the one before is dropped first.
         before = self.targets.pop(key, None)
         self._lapsed.pop(key, None)
         target = platform.decode_target(key, item.value)
@@ -313,6 +361,11 @@
         """The version of the configuration, 0 before there is one."""
         return self.catalog.version if self.catalog else 0
 
+    @property
+    def undecoded_count(self):
+        """Number of documents in the store that can't be decoded."""
+        return len(self._undecoded)
+
     def store_age(self, now):
         """Return the seconds since the store last answered, a large number if never."""
         return 1e6 if self.last_answer_at is None else now - self.last_answer_at
