--- a/lovagepier/entry/_target_conn.py
+++ b/lovagepier/entry/_target_conn.py
@@ -37,6 +37,11 @@
 # this long.
 MAX_DISCARDED_BYTES = 64 * 1024
 DISCARD_TIMEOUT_S = 0.1
+# How the end of a body is marked; an undelimited one ends with the connection.
+CHUNKED = "chunks"
+DELIMITED = "length"
+UNDELIMITED = "none"
+STATUS_LINE_START = b"HTTP/1."
 
 _log = component_logger("targets")
 
@@ -76,6 +81,7 @@
     __slots__ = (
         "_failure",
         "_events",
+        "_framing",
         "_http",
         "_loop",
         "_paused",
@@ -100,6 +106,7 @@
         self._paused = False
         self._unparsed_bytes = 0
         self._request = None
+        self._framing = ""
         self.idle_since = 0.0
         self.idle_timeout_s = MAX_IDLE_S
         self.is_leaving = False
@@ -214,16 +221,23 @@
                 event.status_code, list(event.headers), event.http_version
             )
             self.is_leaving = self.is_leaving or response.is_leaving
+            self._framing = _framing(event)
             if response.request_id == request_id:
                 return response
+            _log.info(
+                "a response does not name the request",
+                request=request_id,
+                named=response.request_id,
+                status=response.status,
+                not_executed=response.not_executed,
+                framing=self._framing,
+                reused=self.requests_served,
+            )
             if not response.request_id:
                 if not self.requests_served:
                     return response
                 # It may be a second copy of an earlier response.
                 raise TargetConnectionLost("a response without an id on a reused link")
-            _log.info(
-                "skipped a response to another request", other=response.request_id
-            )
             await self._skip_response()
         raise TargetConnectionLost("too many responses to other requests")
 
@@ -268,6 +282,11 @@
         """
         event = await self._next_event()
         if isinstance(event, h11.Data):
+            if self._framing == UNDELIMITED and STATUS_LINE_START in event.data:
+                _log.info(
+                    "a status line in a body without a length",
+                    reused=self.requests_served,
+                )
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             # A body without a length is complete only if the close was clean.
@@ -343,6 +362,16 @@
             self._transport.abort()
 
 
+def _framing(event):
+    """Return how the end of a response's body is marked, by its headers."""
+    names = {name for name, _ in event.headers}
+    if b"transfer-encoding" in names:
+        return CHUNKED
+    if b"content-length" in names or event.status_code in (204, 304):
+        return DELIMITED
+    return UNDELIMITED
+
+
 class TargetConnectionPool:
     """Opens connections and keeps idle ones for reuse, the latest used first.
 
