Take only a response that names the request for its answer

Callers got a success or a failure that was not theirs, or were told that a request had not run while it ran: on a connection that had served nothing, a response without an X-Request-Id was taken for the answer, though a faulty target writes bytes that belong to no request on new connections, too. Calls that may run once always have such a connection. Of two ids in one head the first one counted.

Now a response counts only if it echoes the id, and one id only. All others are skipped, on new, kept and checked connections alike; the true answer behind them is delivered. An unnamed refusal states nothing about the request.

Changes to tests: the stand-ins' refusals (503 and 421) echo the id, as targets do. test_a_second_copy_without_an_id_... asserted that the attempt moves to another target; the answer behind the copy is now delivered by the first one, so it asserts instead that no request runs a second time.

--- a/lovagepier/entry/_target_conn.py
+++ b/lovagepier/entry/_target_conn.py
@@ -209,9 +209,9 @@
     async def read_head(self, request_id):
         """Return the `TargetResponse` to `request_id`.
 
-        A response that echoes another id belongs to an earlier request on this
-        connection and is skipped. One without an id is taken for the response only if
-        no other request was sent here. Raise `TargetConnectionLost` after too many.
+        Only a response that echoes the id is taken, on new connections too: others
+        belong to earlier requests or to none, and state nothing about this one. They
+        are skipped. Raise `TargetConnectionLost` after too many.
         """
         for _ in range(MAX_STALE_RESPONSES):
             event = await self._next_final_event()
@@ -225,7 +225,7 @@
             if response.request_id == request_id:
                 return response
             _log.info(
-                "a response does not name the request",
+                "skipped a response that does not name the request",
                 request=request_id,
                 named=response.request_id,
                 status=response.status,
@@ -233,11 +233,6 @@
                 framing=self._framing,
                 reused=self.requests_served,
             )
-            if not response.request_id:
-                if not self.requests_served:
-                    return response
-                # It may be a second copy of an earlier response.
-                raise TargetConnectionLost("a response without an id on a reused link")
             await self._skip_response()
         raise TargetConnectionLost("too many responses to other requests")
 
--- a/lovagepier/platform/_headers.py
+++ b/lovagepier/platform/_headers.py
@@ -70,10 +70,10 @@
 class TargetResponse:
     """The head of a target's response.
 
-    `request_id` is the id that it echoes, empty if none. `not_executed` means
-    that the target states it did not run the request. `signed` means that the
-    response carries the target's seal. `content_encoded` means that the body
-    has a content coding, which a target must not apply. `event_stream`
+    `request_id` is the id that it echoes, empty if none or more than one.
+    `not_executed` means that the target states it did not run the request. `signed`
+    means that the response carries the target's seal. `content_encoded` means that
+    the body has a content coding, which a target must not apply. `event_stream`
     tells whether the body is one of server-sent events, `closes_connection`
     whether the connection ends after the response. `idle_timeout_s` is how long
     the target keeps an idle connection, None if unspecified. `rate_limit` are the
@@ -108,6 +108,12 @@
     return None
 
 
+def _only(headers, name):
+    """Return the text of a header, "" if it is missing or has several values."""
+    values = {_text(value) for key, value in headers if key == name}
+    return values.pop() if len(values) == 1 else ""
+
+
 def _text(value):
     return "" if value is None else value.decode("latin-1").strip()
 
@@ -227,7 +233,7 @@
     encoding = _text(_first(headers, b"content-encoding")).lower()
     return TargetResponse(
         status=status,
-        request_id=_text(_first(headers, _REQUEST_ID)),
+        request_id=_only(headers, _REQUEST_ID),
         not_executed=_first(headers, b"x-not-executed") is not None or status == 421,
         signed=_first(headers, b"x-server-seal") is not None,
         content_encoded=encoding not in ("", "identity"),
--- a/test/platform_standins.py
+++ b/test/platform_standins.py
@@ -262,7 +262,8 @@
         self.arrivals.append((request_id, headers))
         self.arrived_at.append(asyncio.get_running_loop().time())
         if headers.get("x-expect-instance") != self.id:
-            writer.write(response_bytes(421, b"", [f"X-Instance-Id: {self.id}"]))
+            named = [f"X-Request-Id: {request_id}", f"X-Instance-Id: {self.id}"]
+            writer.write(response_bytes(421, b"", named))
             return
         stated = [] if self.limit is None else [f"Server-Limit: {self.limit}"]
         if self.leaving:
@@ -271,7 +272,7 @@
         if self.rejection_limit is not None:
             stated.append(f"Server-Brittle: {self.rejection_limit}")
         if self.places is not None and self.running >= self.places:
-            await self._reject(writer, stated)
+            await self._reject(writer, [f"X-Request-Id: {request_id}", *stated])
             return
         self.running += 1
         try:
@@ -294,7 +295,8 @@
         if self.mode == "shed":
             if self.pause is not None:
                 stated.append(f"Retry-After: {self.pause}")
-            writer.write(response_bytes(503, b"", ["X-Not-Executed: 1", *stated]))
+            named = [f"X-Request-Id: {request_id}", "X-Not-Executed: 1"]
+            writer.write(response_bytes(503, b"", [*named, *stated]))
             return
         self.runs.append((request_id, method, path, headers, body))
         if self.crash_part and self.crash_part in headers.get("x-prompt-prefix", ""):
--- a/test/test_http_edges.py
+++ b/test/test_http_edges.py
@@ -236,7 +236,8 @@
                 assert answer.status == 200
                 assert answer.body == b"done r%d" % number
                 target.mode = "ok"
-            assert second.runs
+            # The answer was ready behind the copy: no request ran a second time.
+            assert len(target.runs) + len(second.runs) == 5
             assert len(target.connections) <= MAX_IDLE_PER_TARGET
 
     asyncio.run(run())
