End the attempt at a stray response whose end can't be told

A stray response without a length or chunks took all bytes up to the end of the connection, the true answer among them: the caller waited for its timeout (3 s in the test). One to HEAD on a kept connection was framed by the method of the next request, and took the head of that one's answer for its body.

Such a response now ends the attempt at once, as lost: nothing shows where the true answer begins. A connection that carried HEAD is not used again.

--- a/lovagepier/entry/_target_conn.py
+++ b/lovagepier/entry/_target_conn.py
@@ -233,6 +233,9 @@
                 framing=self._framing,
                 reused=self.requests_served,
             )
+            if self._framing == UNDELIMITED or self._request.method == b"HEAD":
+                # Where it ends, and the true answer begins, can't be told.
+                raise TargetConnectionLost("a response to another request has no end")
             await self._skip_response()
         raise TargetConnectionLost("too many responses to other requests")
 
@@ -330,6 +333,8 @@
             and not response.closes_connection
             and self._failure is None
             and self._http is not None
+            # A copy of it would be framed by the method of a later request.
+            and self._request.method != b"HEAD"
             and self._http.our_state is h11.DONE
             and self._http.their_state is h11.DONE
             and not self._http.trailing_data[0]
