End a body without a length where another response begins

Callers got a body that was not the target's: where a target answers without a length and answers twice, the second response (head, seal and body) was read into the body of the first, up to the end of the connection, and passed on as a signed success; in event streams as an event.

Such a body is now searched for the head of another response that bears a target's marks. If the same response follows once more and its body is equal, the first one is known to be whole, and is delivered. Anything else (another id or none, a refusal, a copy that is cut or differs) makes the attempt lost: where the body ended is not certain. Texts about HTTP pass unchanged, and a stream's event waits for nothing but its own end.

Bodies with a length that were read to their end also count if the connection is reset afterwards; only undelimited ones need a clean close.

Ruled out: failing every undelimited answer that is followed by anything (the copy of a sound answer would cost the caller that answer).

--- a/lovagepier/entry/_target_conn.py
+++ b/lovagepier/entry/_target_conn.py
@@ -4,6 +4,11 @@
 
 import h11
 
+from lovagepier.entry._undelimited_body import (
+    SecondResponse,
+    UndelimitedBody,
+    is_undelimited,
+)
 from lovagepier.logs import component_logger
 from lovagepier.platform import decode_response
 
@@ -37,12 +42,6 @@
 # this long.
 MAX_DISCARDED_BYTES = 64 * 1024
 DISCARD_TIMEOUT_S = 0.1
-# How the end of a body is marked; an undelimited one ends with the connection.
-CHUNKED = "chunks"
-DELIMITED = "length"
-UNDELIMITED = "none"
-STATUS_LINE_START = b"HTTP/1."
-
 _log = component_logger("targets")
 
 
@@ -79,15 +78,15 @@
     """
 
     __slots__ = (
+        "_body_ended",
         "_failure",
-        "_events",
-        "_framing",
         "_http",
         "_loop",
         "_paused",
         "_readable",
         "_request",
         "_transport",
+        "_undelimited",
         "_unparsed_bytes",
         "idle_since",
         "idle_timeout_s",
@@ -106,7 +105,8 @@
         self._paused = False
         self._unparsed_bytes = 0
         self._request = None
-        self._framing = ""
+        self._undelimited = None
+        self._body_ended = False
         self.idle_since = 0.0
         self.idle_timeout_s = MAX_IDLE_S
         self.is_leaving = False
@@ -221,8 +221,10 @@
                 event.status_code, list(event.headers), event.http_version
             )
             self.is_leaving = self.is_leaving or response.is_leaving
-            self._framing = _framing(event)
+            undelimited = is_undelimited(event)
             if response.request_id == request_id:
+                self._body_ended = False
+                self._undelimited = UndelimitedBody(response) if undelimited else None
                 return response
             _log.info(
                 "skipped a response that does not name the request",
@@ -230,10 +232,10 @@
                 named=response.request_id,
                 status=response.status,
                 not_executed=response.not_executed,
-                framing=self._framing,
+                undelimited=undelimited,
                 reused=self.requests_served,
             )
-            if self._framing == UNDELIMITED or self._request.method == b"HEAD":
+            if undelimited or self._request.method == b"HEAD":
                 # Where it ends, and the true answer begins, can't be told.
                 raise TargetConnectionLost("a response to another request has no end")
             await self._skip_response()
@@ -278,20 +280,30 @@
 
         Raise `TargetConnectionLost` if the body is truncated.
         """
-        event = await self._next_event()
+        while not self._body_ended:
+            event = await self._next_event()
+            self._body_ended = isinstance(event, h11.EndOfMessage)
+            try:
+                data = self._read_event(event)
+            except SecondResponse as exc:
+                raise TargetConnectionLost(str(exc))
+            if data:
+                return data
+        return None
+
+    def _read_event(self, event):
+        """Return the bytes of the body that an event brings."""
         if isinstance(event, h11.Data):
-            if self._framing == UNDELIMITED and STATUS_LINE_START in event.data:
-                _log.info(
-                    "a status line in a body without a length",
-                    reused=self.requests_served,
-                )
-            return bytes(event.data)
-        if isinstance(event, h11.EndOfMessage):
-            # A body without a length is complete only if the close was clean.
-            if self._failure is not None and self._failure.startswith("reset"):
-                raise TargetConnectionLost(self._failure)
-            return None
-        raise TargetConnectionLost("the body ended early")
+            data = bytes(event.data)
+            return data if self._undelimited is None else self._undelimited.feed(data)
+        if not isinstance(event, h11.EndOfMessage):
+            raise TargetConnectionLost("the body ended early")
+        if self._undelimited is None:
+            return b""
+        # A body without a length is complete only if the close was clean.
+        if self._failure is not None and self._failure.startswith("reset"):
+            raise TargetConnectionLost(self._failure)
+        return self._undelimited.end()
 
     async def read_body(self):
         """Return the whole body.
@@ -362,16 +374,6 @@
             self._transport.abort()
 
 
-def _framing(event):
-    """Return how the end of a response's body is marked, by its headers."""
-    names = {name for name, _ in event.headers}
-    if b"transfer-encoding" in names:
-        return CHUNKED
-    if b"content-length" in names or event.status_code in (204, 304):
-        return DELIMITED
-    return UNDELIMITED
-
-
 class TargetConnectionPool:
     """Opens connections and keeps idle ones for reuse, the latest used first.
 
--- a/lovagepier/platform/_headers.py
+++ b/lovagepier/platform/_headers.py
@@ -24,6 +24,10 @@
 _RATE_LIMIT = b"server-limit"
 _REJECTION_LIMIT = b"server-brittle"
 _LEAVING = b"server-leaving"
+_SEAL = b"x-server-seal"
+_NOT_EXECUTED = b"x-not-executed"
+# By these a response is known to be a target's.
+_TARGET_MARKS = frozenset((_REQUEST_ID, _SEAL, _NOT_EXECUTED))
 _MAX_PAUSE_S = 86400.0
 _KEY_SCHEME = "token "
 
@@ -71,25 +75,27 @@
     """The head of a target's response.
 
     `request_id` is the id that it echoes, empty if none or more than one.
-    `not_executed` means that the target states it did not run the request. `signed`
-    means that the response carries the target's seal. `content_encoded` means that
-    the body has a content coding, which a target must not apply. `event_stream`
-    tells whether the body is one of server-sent events, `closes_connection`
-    whether the connection ends after the response. `idle_timeout_s` is how long
-    the target keeps an idle connection, None if unspecified. `rate_limit` are the
-    requests per second that the target takes from all hosts together, infinite
-    unless it states a limit, None if what it states can't be read. `rejection_limit` is
-    the number of rejections for want of room in a second that the target withstands,
-    infinite or None likewise. `is_leaving` means that the target states that it leaves;
-    a 421 speaks for another target. `pause_s` are the seconds for which a target that
-    turned the request away wants nothing from this host, 0 if it does not say, None if
-    what it says can't be read.
+    `not_executed` means that the target states it did not run the request. `seal` is
+    the target's, empty if there is none; `signed` tells whether there is one.
+    `is_marked` tells whether any header is one that only targets set.
+    `content_encoded` means that the body has a content coding, which a target must
+    not apply. `event_stream` tells whether the body is one of server-sent events,
+    `closes_connection` whether the connection ends after the response.
+    `idle_timeout_s` is how long the target keeps an idle connection, None if
+    unspecified. `rate_limit` are the requests per second that the target takes from
+    all hosts together, infinite unless it states a limit, None if what it states can't
+    be read. `rejection_limit` is the number of rejections for want of room in a second
+    that the target withstands, infinite or None likewise. `is_leaving` means that the
+    target states that it leaves; a 421 speaks for another target. `pause_s` are the
+    seconds for which a target that turned the request away wants nothing from this
+    host, 0 if it does not say, None if what it says can't be read.
     """
 
     status: int
     request_id: str
     not_executed: bool
-    signed: bool
+    seal: str
+    is_marked: bool
     content_encoded: bool
     event_stream: bool
     closes_connection: bool
@@ -100,6 +106,11 @@
     pause_s: float | None
     headers: list
 
+    @property
+    def signed(self):
+        """Whether the response carries the target's seal."""
+        return bool(self.seal)
+
 
 def _first(headers, name):
     for key, value in headers:
@@ -234,8 +245,9 @@
     return TargetResponse(
         status=status,
         request_id=_only(headers, _REQUEST_ID),
-        not_executed=_first(headers, b"x-not-executed") is not None or status == 421,
-        signed=_first(headers, b"x-server-seal") is not None,
+        not_executed=_first(headers, _NOT_EXECUTED) is not None or status == 421,
+        seal=_text(_first(headers, _SEAL)),
+        is_marked=any(name in _TARGET_MARKS for name, _ in headers),
         content_encoded=encoding not in ("", "identity"),
         event_stream=_text(_first(headers, b"content-type")).startswith(
             "text/event-stream"
--- a/test/test_stray_responses.py
+++ b/test/test_stray_responses.py
@@ -156,6 +156,27 @@
     run_scenario(scenario, "file")
 
 
+@pytest.mark.parametrize("text", [b"", b"H", b"by HTTP", b"\r\n", b"HTTP/2.0 200\r\n"])
+def test_a_body_that_ends_like_the_start_of_a_response_is_passed_on(text):
+    async def scenario(host, target):
+        raw = response(200, text, marks("r1"), "none")
+        target.plan = lambda rid, conn: Turn(raw, ends="close")
+        answer = await send(host, "/file/x", "r1", b"1")
+        assert (answer.status, answer.body) == (200, text)
+
+    run_scenario(scenario, "file")
+
+
+def test_an_answer_with_a_length_is_whole_or_lost_if_a_reset_follows():
+    async def scenario(host, target):
+        target.plan = lambda rid, conn: Turn(whole(rid), ends="reset")
+        for number in range(20):
+            answer = await send(host, "/file/x", f"r{number}", b"1")
+            check_truth(answer, f"r{number}", True)
+
+    run_scenario(scenario, "file")
+
+
 def test_an_unframed_answer_that_is_reset_is_not_complete():
     async def scenario(host, target):
         target.plan = lambda rid, conn: Turn(
