Take a response with two different seals for an unsigned one

The first seal counted and both were passed on: nothing shows which of them belongs to the body. Evidence: test_a_success_whose_marks_contradict_each_other, the case of two seals failed before (200 instead of 502), passes.

--- a/lovagepier/platform/_headers.py
+++ b/lovagepier/platform/_headers.py
@@ -76,7 +76,7 @@
 
     `request_id` is the id that it echoes, empty if none or more than one.
     `not_executed` means that the target states it did not run the request. `seal` is
-    the target's, empty if there is none; `signed` tells whether there is one.
+    the target's, empty if none or more than one; `signed` tells whether there is one.
     `is_marked` tells whether any header is one that only targets set.
     `content_encoded` means that the body has a content coding, which a target must
     not apply. `event_stream` tells whether the body is one of server-sent events,
@@ -246,7 +246,7 @@
         status=status,
         request_id=_only(headers, _REQUEST_ID),
         not_executed=_first(headers, _NOT_EXECUTED) is not None or status == 421,
-        seal=_text(_first(headers, _SEAL)),
+        seal=_only(headers, _SEAL),
         is_marked=any(name in _TARGET_MARKS for name, _ in headers),
         content_encoded=encoding not in ("", "identity"),
         event_stream=_text(_first(headers, b"content-type")).startswith(
