Send an id only once on a connection

A request that is sent again under its id (a caller's repeat, a second attempt at the same target) could get the connection that carried it before. A copy of the first answer, or of a refusal, bears the second's id, too: nothing tells them apart. "Not run" and the body may then be those of the first.

Connections keep the ids that they carried, 256 at most; an idle one that has carried the id is passed over. Refusals and failures were no such case until now only because their connections are closed after them.

--- a/lovagepier/entry/_exchange.py
+++ b/lovagepier/entry/_exchange.py
@@ -271,7 +271,7 @@
 
     async def _connect(self, target):
         if self._call.route.retryable:
-            tconn = self._frontend.connector.take_idle(target)
+            tconn = self._frontend.connector.take_idle(target, self._call.request_id)
             if tconn is not None:
                 return tconn
         # A call that must not run twice gets a new connection: an idle one may hold
--- a/lovagepier/entry/_target_conn.py
+++ b/lovagepier/entry/_target_conn.py
@@ -30,6 +30,8 @@
 # Idle connections kept to one target. Targets count those of all hosts against their
 # bound on connections, and reset new ones beyond it.
 MAX_IDLE_PER_TARGET = 2
+# Requests that one connection carries; their ids are kept.
+MAX_REQUESTS = 256
 # Responses to earlier requests that are skipped before the connection is closed, and
 # the bytes of their bodies.
 MAX_STALE_RESPONSES = 4
@@ -79,6 +81,7 @@
 
     __slots__ = (
         "_body_ended",
+        "_carried_ids",
         "_failure",
         "_http",
         "_loop",
@@ -107,6 +110,7 @@
         self._request = None
         self._undelimited = None
         self._body_ended = False
+        self._carried_ids = set()
         self.idle_since = 0.0
         self.idle_timeout_s = MAX_IDLE_S
         self.is_leaving = False
@@ -169,6 +173,13 @@
             and self._loop.time() - self.idle_since < self.idle_timeout_s
         )
 
+    def has_carried(self, request_id):
+        """Whether a request with this id was sent here before.
+
+        A copy of the first answer could not be told from the answer to the second.
+        """
+        return request_id in self._carried_ids
+
     def send(self, method, target, headers, body):
         """Send one whole request."""
         self._http = h11.Connection(
@@ -213,6 +224,7 @@
         belong to earlier requests or to none, and state nothing about this one. They
         are skipped. Raise `TargetConnectionLost` after too many.
         """
+        self._carried_ids.add(request_id)
         for _ in range(MAX_STALE_RESPONSES):
             event = await self._next_final_event()
             if not isinstance(event, h11.Response):
@@ -342,6 +354,7 @@
         """
         reusable = (
             self.is_reusable
+            and len(self._carried_ids) < MAX_REQUESTS
             and not response.closes_connection
             and self._failure is None
             and self._http is not None
@@ -388,14 +401,19 @@
         self._idle = {}
         self.opened = 0
 
-    def take_idle(self, target):
-        """Remove and return a usable idle connection to a target, or None."""
-        idle = self._idle.get((target.host, target.port, target.incarnation))
-        while idle:
-            conn = idle.pop()
-            if conn.usable:
+    def take_idle(self, target, request_id):
+        """Remove and return a usable idle connection to a target, or None.
+
+        It has not carried `request_id` before.
+        """
+        idle = self._idle.get((target.host, target.port, target.incarnation), [])
+        for conn in reversed(list(idle)):
+            if not conn.usable:
+                idle.remove(conn)
+                conn.close()
+            elif not conn.has_carried(request_id):
+                idle.remove(conn)
                 return conn
-            conn.close()
         return None
 
     async def open(self, target):
--- a/lovagepier/entry/_target_connector.py
+++ b/lovagepier/entry/_target_connector.py
@@ -46,11 +46,14 @@
         """Return whether this host has lost its own path to a target."""
         return self._paths.is_broken(incarnation)
 
-    def take_idle(self, target):
-        """Return a usable idle connection to a target, or None."""
+    def take_idle(self, target, request_id):
+        """Return a usable idle connection to a target, or None.
+
+        None is returned, too, if all have carried `request_id` before.
+        """
         if self._paths.is_broken(target.incarnation):
             return None
-        return self._connections.take_idle(target)
+        return self._connections.take_idle(target, request_id)
 
     async def open(self, target):
         """Return a new connection to `target`; raise `ConnectFailed`.
