--- a/lovagepier/entry/_exchange.py
+++ b/lovagepier/entry/_exchange.py
@@ -8,7 +8,8 @@
 from lovagepier.entry._exclusions import Exclusions
 from lovagepier.entry._messages import DispatchRequest, DispatchResult, Granted
 from lovagepier.entry._response_notes import ResponseNotes
-from lovagepier.entry._target_conn import ConnectFailed, TargetConnectionLost
+from lovagepier.entry._target_conn import TargetConnectionLost
+from lovagepier.entry._target_pool import ConnectFailed
 from lovagepier.entry.call import fingerprint
 from lovagepier.errors import ErrorKind, error_spec
 from lovagepier.logs import component_logger
--- a/lovagepier/entry/_frontend.py
+++ b/lovagepier/entry/_frontend.py
@@ -5,8 +5,8 @@
 from lovagepier.entry._caller_conn import BadRequest, CallerConnection
 from lovagepier.entry._exchange import Exchange
 from lovagepier.entry._target_checks import TargetChecks
-from lovagepier.entry._target_conn import TargetConnectionPool
 from lovagepier.entry._target_connector import TargetConnector
+from lovagepier.entry._target_pool import TargetConnectionPool
 from lovagepier.entry._tunnel_server import TunnelServer
 from lovagepier.entry.catalog import ROUTE_TIERS, CallerLimits
 from lovagepier.errors import ErrorKind, error_spec
--- a/lovagepier/entry/_target_checks.py
+++ b/lovagepier/entry/_target_checks.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from lovagepier.entry._messages import TargetDown
-from lovagepier.entry._target_conn import ConnectFailed
+from lovagepier.entry._target_pool import ConnectFailed
 from lovagepier.logs import component_logger
 
 __all__ = ["TargetChecks"]
--- a/lovagepier/entry/_target_comparison.py
+++ b/lovagepier/entry/_target_comparison.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from lovagepier.entry._target_conn import ConnectFailed
+from lovagepier.entry._target_pool import ConnectFailed
 
 __all__ = ["TargetComparison"]
 
--- a/lovagepier/entry/_target_connector.py
+++ b/lovagepier/entry/_target_connector.py
@@ -4,7 +4,7 @@
 
 from lovagepier.decisions.paths import Peer, TargetPaths
 from lovagepier.entry._target_comparison import TargetComparison
-from lovagepier.entry._target_conn import ConnectFailed
+from lovagepier.entry._target_pool import ConnectFailed
 from lovagepier.entry._tunnels import HostUnreachable, Tunnels
 from lovagepier.entry._zones import make_zone_cost
 from lovagepier.logs import component_logger
--- a/lovagepier/entry/_tunnel_server.py
+++ b/lovagepier/entry/_tunnel_server.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from lovagepier.entry._target_comparison import TargetComparison
-from lovagepier.entry._target_conn import ConnectFailed
+from lovagepier.entry._target_pool import ConnectFailed
 from lovagepier.entry._tunnel_messages import (
     TunnelClosed,
     TunnelData,
--- a/lovagepier/entry/_tunnels.py
+++ b/lovagepier/entry/_tunnels.py
@@ -4,7 +4,8 @@
 import itertools
 
 from lovagepier.entry._links import dial
-from lovagepier.entry._target_conn import ConnectFailed, TargetConnection
+from lovagepier.entry._target_conn import TargetConnection
+from lovagepier.entry._target_pool import ConnectFailed
 from lovagepier.entry._tunnel_messages import (
     TunnelClosed,
     TunnelData,
