Reset the connection of an HTTP/1.0 caller whose stream is cut

Such a caller is answered without chunks, and takes the end of the connection for that of the response. Aborting the transport closes the socket, which ends the connection cleanly unless bytes are unread: the cut stream looked whole. HTTP/1.1 callers miss the last chunk, and are closed as before; a reset could cost them events that they have not read yet.

Evidence: test_caller_answers.py, the cut stream failed before (no reset), passes; late answers, abandoned and pipelined calls passed before and after.

--- a/lovagepier/entry/_caller_conn.py
+++ b/lovagepier/entry/_caller_conn.py
@@ -6,6 +6,8 @@
 """
 
 import asyncio
+import socket
+import struct
 
 import h11
 
@@ -17,6 +19,8 @@
 MAX_UNPARSED_BYTES = 256 * 1024
 # Relaying to a slow caller pauses while its transport buffers more than this.
 MAX_WRITE_BUFFER_BYTES = 64 * 1024
+# Value of SO_LINGER with which closing resets a connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 _log = component_logger("callers")
 
@@ -306,8 +310,15 @@
             _log.info("could not send a response", status=status, why=str(exc))
 
     def abort(self):
-        """Reset the connection so that a truncated response can't look complete."""
+        """Close the connection so that a truncated response can't look complete.
+
+        For HTTP/1.1 the last chunk is missing. A caller of HTTP/1.0 takes a clean end
+        of the connection for that of the response, so that one is reset.
+        """
         self.closing = True
+        if self._http.their_http_version == b"1.0" and not self._transport.is_closing():
+            sock = self._transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self._transport.abort()
 
     def close(self):
