Take no error for the rest of an interrupted answer (own runtime)

Same cause in the project's own runtime: the response to a resumption was read without a look at its status. An engine that answered it with an error (say 500 or 503) had the error's text passed on in the middle of the caller's stream.

The adapter now raises `TargetBroken` for any status but 200; the relay tries again and gives up as after a lost connection.

--- a/lovagepier/targets/_openai.py
+++ b/lovagepier/targets/_openai.py
@@ -29,8 +29,9 @@
     def resume(self, request_id, offset, timeout):
         """Return a `Stream` of a known request id from a byte offset.
 
-        Raise `UnknownRequestId` on a 404 response and `TargetUnreachable` if no
-        connection can be made.
+        Raise `UnknownRequestId` on a 404 response, `TargetBroken` on any other error,
+        whose body is no part of the stream, and `TargetUnreachable` if no connection
+        can be made.
         """
         path = f"/v1/streams/{quote(request_id, safe='')}?offset={offset}"
         try:
@@ -40,6 +41,9 @@
         if stream.status == 404:
             stream.close()
             raise UnknownRequestId(f"{self.target.name} does not know the id")
+        if stream.status != 200:
+            stream.close()
+            raise TargetBroken(f"{self.target.name} answered {stream.status}")
         return stream
 
     def cancel(self, request_id):
--- a/test/test_stray_responses.py
+++ b/test/test_stray_responses.py
@@ -76,6 +76,23 @@
     run_scenario(scenario, route)
 
 
+@pytest.mark.parametrize("delay_s", [0.0, 0.001, 0.005])
+@pytest.mark.parametrize("kind", ["whole", "refusal"])
+@pytest.mark.parametrize("named", [None, "other"])
+def test_a_response_before_the_request_is_no_answer(named, kind, delay_s):
+    """It is written as soon as the connection is accepted."""
+
+    async def scenario(host, target):
+        target.on_accept = KINDS[kind](named, "length", "early")
+        target.accept_s = delay_s
+        for number in range(5):
+            before = len(target.runs)
+            answer = await send(host, "/file/x", f"r{number}", b"1")
+            check_truth(answer, f"r{number}", len(target.runs) > before)
+
+    run_scenario(scenario, "file")
+
+
 # Bodies that end with the connection
 
 
--- a/test/test_tunnels.py
+++ b/test/test_tunnels.py
@@ -6,6 +6,7 @@
 
 from lovagepier.entry._tunnels import HostUnreachable
 from test.entry_builders import call, connect, raw_request, wait_until
+from test.stuttering_target import Turn, add_stuttering, whole, whole_body
 from test.test_target_paths import cut, run_scenario
 
 
@@ -123,3 +124,34 @@
         conn.close()
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("end", ["close", "reset", "host"])
+def test_an_answer_without_a_length_is_whole_only_if_the_target_ended_it(end):
+    """It is lost if the target resets the connection, or the host between is lost."""
+
+    async def scenario(fleet):
+        host = fleet.hosts[2]
+        await fleet.store.remove("servers/w1")
+        target = await add_stuttering(fleet, "w2", "ledger")
+        cut(host, "refused")
+        pauses = 1 if end in ("close", "reset") else 20
+
+        def plan(rid, conn):
+            ends = "reset" if end == "reset" else "close"
+            return Turn(whole(rid, "none"), after=(b"",) * pauses, ends=ends)
+
+        target.plan = plan
+        running = asyncio.create_task(
+            call(host, "/file/x", "r1", method="POST", body=b"1")
+        )
+        await wait_until(lambda: target.runs)
+        await asyncio.sleep(0.1)
+        if end == "host":
+            host.frontend.connector._tunnels._links[relay_of(host)].close()
+        answer = await running
+        whole_answer = (200, whole_body("r1"))
+        expected = whole_answer if end == "close" else (502, b"")
+        assert (answer.status, answer.body) == expected
+
+    run_scenario(scenario)
