--- a/test/platform_standins.py
+++ b/test/platform_standins.py
@@ -364,6 +364,11 @@
         writer.write(response_bytes(200, b"of another", seal[1:]))
         await self._ok(writer, seal, headers, request_id)
 
+    async def _unnamed_refusal(self, writer, seal, headers, request_id):
+        """Send a refusal without an id before the response that is due."""
+        writer.write(response_bytes(503, b"", ["X-Not-Executed: 1"]))
+        await self._ok(writer, seal, headers, request_id)
+
     async def _short(self, writer, seal, headers, request_id):
         """Close the connection before the end of the body."""
         head = ["HTTP/1.1 200 OK", "Content-Length: 50", *seal]
@@ -372,6 +377,37 @@
         writer.close()
         raise ConnectionError
 
+    async def _repeat_unframed(self, writer, head, body, *others):
+        """Send an undelimited response, then others, and close the connection."""
+        raw = "\r\n".join(head).encode() + b"\r\n\r\n" + body
+        for part in (raw, *(others or (raw,))):
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        writer.close()
+        raise ConnectionError
+
+    async def _unframed_twice(self, writer, seal, headers, request_id):
+        """Send an undelimited response and the same once more."""
+        head = ["HTTP/1.1 200 OK", *seal]
+        await self._repeat_unframed(writer, head, b"done " + request_id.encode())
+
+    async def _unframed_extra(self, writer, seal, headers, request_id):
+        """Send an undelimited response, then one to another request."""
+        other = response_bytes(200, b"of another", ["X-Request-Id: other", seal[1]])
+        head = ["HTTP/1.1 200 OK", *seal]
+        await self._repeat_unframed(writer, head, b"done " + request_id.encode(), other)
+
+    async def _stream_twice(self, writer, seal, headers, request_id):
+        """Send an undelimited stream and the same once more."""
+        start = int(headers.get("last-event-id") or 0)
+        body = b"".join(
+            b"id: %d\ndata: piece %d\n\n" % (number, number)
+            for number in range(start + 1, self.events + 1)
+        )
+        head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", *seal]
+        await self._repeat_unframed(writer, head, body)
+
     async def _unframed(self, writer, seal, headers, request_id):
         """Mark the end of the body only by closing the connection."""
         head = ["HTTP/1.1 200 OK", *seal]
--- a/test/test_entry_path.py
+++ b/test/test_entry_path.py
@@ -117,7 +117,17 @@
     run_scenario(scenario)
 
 
-@pytest.mark.parametrize("mode", ["extra", "late_extra", "unframed"])
+@pytest.mark.parametrize(
+    "mode",
+    [
+        "extra",
+        "late_extra",
+        "unnamed_extra",
+        "unnamed_refusal",
+        "unframed",
+        "unframed_twice",
+    ],
+)
 def test_each_caller_gets_the_answer_to_its_own_request(mode):
     async def scenario(fleet):
         fleet.targets["w1"].mode = mode
--- a/trials/soak_faults.py
+++ b/trials/soak_faults.py
@@ -12,8 +12,27 @@
 GRACE_S = 8.0
 # What targets do wrong for a time, by their usual mode.
 BAD_MODES = {
-    "ok": ("error", "shed", "reset", "extra", "late_extra", "unnamed_extra", "short"),
-    "stream": ("error", "shed", "reset", "broken_stream", "trickle", "rubbish"),
+    "ok": (
+        "error",
+        "shed",
+        "reset",
+        "extra",
+        "late_extra",
+        "unnamed_extra",
+        "unnamed_refusal",
+        "unframed_twice",
+        "unframed_extra",
+        "short",
+    ),
+    "stream": (
+        "error",
+        "shed",
+        "reset",
+        "broken_stream",
+        "stream_twice",
+        "trickle",
+        "rubbish",
+    ),
 }
 PLANNED = ("stop_host", "reload_host", "new_config", "leaving_target")
 UNPLANNED = (
