--- a/test/test_stray_responses.py
+++ b/test/test_stray_responses.py
@@ -76,6 +76,22 @@
     run_scenario(scenario, route)
 
 
+@pytest.mark.parametrize("named", [None, "other"])
+def test_a_stray_refusal_sends_no_call_to_a_second_target(named):
+    async def run():
+        async with entry_fleet(targets=False) as fleet:
+            targets = [await add_stuttering(fleet, name) for name in ("w1", "w2")]
+            for target in targets:
+                target.plan = lambda rid, conn: plain(rid, before=(refusal(named), b""))
+            for number in range(4):
+                answer = await send(fleet.hosts[0], "/file/x", f"r{number}", b"1")
+                assert (answer.status, answer.body) == (200, whole_body(f"r{number}"))
+            runs = [rid for target in targets for rid in target.runs]
+            assert sorted(runs) == ["r0", "r1", "r2", "r3"]
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("delay_s", [0.0, 0.001, 0.005])
 @pytest.mark.parametrize("kind", ["whole", "refusal"])
 @pytest.mark.parametrize("named", [None, "other"])
