Bound what is read of a repeated answer

Two faults of the search for second responses, found by review: a copy without an end was read until the deadline, and copies without an end ended the call with a RecursionError. A copy is longer than the body at once different, and a response may be repeated four times. Each second response that is found is logged.

--- a/lovagepier/entry/_undelimited_body.py
+++ b/lovagepier/entry/_undelimited_body.py
@@ -9,18 +9,23 @@
 import h11
 import xxhash
 
+from lovagepier.logs import component_logger
 from lovagepier.platform import decode_response
 
 __all__ = ["SecondResponse", "UndelimitedBody", "is_undelimited"]
 
 # Limit on the head of a second response.
 MAX_HEAD_BYTES = 64 * 1024
+# Times that a response may be repeated.
+MAX_COPIES = 4
 
 _HEAD_START = b"HTTP/1."
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [0-9]{3}(?: [^\r\n]*)?\r?\n?")
 _STATUS_SAMPLE = b"HTTP/1.1 200"
 _HEADER_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+(?::.*)?|[ \t].*")
 
+_log = component_logger("targets")
+
 
 class SecondResponse(Exception):
     """Another response, or a part of one, was found in a body.
@@ -44,10 +49,12 @@
     may well be a text about HTTP.
     """
 
-    __slots__ = ("_copy", "_digest", "_held", "_response")
+    __slots__ = ("_copies_left", "_copy", "_digest", "_held", "_response", "_size")
 
-    def __init__(self, response):
+    def __init__(self, response, copies_left=MAX_COPIES):
         self._response = response
+        self._copies_left = copies_left
+        self._size = 0
         self._held = b""
         self._copy = None
         self._digest = xxhash.xxh3_128()
@@ -66,10 +73,11 @@
                 return self._pass(held[:start])
             second = _parse_head(held[start:end])
             if second is not None and second.is_marked:
-                self._copy = _Copy(self._response, second)
+                passed = self._pass(held[:start])
                 self._held = b""
+                self._begin_copy(second)
                 self._copy.feed(held[start:])
-                return self._pass(held[:start])
+                return passed
             searched = start + len(_HEAD_START)
         kept = _partial_start(held)
         self._held = held[len(held) - kept :]
@@ -86,24 +94,41 @@
         rest, self._held = self._held, b""
         return self._pass(rest)
 
-    @property
-    def digest(self):
-        """The hash of all bytes that were passed on."""
-        return self._digest.digest()
+    def _begin_copy(self, second):
+        first = self._response
+        is_copy = _agree(first, second) and self._copies_left > 0
+        _log.info(
+            "found a second response inside a body",
+            request=first.request_id,
+            named=second.request_id,
+            status=second.status,
+            is_copy=is_copy,
+        )
+        if not is_copy:
+            raise SecondResponse("a second response inside a body")
+        self._copy = _Copy(self._size, self._copies_left - 1)
 
     def _pass(self, data):
         self._digest.update(data)
+        self._size += len(data)
         return data
 
 
 class _Copy:
-    """Hashes the body of a response that repeats an earlier one."""
-
-    __slots__ = ("_body", "_digest", "_http", "_is_complete")
+    """Hashes the body of a response that repeats one with a body of `size` bytes."""
+
+    __slots__ = (
+        "_body",
+        "_bytes_left",
+        "_copies_left",
+        "_digest",
+        "_http",
+        "_is_complete",
+    )
 
-    def __init__(self, first, second):
-        if not _agree(first, second):
-            raise SecondResponse("a different response inside a body")
+    def __init__(self, size, copies_left):
+        self._bytes_left = size
+        self._copies_left = copies_left
         self._http = _parser()
         self._body = None
         self._digest = xxhash.xxh3_128()
@@ -127,15 +152,21 @@
 
     def _on_event(self, event):
         if isinstance(event, h11.Response) and is_undelimited(event):
-            self._body = UndelimitedBody(_decode(event))
+            self._body = UndelimitedBody(_decode(event), self._copies_left)
         elif isinstance(event, h11.Data):
             data = bytes(event.data)
-            self._digest.update(self._body.feed(data) if self._body else data)
+            self._add(self._body.feed(data) if self._body else data)
         elif isinstance(event, h11.EndOfMessage):
             if self._body is not None:
-                self._digest.update(self._body.end())
+                self._add(self._body.end())
             self._is_complete = True
 
+    def _add(self, data):
+        self._bytes_left -= len(data)
+        if self._bytes_left < 0:
+            raise SecondResponse("a body and its copy differ")
+        self._digest.update(data)
+
     def end(self):
         """Return the hash of the copy's body; raise `SecondResponse` if it is cut."""
         if not self._is_complete:
--- a/test/test_undelimited_bodies.py
+++ b/test/test_undelimited_bodies.py
@@ -102,3 +102,20 @@
     body.feed(b"HTTP/1.1 200 OK\r\nName: ")
     passed = b"".join(body.feed(b"a" * 4096) for _ in range(64))
     assert len(passed) > 64 * 1024
+
+
+def test_a_copy_without_an_end_is_not_read_on():
+    body = body_of()
+    body.feed(b"the body.")
+    body.feed(HEAD + b"\r\n")
+    with pytest.raises(SecondResponse):
+        for _ in range(10):
+            body.feed(b"a" * 4096)
+
+
+def test_copies_without_an_end_are_not_read_on():
+    body = body_of()
+    body.feed(b"the body.")
+    with pytest.raises(SecondResponse):
+        for _ in range(2000):
+            body.feed(HEAD + b"\r\nthe body.")
