--- a/lovagepier/entry/_caller_conn.py
+++ b/lovagepier/entry/_caller_conn.py
@@ -19,8 +19,6 @@
 MAX_UNPARSED_BYTES = 256 * 1024
 # Relaying to a slow caller pauses while its transport buffers more than this.
 MAX_WRITE_BUFFER_BYTES = 64 * 1024
-# Value of SO_LINGER with which closing resets a connection.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 _log = component_logger("callers")
 
@@ -55,6 +53,7 @@
         "_on_close",
         "_readable",
         "_reading",
+        "_resets_on_close",
         "_responses",
         "_serve",
         "_task",
@@ -80,6 +79,7 @@
         self._readable = None
         self._drained = None
         self._reading = True
+        self._resets_on_close = False
         self.unparsed_bytes = 0
         self.disconnected = False
         self.closing = False
@@ -250,7 +250,13 @@
     # Responses
 
     def send_head(self, status, headers):
-        """Send a response's head; h11 derives the framing from `headers`."""
+        """Send a response's head; h11 derives the framing from `headers`.
+
+        A body that ends with the connection is complete for its caller after any
+        orderly close, so until its end the connection is reset by whatever closes it.
+        """
+        if self._ends_with_connection(headers):
+            self._set_reset_on_close(True)
         if self.closing:
             headers = [*headers, (b"connection", b"close")]
         response = h11.Response(status_code=status, headers=headers, reason=b"")
@@ -272,6 +278,7 @@
         self._responses += 1
         self._idle_since = self._loop.time()
         self._write(self._http.send(h11.EndOfMessage()))
+        self._set_reset_on_close(False)
         if (
             self._http.our_state is not h11.DONE
             or self._http.their_state is not h11.DONE
@@ -282,6 +289,19 @@
         self._http.start_next_cycle()
         return True
 
+    def _ends_with_connection(self, headers):
+        version = self._http.their_http_version
+        has_length = any(name == b"content-length" for name, _ in headers)
+        return not has_length and (version is None or version < b"1.1")
+
+    def _set_reset_on_close(self, is_set):
+        if self._resets_on_close == is_set or self._transport.is_closing():
+            return
+        self._resets_on_close = is_set
+        sock = self._transport.get_extra_info("socket")
+        linger = struct.pack("ii", int(is_set), 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def _write(self, data):
         if data and not self._transport.is_closing():
             self._transport.write(data)
@@ -310,15 +330,8 @@
             _log.info("could not send a response", status=status, why=str(exc))
 
     def abort(self):
-        """Close the connection so that a truncated response can't look complete.
-
-        For HTTP/1.1 the last chunk is missing. A caller of HTTP/1.0 takes a clean end
-        of the connection for that of the response, so that one is reset.
-        """
+        """Close the connection at once, without the end of the current response."""
         self.closing = True
-        if self._http.their_http_version == b"1.0" and not self._transport.is_closing():
-            sock = self._transport.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self._transport.abort()
 
     def close(self):
--- a/test/test_resumed_answers.py
+++ b/test/test_errors_at_resumption.py
@@ -1,4 +1,4 @@
-"""A resumed answer consists of the answer's own bytes, never of an error's."""
+"""An error in answer to a resumption is no part of the interrupted answer."""
 
 import threading
 from http.server import BaseHTTPRequestHandler, HTTPServer
