Tell the parser behind a skipped response that the connection has ended

If a stray response, the true one without a length and the end of the connection are read at one time, the new parser did not learn of the end, and the answer that was ready counted as lost. Found by review; the test failed before, passes.

--- a/lovagepier/entry/_target_conn.py
+++ b/lovagepier/entry/_target_conn.py
@@ -12,10 +12,7 @@
 from lovagepier.logs import component_logger
 from lovagepier.platform import decode_response
 
-__all__ = [
-    "TargetConnection",
-    "TargetConnectionLost",
-]
+__all__ = ["TargetConnection", "TargetConnectionLost"]
 
 # Reading pauses while a slow caller leaves more than this unread.
 MAX_UNPARSED_BYTES = 256 * 1024
@@ -27,8 +24,8 @@
 IDLE_MARGIN_S = 1.0
 # Requests that one connection carries; their ids are kept.
 MAX_REQUESTS = 256
-# Responses to earlier requests that are skipped before the connection is closed, and
-# the bytes of their bodies.
+# Responses that are read for one request, those to others included, before the
+# connection is closed, and the bytes of a skipped one's body.
 MAX_STALE_RESPONSES = 4
 MAX_STALE_BYTES = 1024 * 1024
 # Interim responses (1xx) accepted before a response.
@@ -39,6 +36,7 @@
 # this long.
 MAX_DISCARDED_BYTES = 64 * 1024
 DISCARD_TIMEOUT_S = 0.1
+
 _log = component_logger("targets")
 
 
@@ -250,7 +248,7 @@
                 skipped += len(event.data)
             if skipped > MAX_STALE_BYTES:
                 raise TargetConnectionLost("an endless response to another request")
-        rest = self._http.trailing_data[0]
+        rest, has_ended = self._http.trailing_data
         # h11 expects one response per request. The request was sent and is still
         # unanswered, so a new parser is told of a request that is not sent again.
         self._http = h11.Connection(
@@ -266,6 +264,8 @@
         self._http.send(h11.EndOfMessage())
         if rest:
             self._http.receive_data(rest)
+        if has_ended:
+            self._http.receive_data(b"")
 
     async def read_data(self):
         """Return the next bytes of the body, or None at its end.
--- a/test/test_stray_responses.py
+++ b/test/test_stray_responses.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from lovagepier.entry._target_conn import TargetConnection
 from test.entry_builders import (
     Response,
     connect,
@@ -287,6 +288,27 @@
     run_scenario(scenario, "file")
 
 
+def test_an_answer_behind_a_stray_one_is_read_though_the_connection_has_ended():
+    """The host reads both responses and the end of the connection at one time."""
+
+    async def run():
+        conn = TargetConnection()
+        conn.connection_made(_SilentTransport())
+        conn.send(b"GET", b"/", [(b"host", b"x")], b"")
+        conn.data_received(whole("other") + whole("r1", "none"))
+        conn.eof_received()
+        conn.connection_lost(None)
+        assert (await conn.read_head("r1")).status == 200
+        assert await conn.read_body() == whole_body("r1")
+
+    asyncio.run(run())
+
+
+class _SilentTransport(asyncio.Transport):
+    def write(self, data):
+        pass
+
+
 def test_a_copy_for_head_is_not_framed_by_another_method():
     async def scenario(host, target):
         def plan(rid, conn):
