--- a/lovagepier/platform/_headers.py
+++ b/lovagepier/platform/_headers.py
@@ -29,6 +29,8 @@
 # By these a response is known to be a target's.
 _TARGET_MARKS = frozenset((_REQUEST_ID, _SEAL, _NOT_EXECUTED))
 _MAX_PAUSE_S = 86400.0
+# Counts beyond this are not counts of tokens; estimates divide and multiply them.
+_MAX_COUNT_DIGITS = 9
 _KEY_SCHEME = "token "
 
 # Hop-by-hop headers (RFC 9110, section 7.6.1).
@@ -139,14 +141,18 @@
 
 def _token_counts(value):
     """Return (prompt tokens, maximum output tokens), or None if unreadable."""
-    parts = _text(value).split(",")
-    if len(parts) != 2:
+    parts = [part.strip() for part in _text(value).split(",")]
+    if len(parts) != 2 or not all(map(_is_count, parts)):
         return None
-    try:
-        counts = int(parts[0]), int(parts[1])
-    except ValueError:
-        return None
-    return counts if min(counts) >= 0 else None
+    return int(parts[0]), int(parts[1])
+
+
+def _is_count(text):
+    """Return whether a text is a whole number of a size that counts have.
+
+    Superscript digits pass `isdigit`, but `int` does not read them.
+    """
+    return text.isascii() and text.isdigit() and len(text) <= _MAX_COUNT_DIGITS
 
 
 def _prefix_blocks(value):
@@ -157,14 +163,14 @@
     blocks = []
     for part in _text(value).split(","):
         name, _, tokens = part.strip().partition(":")
-        if name and tokens.isdigit():
+        if name and _is_count(tokens):
             blocks.append((name, int(tokens)))
     return tuple(blocks)
 
 
 def _number(value, default):
     text = _text(value)
-    return int(text) if text.isdigit() else default
+    return int(text) if _is_count(text) else default
 
 
 def _key(headers):
@@ -265,7 +271,7 @@
 def _idle_timeout(value):
     for part in _text(value).split(","):
         name, _, number = part.strip().partition("=")
-        if name.lower() == "timeout" and number.isdigit():
+        if name.lower() == "timeout" and _is_count(number):
             return float(number)
     return None
 
