--- a/lovagepier/entry/_exchange.py
+++ b/lovagepier/entry/_exchange.py
@@ -9,7 +9,8 @@
 from lovagepier.entry._messages import Granted
 from lovagepier.entry._response_notes import ResponseNotes
 from lovagepier.entry._stream_relay import StreamRelay
-from lovagepier.entry._target_conn import ConnectFailed, TargetConnectionLost
+from lovagepier.entry._target_conn import TargetConnectionLost
+from lovagepier.entry._target_pool import ConnectFailed
 from lovagepier.entry.call import fingerprint
 from lovagepier.errors import ErrorKind
 from lovagepier.logs import component_logger
@@ -142,7 +143,7 @@
 
     async def _connect(self, target):
         if self._call.route.retryable:
-            tconn = self._frontend.connector.take_idle(target)
+            tconn = self._frontend.connector.take_idle(target, self._call.request_id)
             if tconn is not None:
                 return tconn
         # A call that must not run twice gets a new connection: an idle one may hold
