--- /dev/null
+++ b/test/test_broken_streams.py
@@ -0,0 +1,290 @@
+"""A stream that breaks off at one target and is answered with anything by the next.
+
+The caller may see nothing but the true events, each once and in order, and then either
+all of them with a proper end or a response that is visibly cut.
+"""
+
+import asyncio
+
+import pytest
+
+from lovagepier.entry import _stream_relay
+from test.entry_builders import entry_fleet
+from test.stream_targets import (
+    EVENTS,
+    LAST_CHUNK,
+    WHOLE,
+    Answer,
+    StreamTargets,
+    ask,
+    chunk,
+    head,
+    piece,
+    stream,
+    whole,
+)
+
+LONG = b"x" * 100_000
+START = chunk(piece(1)), chunk(piece(2))
+ALL = tuple(chunk(piece(number)) for number in range(1, EVENTS + 1))
+
+# How far the first target gets before it breaks off, and how many whole events that is.
+STAGES = {
+    "before the head": ((), 0),
+    "inside the head": ((b"HTTP/1.1 200 OK\r\nContent-Ty",), 0),
+    "after the head": ((head(),), 0),
+    "inside event 1": ((head(), chunk(b"id: 1\ndata: ha")), 0),
+    "inside a chunk": ((head(), START[0][:-4]), 0),
+    "after event 1": ((head(), START[0]), 1),
+    "after event 2": ((head(), *START), 2),
+    "inside event 3": ((head(), *START, chunk(b"id: 3\ndata: ha")), 2),
+    "inside the separator": ((head(), *START, chunk(piece(3, b"\n"))), 2),
+    "inside the id": ((head(), *START, chunk(b"id: 3")), 2),
+    "after the last event": ((head(), *ALL), EVENTS),
+}
+BREAKS = ("fin", "reset")
+
+REFUSED = ("X-Not-Executed: 1",)
+# What the next target does. A stream that goes on is in GOES_ON.
+NEXT = {
+    **{
+        f"{status} {name}": whole(status, body)
+        for status in (400, 404, 409, 422, 429, 500, 502, 503, 504)
+        for name, body in (("short", b"it failed"), ("long", LONG))
+    },
+    **{
+        f"{status} not run": whole(status, b"full", more=REFUSED)
+        for status in (400, 421, 429, 503)
+    },
+    "error chunked": Answer(head(503, kind="text/plain"), chunk(b"no"), LAST_CHUNK),
+    "error unframed": Answer(head(500, length=None), b"it failed", end="fin"),
+    "error cut": Answer(head(500, kind="text/plain", length=50), b"half", end="fin"),
+    "error as a stream": Answer(
+        head(500), chunk(piece(3)), chunk(piece(4)), LAST_CHUNK
+    ),
+    "plain body": whole(200, b"done"),
+    "plain body, long": whole(200, LONG),
+    "plain body, unframed": Answer(
+        head(200, kind="text/plain", length=None), piece(3) + piece(4), end="fin"
+    ),
+    "json": whole(200, b'{"error": "overloaded"}', kind="application/json"),
+    "no content": Answer(head(204, length=None)),
+    "reset content": Answer(head(205, length=0)),
+    "no seal": Answer(head(seal=False), *ALL[2:], LAST_CHUNK),
+    "coded": Answer(head(more=("Content-Encoding: gzip",)), *ALL[2:], LAST_CHUNK),
+    "206": Answer(head(206), *ALL[2:], LAST_CHUNK),
+    "201": Answer(head(201), *ALL[2:], LAST_CHUNK),
+    "304": Answer(head(304, length=None)),
+    "empty": stream(),
+    "empty with a length": Answer(head(length=0)),
+    "empty unframed": Answer(head(length=None), end="fin"),
+    "empty, cut": Answer(head(), end="fin"),
+    "empty, reset": Answer(head(), end="reset"),
+    "comments only": Answer(head(), chunk(b": still here\n\n"), LAST_CHUNK),
+    "blank lines only": Answer(head(), chunk(b"\n\n\n"), LAST_CHUNK),
+    "a gap": stream(*range(EVENTS, EVENTS + 1)),
+    "a gap beyond the end": stream(EVENTS + 3),
+    "backwards, then a gap": stream(1, EVENTS),
+    "no ids": Answer(head(), chunk(b"data: again\n\n"), LAST_CHUNK),
+    "an error event": Answer(
+        head(), chunk(b"event: error\ndata: overloaded\n\n"), LAST_CHUNK
+    ),
+    "an error event, silent": Answer(
+        head(), chunk(b"event: error\ndata: overloaded\n\n"), end="silent"
+    ),
+    "ids are words": Answer(head(), chunk(b"id: c\ndata: again\n\n"), LAST_CHUNK),
+    "id is a power": Answer(head(), chunk(b"id: \xb2\ndata: x\n\n"), LAST_CHUNK),
+    "id is huge": Answer(
+        head(), chunk(b"id: " + b"9" * 5000 + b"\ndata: x\n\n"), LAST_CHUNK
+    ),
+    "id is negative": Answer(head(), chunk(b"id: -3\ndata: x\n\n"), LAST_CHUNK),
+    "half an event, then its end": Answer(
+        head(), chunk(b"id: 3\ndata: ha"), LAST_CHUNK
+    ),
+    "half an event, cut": Answer(head(), chunk(b"id: 3\ndata: ha"), end="reset"),
+    "no HTTP": Answer(b"\x00\x01 no protocol at all\r\n\r\n", end="fin"),
+    "events without a head": Answer(piece(3) + piece(4), end="fin"),
+    "a chunk without a head": Answer(chunk(piece(3)) + chunk(piece(4)), end="fin"),
+    "bad chunk": Answer(head(), b"zz\r\nno chunk\r\n", end="fin"),
+    "nothing": Answer(end="fin"),
+    "a reset": Answer(end="reset"),
+    "silence": Answer(end="silent"),
+    "silence after the head": Answer(head(), end="silent"),
+    "an interim response, then an error": Answer(
+        b"HTTP/1.1 102 X\r\n\r\n", head(500, length=3), b"bad"
+    ),
+    "two responses": Answer(head(500, length=3), b"bad", head(), *ALL, LAST_CHUNK),
+}
+FROM_THE_START = {
+    "from the start": stream(1, 2, 3, 4),
+    "from the start, unframed": Answer(head(length=None), WHOLE, end="fin"),
+}
+
+CALLERS = {
+    "1.1": ("1.1", ()),
+    "1.1, to be closed": ("1.1", ("Connection: close",)),
+    "1.0": ("1.0", ()),
+}
+
+
+@pytest.fixture(scope="module")
+def runner():
+    with asyncio.Runner() as made:
+        yield made
+
+
+@pytest.fixture(scope="module")
+def fleet(runner):
+    """One host whose targets each test adds and removes itself."""
+    # No case may lack the retries that others have used up.
+    fleets = entry_fleet(targets=False, budgets={"retry_slack": "1000000"})
+    yield runner.run(fleets.__aenter__())
+    runner.run(fleets.__aexit__(None, None, None))
+
+
+class Played:
+    """Plays calls against targets of their own."""
+
+    def __init__(self, host, targets):
+        self._host = host
+        self._targets = targets
+        self._calls = 0
+
+    async def renew(self, count=12):
+        await self._targets.renew(count)
+
+    async def play(self, *script, path="/talk/x", caller="1.1"):
+        """Return (what the caller has seen, the Last-Event-Ids of the targets)."""
+        self._calls += 1
+        version, headers = CALLERS[caller]
+        self._targets.play(*script)
+        seen = await ask(
+            self._host,
+            path,
+            f"r{self._calls}",
+            version,
+            [*headers, "X-Deadline-Ms: 500"],
+            # A body of its own: failures of one call say nothing of the next.
+            body=b"call %d" % self._calls,
+        )
+        return seen, list(self._targets.asked)
+
+
+@pytest.fixture(scope="module")
+def calls(runner, fleet):
+    return Played(fleet.hosts[0], StreamTargets(fleet))
+
+
+def faults(seen, *, whole_answers=()):
+    """Return what is wrong with a response, None if nothing is.
+
+    `whole_answers` are (status, body) of answers that may be relayed as they are.
+    """
+    if seen.extra:
+        return f"bytes after the response: {seen.extra[:60]!r}"
+    if not seen.status:
+        return None
+    if seen.status == 200 and (200, seen.body) not in whole_answers:
+        if not WHOLE.startswith(seen.body):
+            return f"no prefix of the events: {seen.body[:120]!r}"
+        if seen.body and not seen.body.endswith(b"\n\n"):
+            return f"half an event: {seen.body[-40:]!r}"
+        if seen.is_complete and seen.body != WHOLE:
+            return f"complete after {seen.body!r}"
+        return None
+    if (seen.status, seen.body) in whole_answers or not seen.body:
+        return None
+    return f"another answer's body with status {seen.status}: {seen.body[:60]!r}"
+
+
+def broken(stage, end):
+    parts, _ = STAGES[stage]
+    return Answer(*parts, end=end)
+
+
+def begun_stages():
+    return [name for name, (_, events) in STAGES.items() if events]
+
+
+@pytest.fixture
+def quick_silence(monkeypatch):
+    monkeypatch.setattr(_stream_relay, "MIN_SILENCE_TIMEOUT_S", 0.1)
+
+
+@pytest.mark.parametrize("caller", CALLERS)
+@pytest.mark.parametrize("name", NEXT)
+def test_nothing_but_its_events_reaches_a_stream_that_has_begun(
+    runner, calls, quick_silence, name, caller
+):
+    async def scenario():
+        await calls.renew()
+        wrong = {}
+        for number, stage in enumerate(begun_stages()):
+            first = broken(stage, BREAKS[number % 2])
+            seen, asked = await calls.play(first, NEXT[name], caller=caller)
+            assert len(asked) >= 2, stage
+            found = faults(seen)
+            if found is None and seen.status != 200:
+                found = f"status {seen.status}"
+            if found is None and seen.is_complete:
+                found = "complete without a continuation"
+            if found is not None:
+                wrong[stage] = found
+        assert wrong == {}
+
+    runner.run(scenario())
+
+
+@pytest.mark.parametrize("caller", CALLERS)
+@pytest.mark.parametrize("name", [*FROM_THE_START, "goes on"])
+@pytest.mark.parametrize("end", BREAKS)
+def test_a_stream_goes_on_at_the_next_target_from_wherever_it_broke(
+    runner, calls, end, name, caller
+):
+    async def scenario():
+        await calls.renew(24)
+        wrong = {}
+        for stage, (_, events) in STAGES.items():
+            answer = FROM_THE_START.get(name)
+            if answer is None:
+                answer = stream(*range(events + 1, EVENTS + 1))
+            if name == "goes on" and events == EVENTS:
+                # An empty stream proves nothing, see `NEXT`.
+                continue
+            seen, asked = await calls.play(broken(stage, end), answer, caller=caller)
+            last_id = str(events) if events else None
+            if (seen.status, seen.body, seen.is_complete, seen.extra, asked) != (
+                200,
+                WHOLE,
+                True,
+                b"",
+                [None, last_id],
+            ):
+                wrong[stage] = (seen.status, seen.body[:90], seen.is_complete, asked)
+        assert wrong == {}
+
+    runner.run(scenario())
+
+
+@pytest.mark.parametrize("caller", CALLERS)
+@pytest.mark.parametrize("end", BREAKS)
+def test_a_stream_that_may_not_resume_is_sent_to_one_target_and_cut(
+    runner, calls, end, caller
+):
+    async def scenario():
+        await calls.renew()
+        wrong = {}
+        for stage, (_, events) in STAGES.items():
+            seen, asked = await calls.play(
+                broken(stage, end), path="/note/x", caller=caller
+            )
+            got = (seen.status, seen.body, seen.is_complete)
+            # Without an event it may have run, and no promise to the contrary is made.
+            due = (502, b"", True)
+            if events:
+                due = (200, b"".join(piece(n + 1) for n in range(events)), False)
+            if (got, asked) != (due, [None]):
+                wrong[stage] = (*got, asked)
+        assert wrong == {}
+
+    runner.run(scenario())
