Drop half an event of a broken target also before the response has started

Cause: the splitter that collects bytes into events was replaced only once the response had started, that is after a whole event. The half event of a target that broke off inside its first one stayed in it, and the next target's bytes were added. Ruled out: later events (the splitter was replaced there). Now each target has a splitter of its own.

--- a/lovagepier/entry/_stream_relay.py
+++ b/lovagepier/entry/_stream_relay.py
@@ -45,9 +45,11 @@
         takes over.
         """
         progress = self._progress
-        if progress.response_started:
-            self._splitter = EventSplitter(self._splitter.last_id, skip=True)
-            progress.events = 0
+        # Bytes of an event that another target broke off in are dropped.
+        self._splitter = EventSplitter(
+            self._splitter.last_id, skip=progress.response_started
+        )
+        progress.events = 0
         first = None
         progress.progress_at = self._loop.time()
         while (data := await self._next_data(tconn)) is not None:
