Take only a stream that goes on after the last event as the rest of a broken one

Callers' streams that broke off went on with what the next target sent, if that was any 2xx event stream: events after a gap (a piece missing), events without ids or with ids that are no numbers (repeated, or an error event), a 201, 205 or 206; and they ended as complete after a 204, an empty stream, comments only, or an unframed head that closed at once (ORDER). A stream whose events have no ids was asked for again with an empty Last-Event-Id and came twice.

Cause: a resumed stream was judged by its status class and content type alone, and ids served only to drop repeats. Ruled out by the matrix: errors' heads or texts of any status in the middle, unsigned or coded answers, plain bodies; these were cut before, too.

Now a resumed response must be a 200 event stream; the first event beyond the last one must be the next (by the step that the broken stream showed, 1 if it showed none), and a stream that ends must have shown its place by repeating the last event or sending the next. Anything else is a failure of that target: another one is asked if the route allows, or the response is cut. After an event without a number as its id no target is asked to go on. Ids that int() does not take ('\u00b2', 5,000 digits) ended the call by an exception. What this costs: a stream whose target broke off between its last event and its end, where the next one sends an empty stream, is cut now, as that can't be told from a stream that ended too soon.

'a gap' after the last event repeats that event and ends, which is whole.

--- a/lovagepier/entry/_call_progress.py
+++ b/lovagepier/entry/_call_progress.py
@@ -19,12 +19,14 @@
     to; `executions` leaves out those that stated not to have executed it.
     `maybe_executed` tells whether any may have, `response_started` whether any part of
     a response was sent to the caller. `events` counts the events of the last target's
-    stream, `progress_at` is when the last one was complete.
+    stream, `progress_at` is when the last one was complete. `can_resume` tells whether
+    another target can be asked to go on after it.
     """
 
     __slots__ = (
         "attempts",
         "call",
+        "can_resume",
         "deadline",
         "events",
         "excluded",
@@ -45,6 +47,7 @@
         self.attempts = 0
         self.events = 0
         self.executions = 0
+        self.can_resume = True
         self.excluded = Exclusions()
         self.maybe_executed = False
         self.progress_at = 0.0
@@ -55,6 +58,11 @@
         """Whether the route allows another target to execute the call."""
         return self.executions < self.route.max_attempts
 
+    @property
+    def may_resume(self):
+        """Whether another target may go on with a stream that has begun."""
+        return self.route.resumable and self.can_resume and self.may_execute_again
+
     def may_retry(self, not_executed):
         """Return whether the call may be sent to another target.
 
@@ -65,7 +73,7 @@
         if not_executed and not self.response_started:
             return True
         if self.response_started:
-            return self.route.resumable and self.may_execute_again
+            return self.may_resume
         return self.route.retryable and self.may_execute_again
 
     def patience_left(self, now):
--- a/lovagepier/entry/_events.py
+++ b/lovagepier/entry/_events.py
@@ -2,36 +2,59 @@
 
 import re
 
-__all__ = ["EventSplitter", "EventTooLong"]
+__all__ = ["EventSplitter", "EventTooLong", "NotContinued"]
 
 # Bytes without the end of an event that still count as one; more are no stream.
 MAX_EVENT_BYTES = 256 * 1024
+# Digits of an event id that is read as a number.
+MAX_ID_DIGITS = 18
 
 _END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 # Longest separator of events, in bytes.
 _MAX_SEPARATOR = 4
-_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
+_ID = re.compile(rb"(?:^|[\r\n])id(?::[ ]?([^\r\n]*)|(?=[\r\n]))")
+# The begin of a line that is neither blank nor a comment.
+_FIELD = re.compile(rb"(?:^|[\r\n])[^:\r\n]")
 
 
 class EventTooLong(Exception):
     """The bytes of a stream do not contain the end of an event."""
 
 
+class NotContinued(Exception):
+    """A resumed stream does not go on where the one before it broke off."""
+
+
 class EventSplitter:
     """Collects bytes into whole events and keeps the last event's id.
 
-    With `skip` it drops events up to and including `last_id`, if that is a
-    number: a target that resumes a stream may repeat them. `count` is the number
-    of events returned.
+    With `skip` the stream resumes another one that broke off after `last_id`: events
+    up to that one are dropped, and the first new event must be the next one. Ids go on
+    by `step`, that of the broken stream: None if it did not show one, 0 if its ids did
+    not go on evenly. `count` is the number of events returned, `can_resume` tells
+    whether a stream could be resumed after the last one.
     """
 
-    __slots__ = ("_buffer", "_searched", "_skip_to", "count", "last_id")
-
-    def __init__(self, last_id="", skip=False):
+    __slots__ = (
+        "_buffer",
+        "_has_joined",
+        "_resumes",
+        "_searched",
+        "can_resume",
+        "count",
+        "last_id",
+        "step",
+    )
+
+    def __init__(self, last_id="", skip=False, step=None):
         self._buffer = b""
         self._searched = 0
         self.last_id = last_id
-        self._skip_to = int(last_id) if skip and last_id.isdigit() else None
+        self.step = step
+        # Without an id there is nothing to skip: the stream begins anew.
+        self._resumes = skip and bool(last_id)
+        self._has_joined = not self._resumes
+        self.can_resume = not last_id or _number(last_id) is not None
         self.count = 0
 
     @property
@@ -43,7 +66,8 @@
         """Return the bytes of all events that `data` completes, empty if none.
 
         Raise `EventTooLong` if `data` completes none and the incomplete event exceeds
-        `MAX_EVENT_BYTES`.
+        `MAX_EVENT_BYTES`, and `NotContinued` if the stream resumes another one and its
+        first new event is not the next one.
         """
         self._buffer += data
         complete = []
@@ -60,19 +84,56 @@
             raise EventTooLong(f"no end of an event in {len(self._buffer)} bytes")
         return b"".join(complete)
 
+    def check_joined(self):
+        """Raise `NotContinued` if a resumed stream ends without proof of its place.
+
+        That is the event after which it resumes, or the next one.
+        """
+        if not self._has_joined:
+            raise NotContinued("the stream ended before its next event")
+
     def _accept(self, event):
-        found = _ID.search(event)
-        if found is not None:
-            event_id = found[1].decode("latin-1").strip()
-            if self._is_duplicate(event_id):
-                return False
-            self.last_id = event_id
+        if not _FIELD.search(event):
+            # Comments and blank lines have no place in the order of events.
+            return not self._resumes
+        event_id = _event_id(event)
+        number = _number(event_id)
+        if self._resumes and not self._joins(number):
+            return False
+        self._follow(event_id, number)
         self.count += 1
         return True
 
-    def _is_duplicate(self, event_id):
-        return (
-            self._skip_to is not None
-            and event_id.isdigit()
-            and int(event_id) <= self._skip_to
-        )
+    def _joins(self, number):
+        """Return whether an event is the next one, False for a repeated one."""
+        last = _number(self.last_id)
+        if number is None:
+            raise NotContinued("an event without a number as its id")
+        if number <= last:
+            self._has_joined = self._has_joined or number == last
+            return False
+        if self.step != 0 and number != last + (self.step or 1):
+            raise NotContinued(f"event {number} after event {last}")
+        self._resumes = False
+        self._has_joined = True
+        return True
+
+    def _follow(self, event_id, number):
+        last = _number(self.last_id) if self.count else None
+        if last is not None and number is not None:
+            step = max(number - last, 0)
+            self.step = step if self.step in (None, step) else 0
+        self.last_id = event_id
+        self.can_resume = number is not None
+
+
+def _event_id(event):
+    """Return the id of an event as text, empty if it has none."""
+    found = _ID.findall(event)
+    return found[-1].decode("latin-1").strip() if found else ""
+
+
+def _number(event_id):
+    if event_id.isascii() and event_id.isdigit() and len(event_id) <= MAX_ID_DIGITS:
+        return int(event_id)
+    return None
--- a/lovagepier/entry/_exchange.py
+++ b/lovagepier/entry/_exchange.py
@@ -5,6 +5,7 @@
 
 from lovagepier.entry._call_progress import RESPONSE_MARGIN_S, CallProgress
 from lovagepier.entry._caller_response import CallerResponse
+from lovagepier.entry._events import NotContinued
 from lovagepier.entry._grants import FailedOver, Grants
 from lovagepier.entry._messages import Granted
 from lovagepier.entry._response_notes import ResponseNotes
@@ -172,6 +173,9 @@
                 if await tconn.discard_body():
                     self._release_connection(target, tconn, response)
                 return _Outcome.NOT_EXECUTED
+            if self._progress.response_started and not _is_stream(response):
+                status = "failed"
+                return self._reject(grant, f"status {response.status}")
             success = 200 <= response.status < 300
             if success and (not response.signed or response.content_encoded):
                 status = "failed"
@@ -198,6 +202,9 @@
                 reused=tconn.requests_served,
             )
             return _Outcome.FAILED
+        except NotContinued as exc:
+            status = "failed"
+            return self._reject(grant, str(exc))
         except FailedOver:
             status = "silent"
             return _Outcome.FAILED
@@ -216,6 +223,17 @@
                 grant, target, tconn, status, started_at, first, tokens
             )
 
+    def _reject(self, grant, why):
+        """Log that a target does not go on with a stream that has begun."""
+        _log.info(
+            "a target did not continue a stream",
+            request=self._call.request_id,
+            target=grant.target,
+            last=self._stream.last_id,
+            why=why,
+        )
+        return _Outcome.FAILED
+
     def _report_attempt(self, grant, target, tconn, status, started_at, first, tokens):
         """Report how an attempt ended.
 
@@ -255,7 +273,7 @@
         timeout_s = self._progress.deadline - self._loop.time()
         account = call.account.name if call.account else ""
         pairs = encode_call(call, timeout_s, target.id, account, len(call.body))
-        if self._progress.response_started:
+        if self._progress.response_started and self._stream.last_id:
             pairs = with_last_event_id(pairs, self._stream.last_id)
         tconn.send(call.method, call.target, pairs, call.body)
 
@@ -290,12 +308,15 @@
             self._caller.keep_fallback(response, body)
             if self._call.route.retryable and self._progress.may_execute_again:
                 return _Outcome.FAILED
-        if self._progress.response_started:
-            return _Outcome.FAILED
         self._caller.send_whole(response, body)
         return _Outcome.COMPLETED
 
 
+def _is_stream(response):
+    """Return whether a response can be the continuation of a stream."""
+    return response.status == 200 and response.event_stream
+
+
 def _connect_status(exc):
     """Return the status of a dispatch whose connection failed."""
     if exc.refused:
--- a/lovagepier/entry/_stream_relay.py
+++ b/lovagepier/entry/_stream_relay.py
@@ -35,19 +35,19 @@
 
     @property
     def last_id(self):
-        """The id of the last event that was relayed, empty if it had none."""
+        """The id of the last event that was relayed, empty if there was none."""
         return self._splitter.last_id
 
     async def run(self, grant, tconn, response, started_at):
         """Relay a target's stream to its end; return the seconds to its first event.
 
         Raise `TargetConnectionLost` if it broke off, `FailedOver` if another target
-        takes over.
+        takes over and `NotContinued` if it does not go on after the last event.
         """
         progress = self._progress
         # Bytes of an event that another target broke off in are dropped.
         self._splitter = EventSplitter(
-            self._splitter.last_id, skip=progress.response_started
+            self._splitter.last_id, progress.response_started, self._splitter.step
         )
         progress.events = 0
         first = None
@@ -64,6 +64,7 @@
             await self._caller.send_events(events)
         if self._splitter.incomplete:
             raise TargetConnectionLost("the stream ended inside an event")
+        self._splitter.check_joined()
         self._caller.start_stream(response)
         self._caller.end_stream()
         return first
@@ -75,6 +76,7 @@
             raise TargetConnectionLost(str(exc))
         finally:
             self._progress.events = self._splitter.count
+            self._progress.can_resume = self._splitter.can_resume
 
     async def _next_data(self, tconn):
         """Return the next bytes of a stream; raise `FailedOver` if another takes over.
@@ -84,7 +86,7 @@
         complete no event do not count.
         """
         progress = self._progress
-        if not progress.route.resumable or not progress.may_execute_again:
+        if not progress.may_resume:
             return await tconn.read_data()
         try:
             silent_at = progress.progress_at + self._silence_timeout()
--- a/test/test_broken_streams.py
+++ b/test/test_broken_streams.py
@@ -115,6 +115,8 @@
     ),
     "two responses": Answer(head(500, length=3), b"bad", head(), *ALL, LAST_CHUNK),
 }
+# Streams that end after the last event: whole, if the caller has had that one.
+REPEAT_THE_LAST = ("a gap", "backwards, then a gap")
 FROM_THE_START = {
     "from the start": stream(1, 2, 3, 4),
     "from the start, unframed": Answer(head(length=None), WHOLE, end="fin"),
@@ -221,12 +223,14 @@
         wrong = {}
         for number, stage in enumerate(begun_stages()):
             first = broken(stage, BREAKS[number % 2])
-            seen, asked = await calls.play(first, NEXT[name], caller=caller)
+            # All further targets answer alike.
+            seen, asked = await calls.play(first, *[NEXT[name]] * 5, caller=caller)
             assert len(asked) >= 2, stage
             found = faults(seen)
             if found is None and seen.status != 200:
                 found = f"status {seen.status}"
-            if found is None and seen.is_complete:
+            is_repeated = name in REPEAT_THE_LAST and STAGES[stage][1] == EVENTS
+            if found is None and seen.is_complete and not is_repeated:
                 found = "complete without a continuation"
             if found is not None:
                 wrong[stage] = found
@@ -288,3 +292,30 @@
         assert wrong == {}
 
     runner.run(scenario())
+
+
+@pytest.mark.parametrize("row", [b"data: x\n\n", b"id: b\ndata: x\n\n"], ids=repr)
+def test_a_stream_whose_place_is_unknown_is_cut_instead_of_sent_again(
+    runner, calls, row
+):
+    async def scenario():
+        await calls.renew()
+        first = Answer(head(), START[0], chunk(row), end="reset")
+        seen, asked = await calls.play(first)
+        assert (seen.status, seen.is_complete) == (200, False)
+        assert seen.body == piece(1) + row
+        assert asked == [None]
+
+    runner.run(scenario())
+
+
+def test_a_stream_of_which_only_comments_were_seen_begins_anew(runner, calls):
+    async def scenario():
+        await calls.renew()
+        first = Answer(head(), chunk(b": one moment\n\n"), end="reset")
+        seen, asked = await calls.play(first, stream(1, 2, 3, 4))
+        assert seen.body == b": one moment\n\n" + WHOLE
+        assert seen.is_complete
+        assert asked == [None, None]
+
+    runner.run(scenario())
--- a/test/test_entry_events.py
+++ b/test/test_entry_events.py
@@ -1,9 +1,10 @@
 """Event streams are split into whole events, however the network cuts them."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagepier.entry._events import EventSplitter
+from lovagepier.entry._events import EventSplitter, NotContinued
 
 ENDS = ("\n\n", "\r\n\r\n")
 
@@ -55,3 +56,58 @@
 def test_a_callers_own_last_event_id_drops_nothing():
     splitter = EventSplitter("2")
     assert splitter.feed(event(1, "x", "\n\n")) == event(1, "x", "\n\n")
+
+
+def resumed(after, *numbers, step=None):
+    """Feed events to a splitter that resumes a stream; return what passes."""
+    splitter = EventSplitter(after, skip=True, step=step)
+    data = b"".join(event(number, "x", "\n\n") for number in numbers)
+    return splitter, splitter.feed(data)
+
+
+def test_a_gap_at_the_place_where_a_stream_resumes_is_refused():
+    with pytest.raises(NotContinued):
+        resumed("2", 4)
+    with pytest.raises(NotContinued):
+        resumed("2", 1, 2, 5)
+
+
+@pytest.mark.parametrize("row", ["data: x", "id: b\ndata: x", "id: \xb2\ndata: x"])
+def test_an_event_without_a_number_does_not_continue_a_stream(row):
+    splitter = EventSplitter("2", skip=True)
+    with pytest.raises(NotContinued):
+        splitter.feed(row.encode("latin-1") + b"\n\n")
+
+
+def test_a_resumed_stream_that_ends_before_its_place_is_refused():
+    for numbers in ((), (1,)):
+        splitter, passed = resumed("2", *numbers)
+        assert passed == b""
+        with pytest.raises(NotContinued):
+            splitter.check_joined()
+    for numbers in ((2,), (3,)):
+        resumed("2", *numbers)[0].check_joined()
+
+
+def test_ids_go_on_by_the_step_that_the_broken_stream_showed():
+    first = EventSplitter()
+    first.feed(b"".join(event(number, "x", "\n\n") for number in (4, 8, 12)))
+    _, passed = resumed(first.last_id, 16, step=first.step)
+    assert passed == event(16, "x", "\n\n")
+    with pytest.raises(NotContinued):
+        resumed(first.last_id, 20, step=first.step)
+    first.feed(event(13, "x", "\n\n"))
+    _, passed = resumed(first.last_id, 15, step=first.step)
+    assert passed == event(15, "x", "\n\n")
+
+
+@pytest.mark.parametrize(
+    "row", [b"data: x\n\n", b"id: b\ndata: x\n\n", b"id\ndata: x\n\n"]
+)
+def test_a_stream_can_not_be_resumed_after_an_event_without_a_number(row):
+    splitter = EventSplitter()
+    splitter.feed(event(1, "x", "\n\n") + b": a comment\n\n")
+    assert splitter.can_resume
+    assert splitter.last_id == "1"
+    splitter.feed(row)
+    assert not splitter.can_resume
