Reset a caller's connection if a body that ends with it is cut

While such a response is not complete, SO_LINGER is on with a timeout of 0, so that whatever closes the socket, a killed process included, resets it; end_response turns it off. Chunked and counted bodies are closed as before. Ruled out: HTTP/1.1 with Connection: close, which gets chunks.

Run: both files' tests of 1.0 and of cuts, test_http_edges, test_entry_path. Not shown by a test: a killed process.

--- a/lovagepier/entry/_caller_conn.py
+++ b/lovagepier/entry/_caller_conn.py
@@ -6,6 +6,8 @@
 """
 
 import asyncio
+import socket
+import struct
 
 import h11
 
@@ -51,6 +53,7 @@
         "_on_close",
         "_readable",
         "_reading",
+        "_resets_on_close",
         "_responses",
         "_serve",
         "_task",
@@ -76,6 +79,7 @@
         self._readable = None
         self._drained = None
         self._reading = True
+        self._resets_on_close = False
         self.unparsed_bytes = 0
         self.disconnected = False
         self.closing = False
@@ -246,7 +250,13 @@
     # Responses
 
     def send_head(self, status, headers):
-        """Send a response's head; h11 derives the framing from `headers`."""
+        """Send a response's head; h11 derives the framing from `headers`.
+
+        A body that ends with the connection is complete for its caller after any
+        orderly close, so until its end the connection is reset by whatever closes it.
+        """
+        if self._ends_with_connection(headers):
+            self._set_reset_on_close(True)
         if self.closing:
             headers = [*headers, (b"connection", b"close")]
         response = h11.Response(status_code=status, headers=headers, reason=b"")
@@ -268,6 +278,7 @@
         self._responses += 1
         self._idle_since = self._loop.time()
         self._write(self._http.send(h11.EndOfMessage()))
+        self._set_reset_on_close(False)
         if (
             self._http.our_state is not h11.DONE
             or self._http.their_state is not h11.DONE
@@ -278,6 +289,19 @@
         self._http.start_next_cycle()
         return True
 
+    def _ends_with_connection(self, headers):
+        version = self._http.their_http_version
+        has_length = any(name == b"content-length" for name, _ in headers)
+        return not has_length and (version is None or version < b"1.1")
+
+    def _set_reset_on_close(self, is_set):
+        if self._resets_on_close == is_set or self._transport.is_closing():
+            return
+        self._resets_on_close = is_set
+        sock = self._transport.get_extra_info("socket")
+        linger = struct.pack("ii", int(is_set), 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def _write(self, data):
         if data and not self._transport.is_closing():
             self._transport.write(data)
@@ -306,7 +330,7 @@
             _log.info("could not send a response", status=status, why=str(exc))
 
     def abort(self):
-        """Reset the connection so that a truncated response can't look complete."""
+        """Close the connection at once, without the end of the current response."""
         self.closing = True
         self._transport.abort()
 
