Take a stream as whole whatever ends its lines, with blank lines at its end

Streams that their targets had ended properly were cut or, on routes that may be resumed, asked for again at another target: with one blank line too many at the end, or with lines and blank lines of unlike ends (LF CRLF, CR CRLF, LF CR). Cause: the splitter knew three separators, and any byte left at the end counted as half an event. The other way round, half an event that is taken for a whole one, was looked for with a property test and not found: a truncated stream ends in EventTruncated.

--- a/lovagepier/entry/_events.py
+++ b/lovagepier/entry/_events.py
@@ -2,14 +2,16 @@
 
 import re
 
-__all__ = ["EventSplitter", "EventTooLong", "NotContinued"]
+__all__ = ["EventSplitter", "EventTooLong", "EventTruncated", "NotContinued"]
 
 # Bytes without the end of an event that still count as one; more are no stream.
 MAX_EVENT_BYTES = 256 * 1024
 # Digits of an event id that is read as a number.
 MAX_ID_DIGITS = 18
 
-_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+# A line end and a blank line, each of CRLF, LF or CR. A CR after an LF may be the first
+# half of a CRLF.
+_END = re.compile(rb"\r\n\r\n|\r\n\n|\n\r\n|\n\n|\r\r|\n\r(?=[^\n])")
 # Longest separator of events, in bytes.
 _MAX_SEPARATOR = 4
 _ID = re.compile(rb"(?:^|[\r\n])id(?::[ ]?([^\r\n]*)|(?=[\r\n]))")
@@ -21,6 +23,10 @@
     """The bytes of a stream do not contain the end of an event."""
 
 
+class EventTruncated(Exception):
+    """A stream ended inside an event."""
+
+
 class NotContinued(Exception):
     """A resumed stream does not go on where the one before it broke off."""
 
@@ -84,6 +90,19 @@
             raise EventTooLong(f"no end of an event in {len(self._buffer)} bytes")
         return b"".join(complete)
 
+    def finish(self):
+        """Return the bytes that follow the last event at the end of the stream.
+
+        These are blank lines, or an event whose blank line is a CR. Raise
+        `EventTruncated` for any other.
+        """
+        rest, self._buffer = self._buffer, b""
+        if rest.strip(b"\r\n") and not rest.endswith(b"\n\r"):
+            raise EventTruncated(
+                f"the stream ended after {len(rest)} bytes of an event"
+            )
+        return rest if self._accept(rest) else b""
+
     def check_joined(self):
         """Raise `NotContinued` if a resumed stream ends without proof of its place.
 
--- a/lovagepier/entry/_stream_relay.py
+++ b/lovagepier/entry/_stream_relay.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from lovagepier.entry._events import EventSplitter, EventTooLong
+from lovagepier.entry._events import EventSplitter, EventTooLong, EventTruncated
 from lovagepier.entry._target_conn import TargetConnectionLost
 from lovagepier.logs import component_logger
 
@@ -52,8 +52,11 @@
         progress.events = 0
         first = None
         progress.progress_at = self._loop.time()
-        while (data := await self._next_data(tconn)) is not None:
-            events = self._feed(data)
+        has_ended = False
+        while not has_ended:
+            data = await self._next_data(tconn)
+            has_ended = data is None
+            events = self._split(data)
             if not events:
                 continue
             progress.progress_at = self._loop.time()
@@ -62,17 +65,18 @@
                 self._grants.report_first_event(grant, first)
             self._caller.start_stream(response)
             await self._caller.send_events(events)
-        if self._splitter.incomplete:
-            raise TargetConnectionLost("the stream ended inside an event")
         self._splitter.check_joined()
         self._caller.start_stream(response)
         self._caller.end_stream()
         return first
 
-    def _feed(self, data):
+    def _split(self, data):
+        """Return the events that `data` completes; None is the end of the stream."""
         try:
-            return self._splitter.feed(data)
-        except EventTooLong as exc:
+            return (
+                self._splitter.finish() if data is None else self._splitter.feed(data)
+            )
+        except (EventTooLong, EventTruncated) as exc:
             raise TargetConnectionLost(str(exc))
         finally:
             self._progress.events = self._splitter.count
--- a/test/test_entry_events.py
+++ b/test/test_entry_events.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagepier.entry._events import EventSplitter, NotContinued
+from lovagepier.entry._events import EventSplitter, EventTruncated, NotContinued
 
 ENDS = ("\n\n", "\r\n\r\n")
 
@@ -58,6 +58,49 @@
     assert splitter.feed(event(1, "x", "\n\n")) == event(1, "x", "\n\n")
 
 
+LINE_ENDS = ("\n", "\r\n", "\r")
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.text("abc: ", max_size=6),
+            st.sampled_from(LINE_ENDS),
+            st.sampled_from(LINE_ENDS),
+            st.integers(1, 3),
+        ),
+        max_size=6,
+    ),
+    cuts,
+)
+def test_a_whole_stream_ends_whole_whatever_ends_its_lines(rows, offsets):
+    data = b"".join(
+        f"id: {number}{line}data: {text}{line}{blank * count}".encode()
+        for number, (text, line, blank, count) in enumerate(rows, 1)
+        # CR and LF would be one line end.
+        if (line, blank) != ("\r", "\n")
+    )
+    splitter = EventSplitter()
+    out = b"".join(splitter.feed(piece) for piece in split_at(data, offsets))
+    out += splitter.finish()
+    assert out == data
+
+
+@given(streams, cuts, st.integers(1, 30))
+def test_a_truncated_stream_never_ends_whole(rows, offsets, lost):
+    data = b"".join(event(n + 1, text, end) for n, (text, end) in enumerate(rows))
+    data = data[: max(len(data) - lost, 0)]
+    splitter = EventSplitter()
+    out = b"".join(splitter.feed(piece) for piece in split_at(data, offsets))
+    try:
+        out += splitter.finish()
+    except EventTruncated:
+        return
+    # Nothing but a part of the last blank line may be missing.
+    assert out == data
+    assert not out or out.endswith((b"\n\n", b"\r\n\r\n", b"\r\n\r"))
+
+
 def resumed(after, *numbers, step=None):
     """Feed events to a splitter that resumes a stream; return what passes."""
     splitter = EventSplitter(after, skip=True, step=step)
