Own runtime: take only a 200 of the right kind as the rest of an answer

Callers of streams found the error's text in the middle of their stream, and the stream went on and ended as complete behind it: after a stream broke off, the engine's answer to the resume was relayed whatever its status, but for a 404. Its length was also counted in the offset of further resumes, so that true bytes would have been missing. Where the head of the first answer was lost, the error of the resume became the answer to the request.

Cause: the status of a resumed stream was never looked at.

--- a/lovagepier/node/_relay.py
+++ b/lovagepier/node/_relay.py
@@ -104,9 +104,7 @@
         """
         self._note("joined the running stream", target=self._in_flight.target)
         try:
-            self._stream = self._adapter.resume(
-                self.request_id, self._offset, self._remaining_s()
-            )
+            self._stream = self._request_resume()
         except TargetBroken as exc:
             self._finish_unreported()
             raise RequestError(
@@ -203,9 +201,7 @@
     def _resume_once(self):
         if self._deadline_missed():
             raise TargetBroken("the deadline passed")
-        self._stream = self._adapter.resume(
-            self.request_id, self._offset, self._remaining_s()
-        )
+        self._stream = self._request_resume()
         self._chunks = iter(self._stream.chunks)
         if not self.status:
             self.status = self._stream.status
@@ -217,6 +213,23 @@
         self._count(chunk)
         return chunk
 
+    def _request_resume(self):
+        """Return the rest of an answer.
+
+        Raise `TargetBroken` if the response is none.
+        """
+        stream = self._adapter.resume(
+            self.request_id, self._offset, self._remaining_s()
+        )
+        content_type = stream.headers.get("Content-Type", "")
+        is_stream = content_type.startswith("text/event-stream")
+        if stream.status != 200 or is_stream != self._request.streamed:
+            stream.close()
+            raise TargetBroken(
+                f"the resume was answered {stream.status} {content_type}"
+            )
+        return stream
+
     def _deadline_missed(self):
         return (
             self._first_byte_s is None
--- a/test/test_resumed_answers.py
+++ b/test/test_resumed_answers.py
@@ -119,6 +119,15 @@
     assert not is_complete or data == BODY
 
 
+@pytest.mark.parametrize("name", ERRORS)
+def test_an_error_response_to_a_resume_is_no_answer_to_the_request(name):
+    broken = (200, SSE, [TargetBroken("reset")])
+    engine = ScriptedEngine(broken, ERRORS[name], (200, SSE, [WHOLE]))
+    made = relay(engine)
+    assert received(made) == (WHOLE, True)
+    assert made.status == 200
+
+
 def test_a_failure_that_broke_off_is_not_completed_by_a_resume():
     broken = (400, JSON, [b'{"err', TargetBroken("reset")])
     engine = ScriptedEngine(broken, REST)
