Own runtime: read a resumed answer that is not streamed from its start

Callers got 200 with half an answer followed by a whole one where a response that is not streamed broke off: it was resumed at the offset reached, but engines give such an answer whole. And a failure whose body broke off (400, say) was completed by what the resume brought, so that status and body came from different answers.

Cause: one way of resuming, by offset, for all kinds of answers. A failure is never resumed.

--- a/lovagepier/callers/_models.py
+++ b/lovagepier/callers/_models.py
@@ -234,7 +234,7 @@
             headers.append(("Content-Type", content_type))
             headers.append(("Cache-Control", "no-store"))
             return Response(200, _StreamedBody(first, relay), headers)
-        data = first + b"".join(relay.remaining_chunks())
+        data = relay.read_whole(first)
         if relay.status >= 500:
             raise RequestError(
                 ErrorKind.TARGET_FAILED, f"the target answered {relay.status}"
--- a/lovagepier/node/_relay.py
+++ b/lovagepier/node/_relay.py
@@ -59,6 +59,8 @@
         self._chunks = None
         self._is_finished = False
         self._resumes = 0
+        # Whether the next chunk is the first one of the answer once more.
+        self._begins_anew = False
         self.status = 0
         self.headers = {}
 
@@ -132,7 +134,7 @@
         return chunk
 
     def _count(self, chunk):
-        if chunk:
+        if chunk and self._request.streamed:
             self._resumes = 0
         self._offset += len(chunk)
         self._event_count += chunk.count(SSE_EVENT_END)
@@ -158,6 +160,20 @@
                 return
             yield self._recover(TargetBroken("the answer ended without its end mark"))
 
+    def read_whole(self, first):
+        """Return an answer that is not streamed; `first` is its first chunk.
+
+        Raise `RequestError` if it is truncated and can't be resumed.
+        """
+        self._begins_anew = False
+        parts = [first]
+        for chunk in self.remaining_chunks():
+            if self._begins_anew:
+                self._begins_anew = False
+                parts.clear()
+            parts.append(chunk)
+        return b"".join(parts)
+
     def _is_complete(self):
         return self._adapter.is_complete(self._tail, self._request.streamed)
 
@@ -172,7 +188,7 @@
     def _recover(self, cause):
         """Resume a broken stream; return its next chunk or raise `RequestError`.
 
-        Gives up after `MAX_RESUMES` resumes in a row that brought no bytes.
+        Gives up after `MAX_RESUMES` resumes in a row that brought no new bytes.
         """
         while self._may_resume():
             self._resumes += 1
@@ -190,6 +206,9 @@
     def _may_resume(self):
         if not self._adapter.resumes or self._resume_expired():
             return False
+        if self.status not in (0, 200):
+            # The request has failed: it has no other answer.
+            return False
         return self._resumes < MAX_RESUMES
 
     def _resume_expired(self):
@@ -214,10 +233,14 @@
         return chunk
 
     def _request_resume(self):
-        """Return the rest of an answer.
+        """Return the rest of a stream, or all of an answer that is not streamed.
 
-        Raise `TargetBroken` if the response is none.
+        Raise `TargetBroken` if the response is neither.
         """
+        if not self._request.streamed:
+            self._begins_anew = True
+            self._offset = 0
+            self._tail = b""
         stream = self._adapter.resume(
             self.request_id, self._offset, self._remaining_s()
         )
--- a/test/test_resumed_answers.py
+++ b/test/test_resumed_answers.py
@@ -7,6 +7,7 @@
 
 from lovagepier.errors import RequestError
 from lovagepier.node import Relay, TargetRequest
+from lovagepier.node._relay import MAX_RESUMES
 from lovagepier.targets import Stream, TargetBroken
 from lovagepier.targets._openai import OpenAiAdapter
 
@@ -114,9 +115,26 @@
 
 def test_a_whole_answer_that_broke_off_is_not_followed_by_a_second_one():
     broken = (200, JSON, [BODY[:20], TargetBroken("reset")])
-    engine = ScriptedEngine(broken, (200, JSON, [BODY]))
-    data, is_complete = received(relay(engine, streamed=False))
-    assert not is_complete or data == BODY
+    engine = ScriptedEngine(broken, broken, (200, JSON, [BODY[:30], BODY[30:]]))
+    made = relay(engine, streamed=False)
+    assert made.read_whole(made.dispatch()) == BODY
+    assert engine.resumed_at == [0, 0]
+
+
+def test_a_whole_answer_that_always_breaks_off_is_given_up():
+    broken = (200, JSON, [BODY[:20], TargetBroken("reset")])
+    engine = ScriptedEngine(*[broken] * 20)
+    made = relay(engine, streamed=False)
+    with pytest.raises(RequestError):
+        made.read_whole(made.dispatch())
+    assert len(engine.resumed_at) == MAX_RESUMES
+
+
+def test_a_whole_answer_whose_first_bytes_were_lost_is_read_once():
+    broken = (200, JSON, [TargetBroken("reset")])
+    engine = ScriptedEngine(broken, (200, JSON, [BODY[:30], BODY[30:]]))
+    made = relay(engine, streamed=False)
+    assert made.read_whole(made.dispatch()) == BODY
 
 
 @pytest.mark.parametrize("name", ERRORS)
