--- a/test/stream_targets.py
+++ b/test/stream_targets.py
@@ -50,8 +50,8 @@
 class Answer:
     """What a target sends to one request, and how its connection goes on.
 
-    `parts` are bytes or functions from the request id to bytes; they are sent one by
-    one. `end` is "keep", "fin", "reset" or "silent".
+    `parts` are bytes, functions from the request id to bytes, or pauses in seconds, and
+    sent one by one. `end` is "keep", "fin", "reset" or "silent".
     """
 
     def __init__(self, *parts, end="keep"):
@@ -95,6 +95,9 @@
             start = int(last_id) if last_id and last_id.isdigit() else 0
             answer = stream(*range(start + 1, EVENTS + 1))
         for part in answer.parts:
+            if isinstance(part, float):
+                await asyncio.sleep(part)
+                continue
             writer.write(part(request_id) if callable(part) else part)
             await writer.drain()
             # Each part arrives by itself.
--- a/test/test_broken_streams.py
+++ b/test/test_broken_streams.py
@@ -7,9 +7,11 @@
 import asyncio
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from lovagepier.entry import _stream_relay
-from test.entry_builders import entry_fleet
+from test.entry_builders import config, entry_fleet, route, wait_until
 from test.stream_targets import (
     EVENTS,
     LAST_CHUNK,
@@ -140,34 +142,44 @@
     """One host whose targets each test adds and removes itself."""
     # No case may lack the retries that others have used up.
     fleets = entry_fleet(targets=False, budgets={"retry_slack": "1000000"})
-    yield runner.run(fleets.__aenter__())
+    made = runner.run(fleets.__aenter__())
+    runner.run(_add_route(made))
+    yield made
     runner.run(fleets.__aexit__(None, None, None))
 
 
+async def _add_route(fleet):
+    """Add a route whose streams may go on at several targets."""
+    more = route("long", "streaming", "model", stream_resume=True, max_attempts=5)
+    routes = [*config()["routes"], more]
+    await fleet.store.write("op/config", config(2, routes=routes))
+    await wait_until(lambda: fleet.hosts[0].view.version == 2)
+
+
 class Played:
     """Plays calls against targets of their own."""
 
     def __init__(self, host, targets):
         self._host = host
         self._targets = targets
-        self._calls = 0
+        self.count = 0
 
     async def renew(self, count=12):
         await self._targets.renew(count)
 
     async def play(self, *script, path="/talk/x", caller="1.1"):
         """Return (what the caller has seen, the Last-Event-Ids of the targets)."""
-        self._calls += 1
+        self.count += 1
         version, headers = CALLERS[caller]
         self._targets.play(*script)
         seen = await ask(
             self._host,
             path,
-            f"r{self._calls}",
+            f"r{self.count}",
             version,
             [*headers, "X-Deadline-Ms: 500"],
             # A body of its own: failures of one call say nothing of the next.
-            body=b"call %d" % self._calls,
+            body=b"call %d" % self.count,
         )
         return seen, list(self._targets.asked)
 
@@ -319,3 +331,86 @@
         assert asked == [None, None]
 
     runner.run(scenario())
+
+
+@pytest.mark.parametrize("rest", ["whole events", "bytes"])
+def test_no_event_is_lost_or_doubled_when_another_target_takes_over(
+    runner, calls, quick_silence, rest
+):
+    """The first target goes on at about the time at which the second is granted."""
+
+    async def scenario():
+        taken_over = 0
+        size = 7 if rest == "bytes" else len(piece(3))
+        late = [
+            chunk((piece(3) + piece(4))[at : at + size])
+            for at in range(0, 2 * len(piece(3)), size)
+        ]
+        for number in range(60):
+            if number % 20 == 0:
+                await calls.renew(12)
+            pause = 0.07 + 0.001 * number
+            first = Answer(head(), *START, pause, *late, LAST_CHUNK)
+            seen, asked = await calls.play(first)
+            assert (seen.body, seen.is_complete, seen.extra) == (WHOLE, True, b"")
+            assert asked in ([None], [None, "2"])
+            taken_over += len(asked) == 2
+        # Both happened: the first target went on in time, and the second took over.
+        assert 0 < taken_over < 60
+
+    runner.run(scenario())
+
+
+# Answers of any kind for a stream that has begun; none of them waits.
+QUICK = sorted(name for name, answer in NEXT.items() if answer.end != "silent")
+
+
+@st.composite
+def broken_streams(draw):
+    """Return a script of answers: parts of the stream, and anything once it has begun.
+
+    Each part goes on where the parts before it ended, by their whole events; one that
+    is "from the start" repeats them. All but the last one are cut at any byte.
+    """
+    script = []
+    events = 0
+    for _ in range(draw(st.integers(1, 4))):
+        if events and draw(st.booleans()):
+            script.append(NEXT[draw(st.sampled_from(QUICK))])
+            continue
+        first = draw(st.sampled_from([1, events + 1]))
+        parts = [piece(n) for n in range(first, EVENTS + 1)]
+        body = b"".join(parts)
+        cut = draw(st.integers(0, len(body)))
+        size = draw(st.integers(1, 40))
+        chunks = [chunk(body[at : at + size]) for at in range(0, cut, size)]
+        if chunks and draw(st.booleans()):
+            chunks[-1] = chunks[-1][: draw(st.integers(0, len(chunks[-1])))]
+        end = draw(st.sampled_from(BREAKS))
+        script.append(Answer(head(), *chunks, end=end))
+        sent = _unchunked(chunks)
+        events = max(events, first - 1 + sent.count(b"\n\n"))
+    return script
+
+
+def _unchunked(chunks):
+    data = b""
+    for part in chunks:
+        size, found, rest = part.partition(b"\r\n")
+        if found:
+            data += rest[: int(size, 16)]
+    return data
+
+
+@settings(max_examples=150)
+@given(broken_streams(), st.sampled_from(sorted(CALLERS)))
+def test_callers_see_a_prefix_of_the_events_and_no_other_byte(
+    runner, calls, script, caller
+):
+    async def scenario():
+        if calls.count % 30 == 0:
+            await calls.renew(10)
+        seen, _ = await calls.play(*script, path="/long/x", caller=caller)
+        assert faults(seen) is None, (seen.raw, seen.ended_by)
+
+    runner.run(scenario())
--- a/test/test_tunnels.py
+++ b/test/test_tunnels.py
@@ -6,6 +6,7 @@
 
 from lovagepier.entry._tunnels import HostUnreachable
 from test.entry_builders import call, connect, raw_request, wait_until
+from test.stream_targets import Answer, StreamTargets, ask, head, piece
 from test.test_target_paths import cut, run_scenario
 
 
@@ -123,3 +124,26 @@
         conn.close()
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("ended_by", ["fin", "reset", "link"])
+def test_a_stream_without_a_length_ends_through_another_host_as_at_its_target(ended_by):
+    async def scenario(fleet):
+        host = fleet.hosts[2]
+        targets = StreamTargets(fleet)
+        await targets.renew(1)
+        await fleet.store.remove("servers/m1")
+        await wait_until(lambda: all(h.view.target("m1") is None for h in fleet.hosts))
+        cut(host, "refused")
+        end = "silent" if ended_by == "link" else ended_by
+        targets.play(Answer(head(length=None), piece(1) + piece(2), end=end))
+        asking = asyncio.create_task(ask(host, "/note/x", "r1"))
+        await wait_until(lambda: targets.asked)
+        if ended_by == "link":
+            await asyncio.sleep(0.1)
+            host.frontend.connector._tunnels._links[relay_of(host)].close()
+        seen = await asking
+        assert (seen.status, seen.body) == (200, piece(1) + piece(2))
+        assert seen.is_complete == (ended_by == "fin")
+
+    run_scenario(scenario)
