Return grants that a call can no longer use

A place at a target stayed taken in the coordinator's books, without an end, when a call ended after another target had been granted for it and before it was sent there: its caller left, or its deadline came, while the target that had broken off was being checked, or in the same turn of the loop as the grant. The host kept the grant among its running requests and reported it to each new coordinator.

Cause: the grant of a take-over was kept in a field that nothing cleared at the call's end, and one that came together with a cancellation was not looked at. Found by reading while looking for lost bytes at a take-over; no caller saw a wrong byte for it.

--- a/lovagepier/entry/_exchange.py
+++ b/lovagepier/entry/_exchange.py
@@ -76,6 +76,8 @@
                 await self._dispatch_until_done()
         except TimeoutError:
             self._caller.end_at_deadline()
+        finally:
+            self._grants.return_unused()
         return self._caller.is_reusable
 
     async def _dispatch_until_done(self):
--- a/lovagepier/entry/_grants.py
+++ b/lovagepier/entry/_grants.py
@@ -76,17 +76,30 @@
             await asyncio.wait(
                 (reading, requesting), return_when=asyncio.FIRST_COMPLETED
             )
-            if requesting.done() and isinstance(requesting.result(), Granted):
-                self._next = requesting.result()
-                if not reading.done():
-                    raise FailedOver
-                self._return_next()
+            decision = requesting.result() if requesting.done() else None
+            if isinstance(decision, Granted) and not reading.done():
+                self._next = decision
+                raise FailedOver
         finally:
-            requesting.cancel()
+            self._withdraw(requesting)
 
-    def _return_next(self):
-        self.report(self._next, "returned", self._loop.time())
-        self._next = None
+    def _withdraw(self, requesting):
+        """End a request for another target; return its grant if that isn't used."""
+        if not requesting.done():
+            requesting.cancel()
+        elif not requesting.cancelled() and requesting.exception() is None:
+            grant = requesting.result()
+            if isinstance(grant, Granted) and grant is not self._next:
+                self._return(grant)
+
+    def return_unused(self):
+        """Return the grant of a target that the call has not been sent to."""
+        if self._next is not None:
+            self._return(self._next)
+            self._next = None
+
+    def _return(self, grant):
+        self.report(grant, "returned", self._loop.time())
 
     def report_first_event(self, grant, seconds):
         """Report that the first event came `seconds` after the dispatch."""
