--- a/lovagepier/entry/_stream_relay.py
+++ b/lovagepier/entry/_stream_relay.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from lovagepier.entry._events import EventSplitter, EventTooLong
+from lovagepier.entry._events import EventSplitter, EventTooLong, EventTruncated
 from lovagepier.entry._target_conn import TargetConnectionLost
 from lovagepier.logs import component_logger
 
@@ -35,23 +35,28 @@
 
     @property
     def last_id(self):
-        """The id of the last event that was relayed, empty if it had none."""
+        """The id of the last event that was relayed, empty if there was none."""
         return self._splitter.last_id
 
     async def run(self, grant, tconn, response, started_at):
         """Relay a target's stream to its end; return the seconds to its first event.
 
         Raise `TargetConnectionLost` if it broke off, `FailedOver` if another target
-        takes over.
+        takes over and `NotContinued` if it does not go on after the last event.
         """
         progress = self._progress
-        if progress.response_started:
-            self._splitter = EventSplitter(self._splitter.last_id, skip=True)
-            progress.events = 0
+        # Bytes of an event that another target broke off in are dropped.
+        self._splitter = EventSplitter(
+            self._splitter.last_id, progress.response_started, self._splitter.step
+        )
+        progress.events = 0
         first = None
         progress.progress_at = self._loop.time()
-        while (data := await self._next_data(tconn)) is not None:
-            events = self._feed(data)
+        has_ended = False
+        while not has_ended:
+            data = await self._next_data(tconn)
+            has_ended = data is None
+            events = self._split(data)
             if not events:
                 continue
             progress.progress_at = self._loop.time()
@@ -60,19 +65,22 @@
                 self._grants.report_first_event(grant, first)
             self._caller.start_stream(response)
             await self._caller.send_events(events)
-        if self._splitter.incomplete:
-            raise TargetConnectionLost("the stream ended inside an event")
+        self._splitter.check_joined()
         self._caller.start_stream(response)
         self._caller.end_stream()
         return first
 
-    def _feed(self, data):
+    def _split(self, data):
+        """Return the events that `data` completes; None is the end of the stream."""
         try:
-            return self._splitter.feed(data)
-        except EventTooLong as exc:
+            return (
+                self._splitter.finish() if data is None else self._splitter.feed(data)
+            )
+        except (EventTooLong, EventTruncated) as exc:
             raise TargetConnectionLost(str(exc))
         finally:
             self._progress.events = self._splitter.count
+            self._progress.can_resume = self._splitter.can_resume
 
     async def _next_data(self, tconn):
         """Return the next bytes of a stream; raise `FailedOver` if another takes over.
@@ -82,7 +90,7 @@
         complete no event do not count.
         """
         progress = self._progress
-        if not progress.route.resumable or not progress.may_execute_again:
+        if not progress.may_resume:
             return await tconn.read_data()
         try:
             silent_at = progress.progress_at + self._silence_timeout()
