A target that sends only comments or blank lines counts as silent

A stream whose target sent comments, and no event any more, was kept to the caller's limit of patience: comments restarted the time after which another target is asked. Callers count events. Only whole events count now, also as a stream's first sign of life.

--- a/lovagepier/entry/_stream_relay.py
+++ b/lovagepier/entry/_stream_relay.py
@@ -56,13 +56,15 @@
         while not has_ended:
             data = await self._next_data(tconn)
             has_ended = data is None
+            passed = self._splitter.count
             events = self._split(data)
             if not events:
                 continue
-            progress.progress_at = self._loop.time()
-            if first is None:
-                first = self._loop.time() - started_at
-                self._grants.report_first_event(grant, first)
+            if self._splitter.count > passed:
+                progress.progress_at = self._loop.time()
+                if first is None:
+                    first = self._loop.time() - started_at
+                    self._grants.report_first_event(grant, first)
             self._caller.start_stream(response)
             await self._caller.send_events(events)
         self._splitter.check_joined()
@@ -87,7 +89,7 @@
 
         If the target completes no event for too long, another one is requested, but
         this target may still continue until the coordinator grants that. Bytes that
-        complete no event do not count.
+        complete no event do not count, and neither do comments.
         """
         progress = self._progress
         if not progress.may_resume:
--- a/test/test_broken_streams.py
+++ b/test/test_broken_streams.py
@@ -361,6 +361,21 @@
     runner.run(scenario())
 
 
+@pytest.mark.parametrize("sign", [b": still here\n\n", b"\n\n"], ids=repr)
+def test_a_target_that_sends_only_comments_counts_as_silent(
+    runner, calls, quick_silence, sign
+):
+    async def scenario():
+        await calls.renew()
+        signs = [part for _ in range(20) for part in (0.04, chunk(sign))]
+        seen, asked = await calls.play(Answer(head(), *START, *signs, end="silent"))
+        assert asked == [None, "2"]
+        assert seen.is_complete
+        assert seen.body.replace(sign, b"") == WHOLE.replace(sign, b"")
+
+    runner.run(scenario())
+
+
 # Answers of any kind for a stream that has begun; none of them waits.
 QUICK = sorted(name for name, answer in NEXT.items() if answer.end != "silent")
 
