Accept the next event of a resumed stream by the largest step of its ids so far

Ids increase; that they do so evenly up to the last one is not said. A stream whose last step was smaller than the ones before it would have been cut at a resume. Now the next event's id may be higher by the largest step seen, which is the same for ids that count by one. No caller saw the difference: found by reading.

--- a/lovagepier/entry/_events.py
+++ b/lovagepier/entry/_events.py
@@ -35,15 +35,16 @@
     """Collects bytes into whole events and keeps the last event's id.
 
     With `skip` the stream resumes another one that broke off after `last_id`: events
-    up to that one are dropped, and the first new event must be the next one. Ids go on
-    by `step`, that of the broken stream: None if it did not show one, 0 if its ids did
-    not go on evenly. `count` is the number of events returned, `can_resume` tells
-    whether a stream could be resumed after the last one.
+    up to that one are dropped, and the first new event must be the next one: its id is
+    higher by `step` at most, the largest step between two events of the broken stream.
+    `count` is the number of events returned, `can_resume` tells whether a stream could
+    be resumed after the last one.
     """
 
     __slots__ = (
         "_buffer",
         "_has_joined",
+        "_inherits_step",
         "_resumes",
         "_searched",
         "can_resume",
@@ -52,14 +53,15 @@
         "step",
     )
 
-    def __init__(self, last_id="", skip=False, step=None):
+    def __init__(self, last_id="", skip=False, step=0):
         self._buffer = b""
         self._searched = 0
         self.last_id = last_id
-        self.step = step
         # Without an id there is nothing to skip: the stream begins anew.
         self._resumes = skip and bool(last_id)
         self._has_joined = not self._resumes
+        self._inherits_step = self._resumes and step > 0
+        self.step = step if self._inherits_step else 1
         self.can_resume = not last_id or _number(last_id) is not None
         self.count = 0
 
@@ -131,19 +133,20 @@
         if number <= last:
             self._has_joined = self._has_joined or number == last
             return False
-        if self.step != 0 and number != last + (self.step or 1):
+        if number > last + self.step:
             raise NotContinued(f"event {number} after event {last}")
         self._resumes = False
         self._has_joined = True
         return True
 
     def _follow(self, event_id, number):
-        last = _number(self.last_id) if self.count else None
-        if last is not None and number is not None:
-            step = max(number - last, 0)
-            self.step = step if self.step in (None, step) else 0
-        self.last_id = event_id
         self.can_resume = number is not None
+        if number is not None:
+            step = max(number - (_number(self.last_id) or 0), 1)
+            # The first event of a stream shows a step only until there is a second.
+            is_first_step = self.count <= 1 and not self._inherits_step
+            self.step = step if is_first_step else max(self.step, step)
+        self.last_id = event_id
 
 
 def _event_id(event):
