--- a/test/test_broken_streams.py
+++ b/test/test_broken_streams.py
@@ -352,7 +352,8 @@
             pause = 0.07 + 0.001 * number
             first = Answer(head(), *START, pause, *late, LAST_CHUNK)
             seen, asked = await calls.play(first)
-            assert (seen.body, seen.is_complete, seen.extra) == (WHOLE, True, b"")
+            got = (seen.status, seen.body, seen.is_complete, seen.extra)
+            assert got == (200, WHOLE, True, b"")
             assert asked in ([None], [None, "2"])
             taken_over += len(asked) == 2
         # Both happened: the first target went on in time, and the second took over.
