Failing tests: slow versions of a small service, callers that leave

Most callers leave before a slow version responds, and their attempts, ended as cancelled, are no evidence against it.

--- a/test/test_rollout_evidence.py
+++ b/test/test_rollout_evidence.py
@@ -183,3 +183,43 @@
     observe(rollouts, "new", SLOW_FIRST_S, needed - 1)
     rollouts.step(lambda service: 0, DURATION_S / 2)
     assert rollouts.share("model", DURATION_S / 2) < 0.5
+
+
+PATIENCE_S = 0.4
+
+
+def observe_leaving(rollouts, version, count, seconds):
+    """Observe requests whose callers left after `seconds` without a response.
+
+    Return after how many the version was rolled back, None if it was not.
+    """
+    for number in range(count):
+        work = make_work(f"left-{version}-{number}", route=("talk", "note")[number % 2])
+        outcome = ended(work, status="cancelled", total_seconds=seconds)
+        rollouts.observe("model", version, work, outcome, 1.0)
+        if rollouts.rollbacks():
+            return number + 1
+    return None
+
+
+def test_callers_that_leave_a_slow_version_count_against_it():
+    """Replays EXPOSURE: most callers leave before a slow response is there."""
+    rollouts = make_rollouts()
+    observe(rollouts, "old", OLD_FIRST_S, 60)
+    assert observe_leaving(rollouts, "new", ENOUGH_OUTCOMES, PATIENCE_S) is not None
+
+
+def test_callers_that_leave_before_a_usual_response_tell_nothing():
+    rollouts = make_rollouts()
+    observe(rollouts, "old", OLD_FIRST_S, 60)
+    assert observe_leaving(rollouts, "new", 200, OLD_FIRST_S / 2) is None
+
+
+def test_callers_that_leave_both_versions_alike_do_not_roll_back_the_new_one():
+    rollouts = make_rollouts()
+    observe(rollouts, "old", OLD_FIRST_S, 60)
+    for _ in range(60):
+        observe(rollouts, "old", OLD_FIRST_S, 2)
+        observe_leaving(rollouts, "old", 2, PATIENCE_S)
+        observe(rollouts, "new", OLD_FIRST_S, 1)
+        assert observe_leaving(rollouts, "new", 1, PATIENCE_S) is None
--- a/test/test_rollout_plan.py
+++ b/test/test_rollout_plan.py
@@ -1,9 +1,12 @@
 """Tests of rollout plans: bounded exposure of bad versions, completion in time."""
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lovagepier.bench.rollouts import SMALL_SERVICE
 from lovagepier.bench.rollouts import run_rollout as simulate
 from lovagepier.decisions.rollout_plan import RolloutPlan, RolloutProgress, Stage
 
@@ -120,3 +123,33 @@
     for seed in range(40):
         run = simulate(fault, seed, 80.0, 15.0, switches_at_once=True)
         assert run.rolled_back_open and not run.exceeds_exposure, seed
+
+
+# Most callers leave before a slow response is there; some requests hang.
+BEHAVIOURS = {
+    "calm": {},
+    "leaving": {"leaving_share": 0.8, "patience_s": 0.1},
+    "hanging": {"hanging_share": 0.1},
+}
+
+
+@pytest.mark.parametrize("behaviour", BEHAVIOURS)
+def test_a_slow_version_of_a_small_service_stays_within_the_exposure_bound(behaviour):
+    """Replays EXPOSURE: half of the responses are slow, 17 requests a second."""
+    service = replace(SMALL_SERVICE, faulty_share=0.5, **BEHAVIOURS[behaviour])
+    runs = [
+        simulate("slow-at-once", seed, switches_at_once=True, service=service)
+        for seed in range(100)
+    ]
+    assert not sum(run.exceeds_exposure for run in runs)
+    assert not sum(not run.rolled_back_open for run in runs)
+
+
+@pytest.mark.parametrize("behaviour", BEHAVIOURS)
+def test_a_good_version_of_a_small_service_is_completed(behaviour):
+    service = replace(SMALL_SERVICE, **BEHAVIOURS[behaviour])
+    runs = [
+        simulate("", seed, switches_at_once=True, service=service)
+        for seed in range(100)
+    ]
+    assert not sum(run.rolled_back_open or not run.completed for run in runs)
