Count requests that callers gave up as slow, once they took longer than the bar

Half of a version's responses took eight times as long, most callers left within 200 ms, and all traffic moved to it: 173 of 295 requests, 80 allowed. Cause: an attempt that ends because its caller leaves is reported as cancelled, without a time, and rollouts drop it. It is the slow responses that are left out, so the slower the version, the better it looks. That is a censored time: the response would have taken longer. Such an attempt is now slow if it already took longer than the bar; below the bar it says nothing and is dropped. The old version's attempts count alike, so callers that leave both versions don't roll back a good one. Ruled out: that such attempts are rare.

--- a/lovagepier/decisions/slowness.py
+++ b/lovagepier/decisions/slowness.py
@@ -1,6 +1,7 @@
 """Detection of outcomes that are slow compared with the old version."""
 
 from collections import deque
+from dataclasses import replace
 
 from sortedcontainers import SortedList
 
@@ -161,11 +162,17 @@
         """Return whether an outcome is slow; learn from it if `is_old`.
 
         Nothing is slow until there are `_MIN_SAMPLES` of the old version. Returns None
-        for a slow outcome that says nothing about the new version, because only one of
-        its targets shows any.
+        for an outcome that says nothing: a slow one if only one target of the new
+        version shows any, and a request that was cancelled before it took too long.
         """
+        if outcome.status == "cancelled":
+            values = self._least_values(key, group, work, outcome)
+            if not values:
+                return None
+        else:
+            values = _normalize(work, outcome)
         slow = False
-        for measure, value in _normalize(work, outcome):
+        for measure, value in values:
             threshold = self._threshold(measure, key, group, outcome.target)
             slow = slow or (threshold is not None and value > threshold)
             self._learn(measure, key, group, is_old, outcome.target, value)
@@ -174,6 +181,24 @@
         targets = self._new_targets.setdefault(group, _NewTargets())
         return None if targets.add(outcome.target, slow) else slow
 
+    def _least_values(self, key, group, work, outcome):
+        """Return [(measure, value)] of a cancelled request that is slow already.
+
+        It would have taken longer than until it was cancelled. Below the threshold
+        that is consistent with both a usual and a slow response.
+        """
+        if outcome.first_seconds is not None or outcome.total_seconds is None:
+            return []
+        waited = replace(
+            outcome, first_seconds=outcome.total_seconds, total_seconds=None
+        )
+        for values in (_normalize(work, waited), _normalize(work, outcome)):
+            for measure, value in values:
+                threshold = self._threshold(measure, key, group, outcome.target)
+                if threshold is not None:
+                    return values if value > threshold else []
+        return []
+
     def _threshold(self, measure, key, group, target):
         baseline = self._baselines[measure].get(key)
         if baseline is None:
--- a/lovagepier/decisions/work.py
+++ b/lovagepier/decisions/work.py
@@ -125,7 +125,9 @@
     """The outcome of a granted request as its entry host saw it.
 
     `first_seconds` is the time from dispatch to the first byte of a streamed
-    response, `total_seconds` that to its end; None if that point was not reached.
+    response, `total_seconds` that to its end; None if that point was not reached. Of a
+    request that was cancelled before any response, `total_seconds` is the time until
+    then.
     `status` is one of ok, failed, refused, late, cancelled, died (the target refuses
     connections after it began to run the request), unreachable (it refuses
     connections, so the request was not sent), vanished (the connection ended, or the
--- a/lovagepier/entry/_exchange.py
+++ b/lovagepier/entry/_exchange.py
@@ -206,7 +206,8 @@
         self, grant, status, started_at, first=None, tokens=0, via="", ended_at=None
     ):
         seconds = (ended_at or self._loop.time()) - started_at
-        total = seconds if status == "ok" else None
+        is_unanswered = status == "cancelled" and not self._response_started
+        total = seconds if status == "ok" or is_unanswered else None
         metrics = self._frontend.metrics
         metrics.count(f"dispatch_{status.replace('-', '_')}", self._call.route.tier)
         metrics.time("dispatch", seconds, self._call.route.tier)
--- a/lovagepier/entry/_messages.py
+++ b/lovagepier/entry/_messages.py
@@ -157,8 +157,9 @@
 class DispatchResult:
     """The outcome of a granted request; see `decisions.work.Outcome`.
 
-    `first` and `total` are the seconds from dispatch to the first event and to
-    the end of the response, None if that point was not reached.
+    `first` and `total` are the seconds from dispatch to the first event and to the end
+    of the response, None if that point was not reached. A cancelled dispatch has the
+    time until then as its `total`, unless the response had begun.
     """
 
     id: str
--- a/lovagepier/entry/_rollouts.py
+++ b/lovagepier/entry/_rollouts.py
@@ -26,7 +26,8 @@
 # the copy lacks.
 RESTORE_PERIOD_S = 10.0
 _FAILED_STATUSES = ("failed", "vanished", "late")
-_SUCCESS_STATUSES = ("ok",)
+# How long a cancelled request took is known to be at least the time until then.
+_TIMED_STATUSES = ("ok", "cancelled")
 _STATE_BY_STAGE = {
     Stage.CANARY: "running",
     Stage.SWITCHED: "running",
@@ -213,7 +214,7 @@
         """Record an outcome and roll back once the new version is found to be bad."""
         rollout = self._open(service)
         if rollout is None or outcome.status not in (
-            *_SUCCESS_STATUSES,
+            *_TIMED_STATUSES,
             *_FAILED_STATUSES,
         ):
             return
@@ -222,6 +223,8 @@
         slow = not failed and rollout.slowness.judge(
             work.route, not is_new, work, outcome
         )
+        if slow is None and outcome.status == "cancelled":
+            return
         rollout.progress.outcomes_new += is_new
         rollout.progress.failed_new += is_new and failed
         if slow is None:
