Move all traffic as late as the exposure bound allows, not at 0.45 of the time

Cause: the canary stage ended at a fixed fraction of the time with 12 outcomes. Now the plan asks how many requests a bad version would get: all traffic moves when what is left of the bound lasts until the end at the current rate (or, for old requests that run long, as early as they need to end), and the verdict is taken when the bound is reached: a version that is suspected more than for the switch is rolled back. The canary's part of the bound is used in the first quarter of the time, at a share of up to a half, where a small service had 0.2.

--- a/lovagepier/decisions/rollout_plan.py
+++ b/lovagepier/decisions/rollout_plan.py
@@ -1,10 +1,12 @@
 """The stages of a service's rollout and the share of traffic in each of them.
 
 The number of requests that a bad version may get in all is bounded. So the new
-version gets a small share (canary) until there is enough evidence, then all new
-requests at once, early enough for the old version's requests to end in time.
+version gets a small share (canary) as long as possible, then all new requests at once,
+so late that the bound holds until the outcomes under full load are in, and early
+enough for the old version's requests to end in time.
 """
 
+from collections import deque
 from dataclasses import dataclass
 
 __all__ = ["SLOW_QUANTILE", "RolloutPlan", "RolloutProgress", "Stage"]
@@ -12,27 +14,46 @@
 # The bar of the `SlownessDetector`. There is no way back once all traffic has moved, so
 # a slow version must show in the few outcomes of its canary stage.
 SLOW_QUANTILE = 0.9
-# Fraction of the exposure bound that the canary stage may use. The rest is for
-# requests in flight at a rollback.
-CANARY_EXPOSURE_FRACTION = 0.55
-# The canary stage lasts at least this fraction of the time, and until there are
-# `MIN_OUTCOMES` of the new version.
-MIN_CANARY_FRACTION = 0.45
-MIN_OUTCOMES = 12
-# It also lasts while the suspicion is higher: a bad version that gets all requests
-# exceeds its exposure before the next outcomes are in.
+# Fractions of the two parts of the exposure bound that the canary stage may use. The
+# rest is for the time between the switch of all traffic and the verdict.
+CANARY_SLACK_FRACTION = 0.5
+CANARY_SHARE_FRACTION = 0.4
+# It is used within this fraction of the time, so that a bad version shows early, at a
+# share of at most `MAX_CANARY_SHARE`.
+CANARY_SPEND_FRACTION = 0.25
+MAX_CANARY_SHARE = 0.5
+# Outcomes of the new version that are needed for the switch.
+MIN_OUTCOMES = 24
+# The canary stage lasts while the suspicion is higher. It is the verdict, too: a
+# version that is suspected more is rolled back once the exposure bound is reached.
 MAX_SWITCH_SUSPICION = 0.3
-# At this fraction of the time the rollout switches with fewer outcomes, or is rolled
-# back: without outcomes, if more than `MAX_FAILED_FRACTION` of them failed, or if the
+# The time between the switch and `MAX_END_FRACTION`, as fractions of the whole time.
+MIN_WATCH_FRACTION = 0.05
+MAX_WATCH_FRACTION = 0.45
+# The old version's requests get this many times their mean time to end, but no more
+# than this fraction of the whole time.
+OLD_MEAN_TIMES = 2.0
+OLD_MEAN_WEIGHT = 0.05
+MAX_OLD_FRACTION = 0.08
+# Traffic may rise by this factor without reaching the exposure bound early.
+RATE_MARGIN = 1.25
+# Span of the samples that the current rate of requests is taken from, and the shortest
+# that it is known by, in seconds.
+RATE_SPAN_S = 3.0
+MIN_RATE_SPAN_S = 0.5
+# Requests sent before the next step count as sent, in seconds of traffic.
+STEP_AHEAD_S = 0.25
+# At the latest moment the rollout switches with fewer outcomes, or is rolled back:
+# without outcomes, if more than `MAX_FAILED_FRACTION` of them failed, or if the
 # suspicion is higher than `MAX_LATE_SUSPICION`.
-MAX_SWITCH_FRACTION = 0.7
 MAX_FAILED_FRACTION = 0.3
 MAX_LATE_SUSPICION = 0.5
 # Before this fraction of the time the rollout is not done: answers of a slow version
 # come late, and after the end there is no way back.
 MIN_END_FRACTION = 0.8
 # At this fraction of the time the rollout is done in any case. Requests that still run
-# on the old version are cut off by the platform.
+# on the old version are cut off by the platform. The rest is for a change of the
+# coordinator and for the store.
 MAX_END_FRACTION = 0.93
 
 
@@ -55,8 +76,9 @@
     `sent` counts the requests of the service, `sent_new` those granted to the new
     version, `outcomes_new` the outcomes of the new version and `failed_new` those
     that failed. `new_ready` tells whether a target of the new version takes
-    requests, `old_running` how many requests still run on the old version.
-    `suspicion` is the overall one of the `RollbackTrigger`, 1.0 rolls back.
+    requests, `old_running` how many requests still run on the old version and
+    `old_mean_s` how long they take. `suspicion` is the overall one of the
+    `RollbackTrigger`, 1.0 rolls back.
     """
 
     sent: int = 0
@@ -66,6 +88,12 @@
     old_running: int = 0
     failed_new: int = 0
     suspicion: float = 0.0
+    old_mean_s: float = 0.0
+
+    def learn_old_seconds(self, seconds):
+        """Learn how long a request of the old version took."""
+        weight = OLD_MEAN_WEIGHT if self.old_mean_s else 1.0
+        self.old_mean_s += (seconds - self.old_mean_s) * weight
 
 
 def _is_promising(progress):
@@ -79,6 +107,31 @@
     return progress.failed_new < progress.outcomes_new * MAX_FAILED_FRACTION
 
 
+class _RequestRate:
+    """The rate of a service's requests, from how many were sent until when."""
+
+    __slots__ = ("_samples",)
+
+    def __init__(self):
+        self._samples = deque()
+
+    def add(self, sent, now):
+        samples = self._samples
+        samples.append((now, sent))
+        while len(samples) > 2 and now - samples[1][0] >= RATE_SPAN_S:
+            samples.popleft()
+
+    def current(self):
+        """Return the requests per second, None if it is not known yet."""
+        if not self._samples:
+            return None
+        began, sent_before = self._samples[0]
+        now, sent = self._samples[-1]
+        if now - began < MIN_RATE_SPAN_S:
+            return None
+        return (sent - sent_before) / (now - began)
+
+
 class RolloutPlan:
     """One rollout: `step` advances its stage, `share` bounds its exposure.
 
@@ -86,12 +139,23 @@
     bad version may get `exposure_share` of the requests plus `exposure_slack`.
     """
 
-    __slots__ = ("_duration", "_share", "_slack", "began", "cause", "stage")
+    __slots__ = (
+        "_duration",
+        "_rate",
+        "_requests",
+        "_share",
+        "_slack",
+        "began",
+        "cause",
+        "stage",
+    )
 
     def __init__(self, duration, exposure_share, exposure_slack, began):
         self._duration = duration
         self._share = exposure_share
         self._slack = exposure_slack
+        self._requests = _RequestRate()
+        self._rate = None
         self.began = began
         self.stage = Stage.CANARY
         self.cause = ""
@@ -104,31 +168,85 @@
 
     def step(self, progress, now):
         """Advance the rollout to `now` and return its stage."""
-        fraction = (now - self.began) / self._duration
+        self._learn_rate(progress, now)
+        elapsed = now - self.began
         if self.stage == Stage.CANARY:
-            known = progress.outcomes_new >= MIN_OUTCOMES and progress.new_ready
-            trusted = known and progress.suspicion <= MAX_SWITCH_SUSPICION
-            if fraction >= MIN_CANARY_FRACTION and trusted:
-                self.stage = Stage.SWITCHED
-            elif fraction >= MAX_SWITCH_FRACTION:
-                if progress.new_ready and _is_promising(progress):
-                    self.stage = Stage.SWITCHED
-                else:
-                    self.roll_back("too little good evidence in time")
+            self._end_canary(progress, elapsed)
         elif self.stage == Stage.SWITCHED:
-            ended = not progress.old_running and fraction >= MIN_END_FRACTION
-            if ended or fraction >= MAX_END_FRACTION:
-                self.stage = Stage.DONE
+            self._end_watch(progress, elapsed)
         return self.stage
 
+    def _learn_rate(self, progress, now):
+        self._requests.add(progress.sent, now)
+        current = self._requests.current()
+        if current is not None:
+            mean = progress.sent / max(now - self.began, MIN_RATE_SPAN_S)
+            self._rate = max(current, mean)
+
+    def _end_canary(self, progress, elapsed):
+        last = self._duration * (MAX_END_FRACTION - MIN_WATCH_FRACTION)
+        if elapsed >= last:
+            if progress.new_ready and _is_promising(progress):
+                self.stage = Stage.SWITCHED
+            else:
+                self.roll_back("too little good evidence in time")
+            return
+        known = progress.outcomes_new >= MIN_OUTCOMES and progress.new_ready
+        trusted = known and progress.suspicion <= MAX_SWITCH_SUSPICION
+        if trusted and elapsed >= self._switch_after(progress):
+            self.stage = Stage.SWITCHED
+
+    def _switch_after(self, progress):
+        """Return when to switch, in seconds from the start.
+
+        From then on the new version may get all requests until the end, or at least
+        for the time that the old version's requests need.
+        """
+        needed = min(
+            progress.old_mean_s * OLD_MEAN_TIMES, self._duration * MAX_OLD_FRACTION
+        )
+        watch = max(self._duration * MIN_WATCH_FRACTION, needed)
+        if self._rate is not None:
+            growth = max(self._rate * RATE_MARGIN * (1.0 - self._share), 1e-9)
+            watch = max(watch, self._room(progress) / growth)
+        watch = min(watch, self._duration * MAX_WATCH_FRACTION)
+        return self._duration * MAX_END_FRACTION - watch
+
+    def _end_watch(self, progress, elapsed):
+        is_last = elapsed >= self._duration * MAX_END_FRACTION
+        sent_soon = (self._rate or 0.0) * STEP_AHEAD_S
+        if not is_last and self._room(progress) > sent_soon:
+            return
+        if progress.suspicion > MAX_SWITCH_SUSPICION:
+            self.roll_back("suspected at the exposure bound")
+            return
+        is_late = elapsed >= self._duration * MIN_END_FRACTION
+        if is_last or (is_late and not progress.old_running):
+            self.stage = Stage.DONE
+
+    def _room(self, progress):
+        """Return how many requests the new version may still get if it is bad."""
+        return self._bound(progress) - progress.sent_new
+
+    def _bound(self, progress):
+        return self._share * progress.sent + self._slack
+
+    def _canary_bound(self, progress):
+        shared = self._share * progress.sent * CANARY_SHARE_FRACTION
+        return shared + self._slack * CANARY_SLACK_FRACTION
+
     def share(self, progress):
         """Return the fraction of new requests that go to the new version."""
         if self.stage in (Stage.SWITCHED, Stage.DONE):
             return 1.0
         if self.stage == Stage.ROLLED_BACK:
             return 0.0
-        room = self._share * progress.sent + self._slack
-        if progress.sent_new + 1 > room * CANARY_EXPOSURE_FRACTION:
+        budget = self._canary_bound(progress) - progress.sent_new
+        if budget < 1.0:
             return 0.0
-        # Use up the exposure early: a bad version then shows sooner.
-        return min(self._share * 2.0, 0.5)
+        least = min(self._share * 2.0, MAX_CANARY_SHARE)
+        if self._rate is None:
+            return least
+        seconds = self._duration * CANARY_SPEND_FRACTION
+        wanted = budget / max(self._rate * seconds, 1e-9)
+        return min(max(wanted, least), MAX_CANARY_SHARE)
--- a/lovagepier/entry/_rollouts.py
+++ b/lovagepier/entry/_rollouts.py
@@ -227,6 +227,8 @@
             return
         rollout.progress.outcomes_new += is_new
         rollout.progress.failed_new += is_new and failed
+        if not is_new and outcome.total_seconds is not None:
+            rollout.progress.learn_old_seconds(outcome.total_seconds)
         if slow is None:
             return
         counts = Counts(1, int(failed), int(slow))
