Learn what is usual for a service before a rollout of it is ordered

The first responses of a slow version of a small service counted as fast. Cause: the bar of slow responses and the usual rates were learnt from the order on, from 20 responses of the old version on each route. The coordinator now keeps for each service what its responses show without a rollout, and a rollout begins with that; after its end it is learnt anew. The keys of the bar are bounded, as they outlive a rollout now.

--- a/lovagepier/bench/rollouts.py
+++ b/lovagepier/bench/rollouts.py
@@ -42,6 +42,8 @@
 ]
 
 STEP_S = 0.1
+# The old version runs alone so long before a rollout that moves all traffic at once.
+WARM_UP_S = 20.0
 EVIDENCE_DELAY_S = 0.25
 # A bad version may get this share of the requests and so many more (`RolloutPlan`).
 EXPOSURE_SHARE = 0.1
@@ -162,17 +164,19 @@
     number = 0
     # What is sent after the time of the rollout does not raise the exposure bound.
     end = length if switches_at_once else length * 1.3
-    for step in range(int(end / STEP_S)):
+    first = -int(WARM_UP_S / STEP_S) if switches_at_once else 0
+    for step in range(first, int(end / STEP_S)):
         now = step * STEP_S
         while pending and pending[0][0] <= now:
             _, _, is_new, route, failed, slow, faulty, seconds = heapq.heappop(pending)
             if failed or slow is not None:
                 counts = Counts(1, int(failed), int(bool(slow) and not failed))
                 trigger.observe(route, is_new, counts, now)
-            schedule.observe(is_new, failed, slow, seconds)
+            if now >= 0.0:
+                schedule.observe(is_new, failed, slow, seconds)
             if faulty and (failed or slow) and run.first_fault_at is None:
                 run.first_fault_at = now
-        share, is_done = schedule.step(run, now)
+        share, is_done = schedule.step(run, now) if now >= 0.0 else (0.0, False)
         if trigger.is_set and run.rolled_back_at is None:
             run.rolled_back_at = now
         if is_done and now <= length:
@@ -180,7 +184,7 @@
             if run.completed_at is None:
                 run.completed_at = now
         for _ in range(_poisson(rng, service.rate * STEP_S)):
-            run.requests += 1
+            run.requests += now >= 0.0
             number += 1
             is_new = rng.random() < share
             route = rng.choice(service.routes)
--- a/lovagepier/decisions/slowness.py
+++ b/lovagepier/decisions/slowness.py
@@ -26,6 +26,8 @@
 _OWN_QUANTILE = 0.25
 _LOAD_FACTOR = 1.5
 _MAX_TARGETS = 128
+# Keys whose old times are kept, those used last.
+_MAX_KEYS = 512
 # One slow target of several is not a fault of its version. Slow outcomes count if at
 # least this fraction of those at the other targets was slow. The outcomes of a target
 # lose this fraction of their weight with each new one.
@@ -208,7 +210,11 @@
         return baseline.threshold(self._quantile, allowance)
 
     def _learn(self, measure, key, group, is_old, target, value):
-        baseline = self._baselines[measure].setdefault(key, _Baseline())
+        baselines = self._baselines[measure]
+        baseline = baselines.pop(key, None) or _Baseline()
+        baselines[key] = baseline
+        if len(baselines) > _MAX_KEYS:
+            del baselines[next(iter(baselines))]
         if is_old:
             baseline.add(value)
         median = baseline.median()
--- a/lovagepier/entry/_rollouts.py
+++ b/lovagepier/entry/_rollouts.py
@@ -49,6 +49,16 @@
     return earlier and version == order.version
 
 
+class _History:
+    """What is known of a service's outcomes before a rollout of it begins."""
+
+    __slots__ = ("slowness", "trigger")
+
+    def __init__(self):
+        self.slowness = SlownessDetector(SLOW_QUANTILE)
+        self.trigger = RollbackTrigger()
+
+
 class _Rollout:
     """One ordered rollout.
 
@@ -66,12 +76,12 @@
         "trigger",
     )
 
-    def __init__(self, order, plan):
+    def __init__(self, order, plan, history):
         self.order = order
         self.plan = plan
         self.progress = RolloutProgress()
-        self.trigger = RollbackTrigger()
-        self.slowness = SlownessDetector(SLOW_QUANTILE)
+        self.trigger = history.trigger
+        self.slowness = history.slowness
         # Whether it was rolled back because of failures rather than for lack of
         # evidence. A host in a partition sees too few outcomes to roll back for
         # the other hosts.
@@ -92,6 +102,7 @@
         self._view = view
         self._write_state = write_state
         self._rollouts = {}
+        self._histories = {}
         self._changed = set()
 
     def refresh(self, now):
@@ -133,7 +144,8 @@
             self._cfg.moves_exposure_slack,
             now,
         )
-        return _Rollout(order, plan)
+        history = self._histories.pop(order.service, None) or _History()
+        return _Rollout(order, plan, history)
 
     def _read_state(self, rollout):
         item = self._view.rollout_state(rollout.order.service)
@@ -211,30 +223,45 @@
             rollout.progress.sent_new += 1
 
     def observe(self, service, version, work, outcome, now):
-        """Record an outcome and roll back once the new version is found to be bad."""
-        rollout = self._open(service)
-        if rollout is None or outcome.status not in (
-            *_TIMED_STATUSES,
-            *_FAILED_STATUSES,
-        ):
+        """Record an outcome and roll back once the new version is found to be bad.
+
+        Without a rollout, outcomes show what is usual before the next one.
+        """
+        if outcome.status not in (*_TIMED_STATUSES, *_FAILED_STATUSES):
             return
+        rollout = self._open(service)
         is_new = version == "new"
+        if rollout is not None:
+            counts = self._judge(rollout, is_new, work, outcome)
+            self._count_outcome(rollout.progress, is_new, counts, outcome)
+            cause = self._compare(rollout, is_new, work, counts, now)
+            if cause is not None and is_new:
+                self.roll_back(service, rollout.order.revision, cause)
+        elif not is_new:
+            history = self._histories.setdefault(service, _History())
+            counts = self._judge(history, False, work, outcome)
+            self._compare(history, False, work, counts, now)
+
+    def _judge(self, history, is_new, work, outcome):
+        """Return the `Counts` of an outcome, None if it says nothing."""
         failed = outcome.status in _FAILED_STATUSES
-        slow = not failed and rollout.slowness.judge(
+        slow = not failed and history.slowness.judge(
             work.route, not is_new, work, outcome
         )
-        if slow is None and outcome.status == "cancelled":
+        return None if slow is None else Counts(1, int(failed), int(slow))
+
+    def _compare(self, history, is_new, work, counts, now):
+        if counts is None:
+            return None
+        return history.trigger.observe(work.route, is_new, counts, now)
+
+    def _count_outcome(self, progress, is_new, counts, outcome):
+        if counts is None and outcome.status == "cancelled":
             return
-        rollout.progress.outcomes_new += is_new
-        rollout.progress.failed_new += is_new and failed
+        progress.outcomes_new += is_new
+        progress.failed_new += is_new and bool(counts and counts.failed)
         if not is_new and outcome.total_seconds is not None:
-            rollout.progress.learn_old_seconds(outcome.total_seconds)
-        if slow is None:
-            return
-        counts = Counts(1, int(failed), int(slow))
-        cause = rollout.trigger.observe(work.route, is_new, counts, now)
-        if cause is not None and is_new:
-            self.roll_back(service, rollout.order.revision, cause)
+            progress.learn_old_seconds(outcome.total_seconds)
 
     def roll_back(self, service, revision, cause):
         """Roll back on evidence from this host or a peer, if the order still stands."""
--- a/test/test_rollout_evidence.py
+++ b/test/test_rollout_evidence.py
@@ -19,15 +19,16 @@
 CANARY_OUTCOMES = int(EXPOSURE_SLACK * CANARY_SLACK_FRACTION)
 
 
-def make_rollouts():
+def make_rollouts(is_ordered=True):
     order = RolloutOrder("model", "v2", DURATION_S, 18)
     view = SimpleNamespace(
-        orders={"model": order},
+        orders={"model": order} if is_ordered else {},
         rollout_state=lambda service: None,
         targets={
             "e1": SimpleNamespace(service="model", version="v2", draining=False),
         },
         last_answer_at=None,
+        restored_at=None,
     )
     cfg = SimpleNamespace(moves_exposure_share=0.1, moves_exposure_slack=EXPOSURE_SLACK)
     rollouts = Rollouts(cfg, view, lambda *args: None)
@@ -35,6 +36,11 @@
     return rollouts
 
 
+def order_rollout(rollouts):
+    rollouts._view.orders = {"model": RolloutOrder("model", "v2", DURATION_S, 18)}
+    rollouts.refresh(0.0)
+
+
 def observe(rollouts, version, first_s, count, now=1.0):
     """Observe outcomes of a version; return after how many it was rolled back."""
     for number in range(count):
@@ -223,3 +229,27 @@
         observe_leaving(rollouts, "old", 2, PATIENCE_S)
         observe(rollouts, "new", OLD_FIRST_S, 1)
         assert observe_leaving(rollouts, "new", 1, PATIENCE_S) is None
+
+
+def test_a_new_version_is_compared_with_what_was_usual_before_its_order():
+    """Replays EXPOSURE: its first responses come before enough of the old version's."""
+    rollouts = make_rollouts(is_ordered=False)
+    observe(rollouts, "", OLD_FIRST_S, 60)
+    order_rollout(rollouts)
+    assert observe(rollouts, "new", SLOW_FIRST_S, ENOUGH_OUTCOMES) is not None
+
+
+def test_what_was_usual_before_a_rollback_is_learnt_anew_without_the_new_version():
+    rollouts = make_rollouts()
+    observe(rollouts, "old", OLD_FIRST_S, 60)
+    assert observe(rollouts, "new", SLOW_FIRST_S, ENOUGH_OUTCOMES) is not None
+    for number in range(60):
+        for version, first_s in (("new", SLOW_FIRST_S), ("", OLD_FIRST_S)):
+            work = make_work(f"{version}-{number}", route=("talk", "note")[number % 2])
+            outcome = ended(work, first_seconds=first_s, total_seconds=first_s + 0.4)
+            rollouts.observe("model", version, work, outcome, 1.5)
+    order = RolloutOrder("model", "v3", DURATION_S, 40)
+    rollouts._view.orders = {"model": order}
+    rollouts.refresh(2.0)
+    assert not rollouts.rollbacks()
+    assert observe(rollouts, "new", SLOW_FIRST_S, ENOUGH_OUTCOMES) is not None
