Compare both versions within the same seconds, and keep some old traffic to the end

With all traffic moved late, good versions were still rolled back when something else slowed both versions down: after the move nothing of the old version was left to compare with, and the suspicion compares with what was usual before. From the switch on the new version gets two thirds of the requests now; the last third shows what slows both. All go to it for the last moments, as long as the old version's requests need. The verdict also asks a two-sample test (Mantel-Haenszel over strata of a second): a moderate suspicion needs it, and it alone suffices when it is high, which finds weaker faults by the end of the canary stage. Two new tests of the verdict state a score now.

--- a/lovagepier/bench/rollouts.py
+++ b/lovagepier/bench/rollouts.py
@@ -127,6 +127,7 @@
         self._progress.sent = run.requests
         self._progress.sent_new = run.sent_new
         self._progress.suspicion = self.trigger.overall_suspicion()
+        self._progress.score = self.trigger.score()
         if self.trigger.is_set:
             self._plan.roll_back(self.trigger.cause)
         stage = self._plan.step(self._progress, now)
--- a/lovagepier/decisions/rollback.py
+++ b/lovagepier/decisions/rollback.py
@@ -3,6 +3,7 @@
 import math
 
 from lovagepier.decisions.evidence import Counts
+from lovagepier.decisions.stratified import StratifiedTest
 
 __all__ = ["RollbackTrigger", "RouteComparison"]
 
@@ -235,7 +236,15 @@
     For one route, or for all of them together.
     """
 
-    __slots__ = ("_episode", "_failed", "_old_failed", "_old_slow", "_slow")
+    __slots__ = (
+        "_episode",
+        "_failed",
+        "_failed_alike",
+        "_old_failed",
+        "_old_slow",
+        "_slow",
+        "_slow_alike",
+    )
 
     def __init__(self, unchecked_outcomes=UNCHECKED_OUTCOMES):
         self._episode = _Episode(unchecked_outcomes)
@@ -243,18 +252,30 @@
         self._slow = _Cusum()
         self._old_failed = _Rate(FLOOR_FAILURE_RATE)
         self._old_slow = _Rate(FLOOR_SLOW_RATE)
+        self._failed_alike = StratifiedTest()
+        self._slow_alike = StratifiedTest()
 
     def observe_old(self, counts, now):
         """Add outcomes (`Counts`) of the old version."""
         self._old_failed.add(counts.seen, counts.failed, now)
         self._old_slow.add(counts.seen, counts.slow, now)
         self._episode.add_old(counts, now)
+        self._add_alike(False, counts, now)
 
     def observe_new(self, counts, now):
         """Add outcomes (`Counts`) of the new version."""
         self._failed.add(counts.seen, counts.failed, self._old_failed.upper())
         self._slow.add(counts.seen, counts.slow, self._old_slow.upper())
         self._episode.add_new(counts, self._slow.value > 0.0, now)
+        self._add_alike(True, counts, now)
+
+    def _add_alike(self, is_new, counts, now):
+        self._failed_alike.add(is_new, counts.seen, counts.failed, now)
+        self._slow_alike.add(is_new, counts.seen, counts.slow, now)
+
+    def score(self):
+        """Return the highest `StratifiedTest.score` of failures and slowness."""
+        return max(self._failed_alike.score(), self._slow_alike.score())
 
     def _tests(self):
         return (
@@ -263,6 +284,8 @@
             self._old_failed,
             self._old_slow,
             self._episode,
+            self._failed_alike,
+            self._slow_alike,
         )
 
     def state(self):
@@ -366,6 +389,10 @@
         levels = [test.suspicion()[0] for test in self._routes.values()]
         return max(levels, default=0.0)
 
+    def score(self):
+        """Return the highest `RouteComparison.score`."""
+        return max(test.score() for test in (self._all, *self._routes.values()))
+
     def overall_suspicion(self):
         """Return `suspicion`, or that of all routes together if it is higher."""
         return max(self.suspicion(), self._all.suspicion()[0])
--- a/lovagepier/decisions/rollout_plan.py
+++ b/lovagepier/decisions/rollout_plan.py
@@ -1,9 +1,10 @@
 """The stages of a service's rollout and the share of traffic in each of them.
 
 The number of requests that a bad version may get in all is bounded. So the new
-version gets a small share (canary) as long as possible, then all new requests at once,
-so late that the bound holds until the outcomes under full load are in, and early
-enough for the old version's requests to end in time.
+version gets a small share (canary) as long as possible, then most new requests, so late
+that the bound holds until the outcomes under that load are in, while the old version
+still serves some to compare with. At last it gets all, early enough for the old
+version's requests to end in time.
 """
 
 from collections import deque
@@ -27,14 +28,22 @@
 # The canary stage lasts while the suspicion is higher. It is the verdict, too: a
 # version that is suspected more is rolled back once the exposure bound is reached.
 MAX_SWITCH_SUSPICION = 0.3
+# The same for how much worse the new version is, in standard deviations.
+MAX_SWITCH_SCORE = 3.0
+# A suspicion up to `MAX_ALONE_SUSPICION` counts with at least this score.
+MIN_BOTH_SCORE = 1.5
+MAX_ALONE_SUSPICION = 0.7
+# The new version's share from the switch on. The rest shows what slows both versions.
+WATCH_SHARE = 0.67
 # The time between the switch and `MAX_END_FRACTION`, as fractions of the whole time.
 MIN_WATCH_FRACTION = 0.05
 MAX_WATCH_FRACTION = 0.45
-# The old version's requests get this many times their mean time to end, but no more
-# than this fraction of the whole time.
+# The old version's requests get this many times their mean time to end, within these
+# fractions of the whole time. Meanwhile all new requests go to the new version.
 OLD_MEAN_TIMES = 2.0
 OLD_MEAN_WEIGHT = 0.05
-MAX_OLD_FRACTION = 0.08
+MIN_OLD_FRACTION = 0.02
+MAX_OLD_FRACTION = 0.04
 # Traffic may rise by this factor without reaching the exposure bound early.
 RATE_MARGIN = 1.25
 # Span of the samples that the current rate of requests is taken from, and the shortest
@@ -78,7 +87,7 @@
     that failed. `new_ready` tells whether a target of the new version takes
     requests, `old_running` how many requests still run on the old version and
     `old_mean_s` how long they take. `suspicion` is the overall one of the
-    `RollbackTrigger`, 1.0 rolls back.
+    `RollbackTrigger`, 1.0 rolls back, and `score` its `RollbackTrigger.score`.
     """
 
     sent: int = 0
@@ -89,6 +98,7 @@
     failed_new: int = 0
     suspicion: float = 0.0
     old_mean_s: float = 0.0
+    score: float = 0.0
 
     def learn_old_seconds(self, seconds):
         """Learn how long a request of the old version took."""
@@ -96,13 +106,25 @@
         self.old_mean_s += (seconds - self.old_mean_s) * weight
 
 
+def _is_suspected(progress):
+    """Return whether the new version may be bad.
+
+    The suspicion compares with what was usual before, the score with the old version's
+    outcomes of the same time. A moderate suspicion needs both.
+    """
+    if progress.score > MAX_SWITCH_SCORE or progress.suspicion > MAX_ALONE_SUSPICION:
+        return True
+    is_worse = progress.score > MIN_BOTH_SCORE
+    return is_worse and progress.suspicion > MAX_SWITCH_SUSPICION
+
+
 def _is_promising(progress):
     """Return whether the rollout may switch with little evidence.
 
     Targets of a version that often fails are ejected before there are enough
     outcomes for a rollback.
     """
-    if progress.suspicion > MAX_LATE_SUSPICION:
+    if progress.suspicion > MAX_LATE_SUSPICION or progress.score > MAX_SWITCH_SCORE:
         return False
     return progress.failed_new < progress.outcomes_new * MAX_FAILED_FRACTION
 
@@ -141,6 +163,7 @@
 
     __slots__ = (
         "_duration",
+        "_is_final",
         "_rate",
         "_requests",
         "_share",
@@ -156,6 +179,7 @@
         self._slack = exposure_slack
         self._requests = _RequestRate()
         self._rate = None
+        self._is_final = False
         self.began = began
         self.stage = Stage.CANARY
         self.cause = ""
@@ -192,36 +216,45 @@
                 self.roll_back("too little good evidence in time")
             return
         known = progress.outcomes_new >= MIN_OUTCOMES and progress.new_ready
-        trusted = known and progress.suspicion <= MAX_SWITCH_SUSPICION
-        if trusted and elapsed >= self._switch_after(progress):
+        if (
+            known
+            and not _is_suspected(progress)
+            and elapsed >= self._switch_after(progress)
+        ):
             self.stage = Stage.SWITCHED
 
     def _switch_after(self, progress):
         """Return when to switch, in seconds from the start.
 
-        From then on the new version may get all requests until the end, or at least
-        for the time that the old version's requests need.
+        From then on until the end a bad version stays within its bound.
         """
-        needed = min(
-            progress.old_mean_s * OLD_MEAN_TIMES, self._duration * MAX_OLD_FRACTION
-        )
-        watch = max(self._duration * MIN_WATCH_FRACTION, needed)
+        ending = self._ending_s(progress)
+        watch = self._duration * MIN_WATCH_FRACTION
         if self._rate is not None:
-            growth = max(self._rate * RATE_MARGIN * (1.0 - self._share), 1e-9)
-            watch = max(watch, self._room(progress) / growth)
+            rate = max(self._rate * RATE_MARGIN, 1e-9)
+            room = self._room(progress) - ending * rate * (1.0 - self._share)
+            watch = max(watch, ending + room / (rate * (WATCH_SHARE - self._share)))
         watch = min(watch, self._duration * MAX_WATCH_FRACTION)
         return self._duration * MAX_END_FRACTION - watch
 
+    def _ending_s(self, progress):
+        """Return how long the old version's requests need to end, in seconds."""
+        needed = progress.old_mean_s * OLD_MEAN_TIMES
+        needed = max(needed, self._duration * MIN_OLD_FRACTION)
+        return min(needed, self._duration * MAX_OLD_FRACTION)
+
     def _end_watch(self, progress, elapsed):
-        is_last = elapsed >= self._duration * MAX_END_FRACTION
+        end = self._duration * MAX_END_FRACTION
         sent_soon = (self._rate or 0.0) * STEP_AHEAD_S
-        if not is_last and self._room(progress) > sent_soon:
-            return
-        if progress.suspicion > MAX_SWITCH_SUSPICION:
-            self.roll_back("suspected at the exposure bound")
-            return
+        is_bound = self._room(progress) <= sent_soon
+        if is_bound or elapsed >= end - self._ending_s(progress):
+            if _is_suspected(progress):
+                self.roll_back("suspected at the exposure bound")
+                return
+            self._is_final = True
         is_late = elapsed >= self._duration * MIN_END_FRACTION
-        if is_last or (is_late and not progress.old_running):
+        is_ended = self._is_final and is_late and not progress.old_running
+        if elapsed >= end or (is_bound and is_ended):
             self.stage = Stage.DONE
 
     def _room(self, progress):
@@ -237,8 +270,10 @@
 
     def share(self, progress):
         """Return the fraction of new requests that go to the new version."""
-        if self.stage in (Stage.SWITCHED, Stage.DONE):
+        if self.stage == Stage.DONE:
             return 1.0
+        if self.stage == Stage.SWITCHED:
+            return 1.0 if self._is_final else WATCH_SHARE
         if self.stage == Stage.ROLLED_BACK:
             return 0.0
         budget = self._canary_bound(progress) - progress.sent_new
--- a/lovagepier/entry/_rollouts.py
+++ b/lovagepier/entry/_rollouts.py
@@ -344,11 +344,13 @@
                     sent=rollout.progress.sent,
                     sent_new=rollout.progress.sent_new,
                     suspicion=round(rollout.progress.suspicion, 2),
+                    score=round(rollout.progress.score, 2),
                 )
 
     def _advance(self, service, rollout, old_running, now):
         rollout.progress.old_running = old_running(service)
         rollout.progress.suspicion = rollout.trigger.overall_suspicion()
+        rollout.progress.score = rollout.trigger.score()
         rollout.progress.new_ready = any(
             target.service == service
             and target.version == rollout.order.version
