Let a version with a share run a few requests, however few run in all

A bad version of a small service showed late: of some 16 requests a second it got 2, where its share allowed 5. Cause: the bound on what a version runs at once is twice its share of all running requests, at least one. Where a request takes 30 ms about one runs in all, so a new version that takes 400 ms gets one at a time, and the slower it is, the later it shows. It may run three now; how many it gets in all is bounded by its rollout. test_a_slow_request_does_not_end_the_share_of_a_service_with_few_requests fails with the bound of one.

--- a/lovagepier/decisions/scheduler.py
+++ b/lovagepier/decisions/scheduler.py
@@ -43,6 +43,8 @@
 # rate at which their tier and lower ones start, the bound is lower. At a low rate, all
 # slots are expected to be free for late requests once in this time.
 LATE_ROUND_S = 4.0
+# A version with a share may run this many requests, however few run in all.
+MIN_SHARE_IN_FLIGHT = 3.0
 
 
 class SchedulerOptions:
@@ -429,7 +431,8 @@
         if share >= 1.0:
             return False
         total = self.fleet.in_flight() + 1
-        return self.fleet.in_flight(version) + 1 > max(1.0, share * total * 2.0)
+        bound = max(MIN_SHARE_IN_FLIGHT, share * total * 2.0)
+        return self.fleet.in_flight(version) + 1 > bound
 
     def _start(self, work, state, hit, why, now):
         state.start(work, hit)
--- a/test/test_scheduler.py
+++ b/test/test_scheduler.py
@@ -230,6 +230,16 @@
     assert 1 <= versions.count("v2") <= 12
 
 
+def test_a_slow_request_does_not_end_the_share_of_a_service_with_few_requests():
+    """Replays EXPOSURE: one request at a time shows a slow version too late."""
+    scheduler = make_scheduler(("e1", "e2"), slots=50.0)
+    scheduler.set_target("n1", "a1", "v2", "i1", 0.0)
+    scheduler.share = {"v2": 0.4}
+    slow, next_one = (make_work(name, draw=0.1) for name in ("r1", "r2"))
+    assert [d.version for d in scheduler.offer(slow, 1.0)] == ["v2"]
+    assert [d.version for d in scheduler.offer(next_one, 1.1)] == ["v2"]
+
+
 def test_a_version_without_a_rollout_gets_no_requests():
     scheduler = make_scheduler(("e1",), slots=1.0)
     scheduler.set_target("n1", "a1", "v2", "i1", 0.0)
