Count a rollout's slack once: hosts that coordinate apart, hosts that start late

The slack of the exposure bound was granted anew by each host that decides without knowing what others granted: by each side of a split in full, and by a host that starts in the middle of a rollout when no other host is left to tell what was sent (all killed at once). A host that decides for a part of the hosts has the same part of the slack as it has of the quotas. A host that learns from the store that a rollout began 2 s ago or more, and from nobody what was sent, assumes that the canary stage has used its part.

--- a/lovagepier/decisions/rollout_plan.py
+++ b/lovagepier/decisions/rollout_plan.py
@@ -88,6 +88,8 @@
     requests, `old_running` how many requests still run on the old version and
     `old_mean_s` how long they take. `suspicion` is the overall one of the
     `RollbackTrigger`, 1.0 rolls back, and `score` its `RollbackTrigger.score`.
+    `slack_fraction` is this host's part of the exposure slack, below 1 if others decide
+    for themselves.
     """
 
     sent: int = 0
@@ -99,6 +101,7 @@
     suspicion: float = 0.0
     old_mean_s: float = 0.0
     score: float = 0.0
+    slack_fraction: float = 1.0
 
     def learn_old_seconds(self, seconds):
         """Learn how long a request of the old version took."""
@@ -262,11 +265,20 @@
         return self._bound(progress) - progress.sent_new
 
     def _bound(self, progress):
-        return self._share * progress.sent + self._slack
+        return self._share * progress.sent + self._slack * progress.slack_fraction
+
+    def assume_canary(self, progress):
+        """Assume that a canary stage has used its part of the slack.
+
+        A host that begins in the middle of a rollout does not know its requests.
+        """
+        used = int(self._slack * CANARY_SLACK_FRACTION)
+        progress.sent_new = max(progress.sent_new, used)
 
     def _canary_bound(self, progress):
         shared = self._share * progress.sent * CANARY_SHARE_FRACTION
-        return shared + self._slack * CANARY_SLACK_FRACTION
+        slack = self._slack * progress.slack_fraction
+        return shared + slack * CANARY_SLACK_FRACTION
 
     def share(self, progress):
         """Return the fraction of new requests that go to the new version."""
--- a/lovagepier/entry/_coordinator.py
+++ b/lovagepier/entry/_coordinator.py
@@ -220,6 +220,7 @@
         """Set the fractions of all targets and quotas that this host hands out."""
         self.quotas.set_share(quota_share, now)
         self._quota_share = quota_share
+        self.rollouts.set_slack_fraction(quota_share)
         for pool in self._pools.values():
             pool.scheduler.retry_budget.set_share(quota_share, now)
             pool.scheduler.set_rate_share(quota_share, now)
--- a/lovagepier/entry/_rollouts.py
+++ b/lovagepier/entry/_rollouts.py
@@ -25,6 +25,9 @@
 # How long after the store came back from an older copy its writers write again what
 # the copy lacks.
 RESTORE_PERIOD_S = 10.0
+# A rollout that others began so long ago has had a canary stage. Clocks may differ by
+# less.
+EARLIER_BEGIN_S = 2.0
 _FAILED_STATUSES = ("failed", "vanished", "late")
 # How long a cancelled request took is known to be at least the time until then.
 _TIMED_STATUSES = ("ok", "cancelled")
@@ -103,6 +106,7 @@
         self._write_state = write_state
         self._rollouts = {}
         self._histories = {}
+        self._slack_fraction = 1.0
         self._changed = set()
 
     def refresh(self, now):
@@ -113,9 +117,24 @@
                 rollout.order = order
                 rollout.stored_state = None
             elif rollout is None or rollout.order.revision < order.revision:
-                self._rollouts[service] = self._begin(order, now)
+                self._begin_known(order, now)
+                continue
             self._read_state(self._rollouts[service])
 
+    def _begin_known(self, order, now):
+        """Begin a rollout, which other hosts may have begun earlier."""
+        rollout = self._rollouts[order.service] = self._begin(order, now)
+        rollout.progress.slack_fraction = self._slack_fraction
+        self._read_state(rollout)
+        if now - rollout.plan.began >= EARLIER_BEGIN_S:
+            rollout.plan.assume_canary(rollout.progress)
+
+    def set_slack_fraction(self, fraction):
+        """Set this host's part of the exposure slack while several coordinate."""
+        self._slack_fraction = fraction
+        for rollout in self._rollouts.values():
+            rollout.progress.slack_fraction = fraction
+
     def _is_written_again(self, rollout, order, now):
         """Return whether an order is the known one, from a copy of the store.
 
--- a/test/test_rollout_evidence.py
+++ b/test/test_rollout_evidence.py
@@ -1,8 +1,13 @@
 """What a coordinator that takes over in the middle of a rollout knows of it."""
 
+import time
 from types import SimpleNamespace
 
-from lovagepier.decisions.rollout_plan import CANARY_SLACK_FRACTION
+from lovagepier import platform
+from lovagepier.decisions.rollout_plan import (
+    CANARY_SHARE_FRACTION,
+    CANARY_SLACK_FRACTION,
+)
 from lovagepier.entry._messages import Roster
 from lovagepier.entry._rollouts import Rollouts
 from lovagepier.entry.store_types import RolloutOrder
@@ -36,9 +41,10 @@
     return rollouts
 
 
-def order_rollout(rollouts):
+def order_rollout(rollouts, now=0.0):
     rollouts._view.orders = {"model": RolloutOrder("model", "v2", DURATION_S, 18)}
-    rollouts.refresh(0.0)
+    rollouts._view.last_answer_at = now
+    rollouts.refresh(now)
 
 
 def observe(rollouts, version, first_s, count, now=1.0):
@@ -253,3 +259,40 @@
     rollouts.refresh(2.0)
     assert not rollouts.rollbacks()
     assert observe(rollouts, "new", SLOW_FIRST_S, ENOUGH_OUTCOMES) is not None
+
+
+def grant_all(rollouts, seconds, rate=17, now=0.0):
+    """Offer requests; return how many go to the new version."""
+    due = granted = 0
+    for number in range(int(seconds * rate)):
+        rollouts.step(lambda service: 0, now + number / rate)
+        rollouts.count_sent("model")
+        due += rollouts.share("model", number / rate)
+        if due >= 1:
+            due -= 1
+            granted += 1
+            rollouts.count_new("model")
+    return granted
+
+
+def test_a_host_that_starts_in_a_rollout_does_not_grant_its_slack_again():
+    """All hosts were killed at once, so no roster tells what they had granted."""
+    order = RolloutOrder("model", "v2", DURATION_S, 18)
+    value = platform.encode_rollout_state(order, "running", time.time() - 8.0)
+    rollouts = make_rollouts(is_ordered=False)
+    item = SimpleNamespace(value=value, revision=20)
+    rollouts._view.rollout_state = lambda service: item
+    order_rollout(rollouts, now=100.0)
+    before = grant_all(make_rollouts(), 8.0)
+    granted = grant_all(rollouts, 4.0, now=100.0)
+    shared = 0.1 * CANARY_SHARE_FRACTION * 12 * 17
+    assert before + granted <= CANARY_OUTCOMES + shared
+
+
+def test_hosts_that_coordinate_apart_share_the_slack():
+    halves = [make_rollouts(), make_rollouts()]
+    for rollouts in halves:
+        rollouts.set_slack_fraction(0.5)
+    granted = sum(grant_all(rollouts, 3.0) for rollouts in halves)
+    sent = 2 * 3 * 17
+    assert granted <= 0.1 * sent + CANARY_OUTCOMES
