--- a/test/test_rollout_evidence.py
+++ b/test/test_rollout_evidence.py
@@ -296,3 +296,37 @@
     granted = sum(grant_all(rollouts, 3.0) for rollouts in halves)
     sent = 2 * 3 * 17
     assert granted <= 0.1 * sent + CANARY_OUTCOMES
+
+
+def test_outcomes_before_the_bar_is_known_are_judged_once_it_is():
+    """Replays EXPOSURE: the order came 3 s after the first request."""
+    rollouts = make_rollouts()
+    observe(rollouts, "new", SLOW_FIRST_S, ENOUGH_OUTCOMES)
+    assert not rollouts.rollbacks()
+    observe(rollouts, "old", OLD_FIRST_S, 60)
+    assert observe(rollouts, "new", SLOW_FIRST_S, 3) is not None
+
+
+def test_few_fast_outcomes_elsewhere_do_not_excuse_the_target_that_gets_most():
+    """Replays EXPOSURE: one new target of three got nine requests of ten."""
+    rollouts = make_rollouts()
+    observe(rollouts, "old", OLD_FIRST_S, 60)
+    for target in ("e2", "e3"):
+        work = make_work(target, route="talk")
+        outcome = ended(work, target, first_seconds=OLD_FIRST_S, total_seconds=0.5)
+        rollouts.observe("model", "new", work, outcome, 1.0)
+    assert observe(rollouts, "new", SLOW_FIRST_S, ENOUGH_OUTCOMES) is not None
+
+
+def test_one_slow_target_of_several_does_not_roll_back():
+    rollouts = make_rollouts()
+    observe(rollouts, "old", OLD_FIRST_S, 60)
+    for number in range(120):
+        target = f"e{number % 3}"
+        first_s = SLOW_FIRST_S if target == "e1" else OLD_FIRST_S
+        work = make_work(f"n{number}", route=("talk", "note")[number % 2])
+        outcome = ended(
+            work, target, first_seconds=first_s, total_seconds=first_s + 0.4
+        )
+        rollouts.observe("model", "new", work, outcome, 1.0)
+    assert not rollouts.rollbacks()
