Let one slow target be excused only by enough outcomes of the others

Cause: an outcome that is slow at one of several new targets is left out if few outcomes of the others were slow. Of three new targets one got nine requests of ten; two to three outcomes of the others, fast by chance, excused it to the end. The others must now have had six outcomes, where a version that is slow in 4 of 10 shows with 95 in 100.

--- a/lovagepier/decisions/slowness.py
+++ b/lovagepier/decisions/slowness.py
@@ -29,9 +29,11 @@
 # Keys whose old times are kept, those used last.
 _MAX_KEYS = 512
 # One slow target of several is not a fault of its version. Slow outcomes count if at
-# least this fraction of those at the other targets was slow. The outcomes of a target
-# lose this fraction of their weight with each new one.
+# least this fraction of those at the other targets was slow, or while these are too few
+# to show it. The outcomes of a target lose this fraction of their weight with each new
+# one.
 _MIN_OTHERS_SLOW = 0.05
+_MIN_OTHERS_SEEN = 6.0
 _WEIGHT_LOSS = 0.1
 # What is compared, see `_normalize`.
 MEASURES = ("first", "pace", "unstreamed")
@@ -141,6 +143,8 @@
             del self._weights[next(iter(self._weights))]
         others_seen = sum(weight for weight, _ in others)
         others_slow = sum(weight for _, weight in others)
+        if others_seen < _MIN_OTHERS_SEEN:
+            return False
         return slow and others_slow < others_seen * _MIN_OTHERS_SLOW
 
 
