Judge outcomes that came before the bar was known once it is

What a new version answers meanwhile counted as fast, and made its targets seem sound, which then excused later slow outcomes. Outcomes of the new version wait now, at most 64 of them, until the usual times of their route are known, and are judged then.

--- a/lovagepier/decisions/rollout_plan.py
+++ b/lovagepier/decisions/rollout_plan.py
@@ -103,10 +103,13 @@
     score: float = 0.0
     slack_fraction: float = 1.0
 
-    def learn_old_seconds(self, seconds):
-        """Learn how long a request of the old version took."""
-        weight = OLD_MEAN_WEIGHT if self.old_mean_s else 1.0
-        self.old_mean_s += (seconds - self.old_mean_s) * weight
+    def count_outcome(self, is_new, failed, seconds):
+        """Count an outcome; `seconds` is how long it took, None if that is unknown."""
+        self.outcomes_new += is_new
+        self.failed_new += is_new and failed
+        if not is_new and seconds is not None:
+            weight = OLD_MEAN_WEIGHT if self.old_mean_s else 1.0
+            self.old_mean_s += (seconds - self.old_mean_s) * weight
 
 
 def _is_suspected(progress):
--- a/lovagepier/decisions/slowness.py
+++ b/lovagepier/decisions/slowness.py
@@ -187,6 +187,16 @@
         targets = self._new_targets.setdefault(group, _NewTargets())
         return None if targets.add(outcome.target, slow) else slow
 
+    def is_usual_known(self, key, work, outcome, group=""):
+        """Return whether `judge` can compare an outcome with the old version's."""
+        values = _normalize(work, outcome)
+        if outcome.status == "cancelled":
+            values += _normalize(work, _as_first(outcome))
+        return any(
+            self._threshold(measure, key, group, outcome.target) is not None
+            for measure, _ in values
+        )
+
     def _least_values(self, key, group, work, outcome):
         """Return [(measure, value)] of a cancelled request that is slow already.
 
@@ -195,10 +205,8 @@
         """
         if outcome.first_seconds is not None or outcome.total_seconds is None:
             return []
-        waited = replace(
-            outcome, first_seconds=outcome.total_seconds, total_seconds=None
-        )
-        for values in (_normalize(work, waited), _normalize(work, outcome)):
+        as_first = _normalize(work, _as_first(outcome))
+        for values in (as_first, _normalize(work, outcome)):
             for measure, value in values:
                 threshold = self._threshold(measure, key, group, outcome.target)
                 if threshold is not None:
@@ -251,6 +259,11 @@
                     self._baselines[measure][key] = _Baseline(value)
 
 
+def _as_first(outcome):
+    """Return an outcome whose first byte came when the request ended."""
+    return replace(outcome, first_seconds=outcome.total_seconds, total_seconds=None)
+
+
 def _normalize(work, outcome):
     """Return (measure, value) pairs of an outcome.
 
--- a/lovagepier/entry/_rollouts.py
+++ b/lovagepier/entry/_rollouts.py
@@ -7,15 +7,8 @@
 import time
 
 from lovagepier import platform
-from lovagepier.decisions.evidence import Counts
-from lovagepier.decisions.rollback import RollbackTrigger
-from lovagepier.decisions.rollout_plan import (
-    SLOW_QUANTILE,
-    RolloutPlan,
-    RolloutProgress,
-    Stage,
-)
-from lovagepier.decisions.slowness import SlownessDetector
+from lovagepier.decisions.rollout_plan import RolloutPlan, RolloutProgress, Stage
+from lovagepier.entry._version_comparison import VersionComparison
 from lovagepier.logs import component_logger
 
 __all__ = ["Rollouts"]
@@ -28,9 +21,6 @@
 # A rollout that others began so long ago has had a canary stage. Clocks may differ by
 # less.
 EARLIER_BEGIN_S = 2.0
-_FAILED_STATUSES = ("failed", "vanished", "late")
-# How long a cancelled request took is known to be at least the time until then.
-_TIMED_STATUSES = ("ok", "cancelled")
 _STATE_BY_STAGE = {
     Stage.CANARY: "running",
     Stage.SWITCHED: "running",
@@ -52,16 +42,6 @@
     return earlier and version == order.version
 
 
-class _History:
-    """What is known of a service's outcomes before a rollout of it begins."""
-
-    __slots__ = ("slowness", "trigger")
-
-    def __init__(self):
-        self.slowness = SlownessDetector(SLOW_QUANTILE)
-        self.trigger = RollbackTrigger()
-
-
 class _Rollout:
     """One ordered rollout.
 
@@ -69,22 +49,20 @@
     """
 
     __slots__ = (
+        "comparison",
         "has_evidence",
         "last_write_at",
         "order",
         "plan",
         "progress",
-        "slowness",
         "stored_state",
-        "trigger",
     )
 
-    def __init__(self, order, plan, history):
+    def __init__(self, order, plan, comparison):
         self.order = order
         self.plan = plan
         self.progress = RolloutProgress()
-        self.trigger = history.trigger
-        self.slowness = history.slowness
+        self.comparison = comparison
         # Whether it was rolled back because of failures rather than for lack of
         # evidence. A host in a partition sees too few outcomes to roll back for
         # the other hosts.
@@ -105,7 +83,8 @@
         self._view = view
         self._write_state = write_state
         self._rollouts = {}
-        self._histories = {}
+        # Comparisons of services without a rollout: what is usual before the next.
+        self._comparisons = {}
         self._slack_fraction = 1.0
         self._changed = set()
 
@@ -163,8 +142,8 @@
             self._cfg.moves_exposure_slack,
             now,
         )
-        history = self._histories.pop(order.service, None) or _History()
-        return _Rollout(order, plan, history)
+        comparison = self._comparisons.pop(order.service, None)
+        return _Rollout(order, plan, comparison or VersionComparison())
 
     def _read_state(self, rollout):
         item = self._view.rollout_state(rollout.order.service)
@@ -246,41 +225,17 @@
 
         Without a rollout, outcomes show what is usual before the next one.
         """
-        if outcome.status not in (*_TIMED_STATUSES, *_FAILED_STATUSES):
-            return
         rollout = self._open(service)
         is_new = version == "new"
         if rollout is not None:
-            counts = self._judge(rollout, is_new, work, outcome)
-            self._count_outcome(rollout.progress, is_new, counts, outcome)
-            cause = self._compare(rollout, is_new, work, counts, now)
-            if cause is not None and is_new:
+            cause = rollout.comparison.observe(
+                rollout.progress, is_new, work, outcome, now
+            )
+            if cause is not None:
                 self.roll_back(service, rollout.order.revision, cause)
         elif not is_new:
-            history = self._histories.setdefault(service, _History())
-            counts = self._judge(history, False, work, outcome)
-            self._compare(history, False, work, counts, now)
-
-    def _judge(self, history, is_new, work, outcome):
-        """Return the `Counts` of an outcome, None if it says nothing."""
-        failed = outcome.status in _FAILED_STATUSES
-        slow = not failed and history.slowness.judge(
-            work.route, not is_new, work, outcome
-        )
-        return None if slow is None else Counts(1, int(failed), int(slow))
-
-    def _compare(self, history, is_new, work, counts, now):
-        if counts is None:
-            return None
-        return history.trigger.observe(work.route, is_new, counts, now)
-
-    def _count_outcome(self, progress, is_new, counts, outcome):
-        if counts is None and outcome.status == "cancelled":
-            return
-        progress.outcomes_new += is_new
-        progress.failed_new += is_new and bool(counts and counts.failed)
-        if not is_new and outcome.total_seconds is not None:
-            progress.learn_old_seconds(outcome.total_seconds)
+            comparison = self._comparisons.setdefault(service, VersionComparison())
+            comparison.observe(None, False, work, outcome, now)
 
     def roll_back(self, service, revision, cause):
         """Roll back on evidence from this host or a peer, if the order still stands."""
@@ -317,7 +272,10 @@
                 rollout.progress.sent_new,
                 rollout.progress.outcomes_new,
                 rollout.progress.failed_new,
-                [rollout.slowness.thresholds(), rollout.trigger.state()],
+                [
+                    rollout.comparison.slowness.thresholds(),
+                    rollout.comparison.trigger.state(),
+                ],
             ]
             for service, rollout in self._rollouts.items()
             if self._open(service) is not None
@@ -336,8 +294,8 @@
             known.failed_new = max(known.failed_new, counts[3])
             if len(counts) > 4:
                 thresholds, comparisons = counts[4]
-                rollout.slowness.adopt(thresholds)
-                rollout.trigger.adopt(comparisons)
+                rollout.comparison.slowness.adopt(thresholds)
+                rollout.comparison.trigger.adopt(comparisons)
 
     # Work of the coordinator in use
 
@@ -368,8 +326,8 @@
 
     def _advance(self, service, rollout, old_running, now):
         rollout.progress.old_running = old_running(service)
-        rollout.progress.suspicion = rollout.trigger.overall_suspicion()
-        rollout.progress.score = rollout.trigger.score()
+        rollout.progress.suspicion = rollout.comparison.trigger.overall_suspicion()
+        rollout.progress.score = rollout.comparison.trigger.score()
         rollout.progress.new_ready = any(
             target.service == service
             and target.version == rollout.order.version
