Compare how often callers leave both versions before the bar

Callers that leave before a response can be called slow told nothing, and they leave a slow version more often: what was left to judge were the fast responses. Such attempts are censored below the bar: one says nothing of its own response, but the shares of both versions in the same second do, as they have the same callers. A third score over strata of a second compares them, and rosters carry its sums in a place that earlier builds do not read.

--- a/lovagepier/bench/rollouts.py
+++ b/lovagepier/bench/rollouts.py
@@ -28,6 +28,7 @@
 )
 from lovagepier.decisions.rollout_share import Rollout, RolloutState, share_at, state_at
 from lovagepier.decisions.slowness import USUAL_QUANTILE, SlownessDetector
+from lovagepier.decisions.stratified import StratifiedTest
 from lovagepier.decisions.work import Work
 
 __all__ = [
@@ -95,7 +96,10 @@
         self._rollout = Rollout("m", "drafter", "v1", "v2", 0.0, length)
         self._clean = self._total = 0
 
-    def observe(self, is_new, failed, slow, seconds):
+    def observe_left(self, is_new, left, now):
+        """Ignore callers that left: this schedule has no use for them."""
+
+    def observe(self, is_new, failed, slow):
         self._total += 1
         self._clean += is_new and not failed and not slow
 
@@ -117,8 +121,12 @@
         self.trigger = RollbackTrigger()
         self._plan = RolloutPlan(length, EXPOSURE_SHARE, EXPOSURE_SLACK, 0.0)
         self._progress = RolloutProgress(new_ready=True)
+        self._left = StratifiedTest()
+
+    def observe_left(self, is_new, left, now):
+        self._left.add(is_new, 1, int(left), now)
 
-    def observe(self, is_new, failed, slow, seconds):
+    def observe(self, is_new, failed, slow):
         self._progress.outcomes_new += is_new
         self._progress.failed_new += is_new and failed
 
@@ -127,7 +135,7 @@
         self._progress.sent = run.requests
         self._progress.sent_new = run.sent_new
         self._progress.suspicion = self.trigger.overall_suspicion()
-        self._progress.score = self.trigger.score()
+        self._progress.score = max(self.trigger.score(), self._left.score())
         if self.trigger.is_set:
             self._plan.roll_back(self.trigger.cause)
         stage = self._plan.step(self._progress, now)
@@ -169,12 +177,15 @@
     for step in range(first, int(end / STEP_S)):
         now = step * STEP_S
         while pending and pending[0][0] <= now:
-            _, _, is_new, route, failed, slow, faulty, seconds = heapq.heappop(pending)
+            _, _, is_new, route, failed, slow, faulty, left = heapq.heappop(pending)
+            schedule.observe_left(is_new, left, now)
+            if left:
+                continue
             if failed or slow is not None:
                 counts = Counts(1, int(failed), int(bool(slow) and not failed))
                 trigger.observe(route, is_new, counts, now)
             if now >= 0.0:
-                schedule.observe(is_new, failed, slow, seconds)
+                schedule.observe(is_new, failed, slow)
             if faulty and (failed or slow) and run.first_fault_at is None:
                 run.first_fault_at = now
         share, is_done = schedule.step(run, now) if now >= 0.0 else (0.0, False)
@@ -203,11 +214,10 @@
                 if status == "late"
                 else _is_slow(detector, is_new, route, outcome)
             )
-            if status == "cancelled" and slow is None:
-                continue
+            left = status == "cancelled" and slow is None
             at = now + seconds + EVIDENCE_DELAY_S
             heapq.heappush(
-                pending, (at, number, is_new, route, failed, slow, faulty, seconds)
+                pending, (at, number, is_new, route, failed, slow, faulty, left)
             )
     run.rolled_back = trigger.is_set
     return run
--- a/lovagepier/entry/_messages.py
+++ b/lovagepier/entry/_messages.py
@@ -62,9 +62,10 @@
     rollouts that were rolled back. `quota_levels` maps accounts whose quotas are
     nearly spent to the fraction of the burst that is left, None if it is unknown.
     `rollouts` rows are [service, order revision, dispatches, dispatches to the new
-    version, outcomes of the new version, failures of the new version, comparisons] of
-    open rollouts; the last are the `SlownessDetector.thresholds` and the
-    `RollbackTrigger.state`. `boot` identifies the sender's incarnation, empty if it
+    version, outcomes of the new version, failures of the new version, comparisons,
+    callers that left] of open rollouts; the comparisons are the
+    `SlownessDetector.thresholds` and the `RollbackTrigger.state`, the last is the state
+    of `VersionComparison.left`. `boot` identifies the sender's incarnation, empty if it
     does not say.
     `retry_levels` maps services to the tokens left in their `RetryBudget`s.
     `rate_limits` and `rejection_limits` are the rows of the coordinator's
--- a/lovagepier/entry/_rollouts.py
+++ b/lovagepier/entry/_rollouts.py
@@ -276,6 +276,7 @@
                     rollout.comparison.slowness.thresholds(),
                     rollout.comparison.trigger.state(),
                 ],
+                rollout.comparison.left.state(),
             ]
             for service, rollout in self._rollouts.items()
             if self._open(service) is not None
@@ -296,6 +297,8 @@
                 thresholds, comparisons = counts[4]
                 rollout.comparison.slowness.adopt(thresholds)
                 rollout.comparison.trigger.adopt(comparisons)
+            if len(counts) > 5:
+                rollout.comparison.left.adopt(counts[5])
 
     # Work of the coordinator in use
 
@@ -327,7 +330,7 @@
     def _advance(self, service, rollout, old_running, now):
         rollout.progress.old_running = old_running(service)
         rollout.progress.suspicion = rollout.comparison.trigger.overall_suspicion()
-        rollout.progress.score = rollout.comparison.trigger.score()
+        rollout.progress.score = rollout.comparison.score()
         rollout.progress.new_ready = any(
             target.service == service
             and target.version == rollout.order.version
--- a/lovagepier/entry/_version_comparison.py
+++ b/lovagepier/entry/_version_comparison.py
@@ -6,6 +6,7 @@
 from lovagepier.decisions.rollback import RollbackTrigger
 from lovagepier.decisions.rollout_plan import SLOW_QUANTILE
 from lovagepier.decisions.slowness import SlownessDetector
+from lovagepier.decisions.stratified import StratifiedTest
 
 __all__ = ["VersionComparison"]
 
@@ -19,14 +20,17 @@
 class VersionComparison:
     """Judges outcomes of both versions of a service and compares them.
 
-    Before a rollout there are only those of the version in service.
+    Before a rollout there are only those of the version in service. `left` compares how
+    often callers leave before it can be said whether a response is slow: from a slow
+    version more of them do.
     """
 
-    __slots__ = ("_unjudged", "slowness", "trigger")
+    __slots__ = ("_unjudged", "left", "slowness", "trigger")
 
     def __init__(self):
         self.slowness = SlownessDetector(SLOW_QUANTILE)
         self.trigger = RollbackTrigger()
+        self.left = StratifiedTest()
         self._unjudged = deque(maxlen=_MAX_UNJUDGED)
 
     def observe(self, progress, is_new, work, outcome, now):
@@ -47,11 +51,20 @@
             cause = self._judge_waiting(work.route, now)
         return cause
 
+    def score(self):
+        """Return by how many standard deviations the new version is worse.
+
+        Outcomes of both versions are compared within short strata of time.
+        """
+        return max(self.trigger.score(), self.left.score())
+
     def _knows(self, work, outcome):
         return self.slowness.is_usual_known(work.route, work, outcome)
 
     def _judge(self, is_new, failed, work, outcome, now):
         slow = not failed and self.slowness.judge(work.route, not is_new, work, outcome)
+        is_left = slow is None and outcome.status == "cancelled"
+        self.left.add(is_new, 1, int(is_left), now)
         if slow is None:
             return None
         counts = Counts(1, int(failed), int(slow))
--- a/test/test_rollout_evidence.py
+++ b/test/test_rollout_evidence.py
@@ -7,6 +7,7 @@
 from lovagepier.decisions.rollout_plan import (
     CANARY_SHARE_FRACTION,
     CANARY_SLACK_FRACTION,
+    Stage,
 )
 from lovagepier.entry._messages import Roster
 from lovagepier.entry._rollouts import Rollouts
@@ -330,3 +331,42 @@
         )
         rollouts.observe("model", "new", work, outcome, 1.0)
     assert not rollouts.rollbacks()
+
+
+def leave_early(rollouts, new_left):
+    """Let callers leave before the bar for 8 s: 1 of 8 old ones, and of the new ones.
+
+    `new_left` is how many of 4 callers of the new version leave each second.
+    """
+    for second in range(8):
+        now = 1.0 + second
+        for version, count, left in (("old", 8, 1), ("new", 4, new_left)):
+            for number in range(count):
+                work = make_work(f"{version}-{second}-{number}", route="talk")
+                outcome = ended(work, first_seconds=OLD_FIRST_S, total_seconds=0.5)
+                if number < left:
+                    seconds = OLD_FIRST_S * 0.9
+                    outcome = ended(work, status="cancelled", total_seconds=seconds)
+                rollouts.observe("model", version, work, outcome, now)
+
+
+def stage_at_the_last_moment(rollouts):
+    rollouts.step(lambda service: 0, DURATION_S * 0.9)
+    return rollouts._rollouts["model"].plan.stage
+
+
+def test_a_version_that_more_callers_leave_early_gets_no_more_traffic():
+    """Their patience ends before a response can be called slow."""
+    rollouts = make_rollouts()
+    observe(rollouts, "old", OLD_FIRST_S, 60)
+    leave_early(rollouts, new_left=3)
+    successor = take_over(rollouts)
+    assert stage_at_the_last_moment(rollouts) == Stage.ROLLED_BACK
+    assert stage_at_the_last_moment(successor) == Stage.ROLLED_BACK
+
+
+def test_callers_that_leave_both_versions_early_tell_nothing():
+    rollouts = make_rollouts()
+    observe(rollouts, "old", OLD_FIRST_S, 60)
+    leave_early(rollouts, new_left=1)
+    assert stage_at_the_last_moment(rollouts) == Stage.SWITCHED
--- a/test/test_rollout_plan.py
+++ b/test/test_rollout_plan.py
@@ -197,6 +197,8 @@
 BEHAVIOURS = {
     "calm": {},
     "leaving": {"leaving_share": 0.8, "patience_s": 0.1},
+    # Before it can be said whether the response is slow.
+    "leaving-early": {"leaving_share": 0.8, "patience_s": 0.05},
     "hanging": {"hanging_share": 0.1},
 }
 
