Expect failures on a route whose requests always fail

All of it came from a route whose timeout is shorter than its requests take, so that all of them fail, of either version. Cause: the old version's rate is drawn towards a floor of 0.02 as if 20 outcomes had shown it. After ten failures of ten the upper bound was some 0.5, so each further failure of the new version raised the suspicion.

--- a/lovagepier/decisions/rollback.py
+++ b/lovagepier/decisions/rollback.py
@@ -2,6 +2,7 @@
 
 import math
 
+from lovagepier.decisions.base_rates import BaseRate, upper_rate
 from lovagepier.decisions.evidence import Counts
 from lovagepier.decisions.stratified import StratifiedTest
 
@@ -12,16 +13,8 @@
 ROLLBACK_LOG_RATIO = 13.8
 # The worse rates tested for, as fractions of the way from the base rate to 1.
 ALTERNATIVE_GAPS = (0.15, 0.3, 0.7)
-# The base rate is an upper bound of the old version's rate, plus `RATE_MARGIN`, but at
-# least a floor and at most `MAX_BASE_RATE`. To estimate the old version's rate, the
-# floor counts as the rate of `PRIOR_OUTCOMES` earlier outcomes.
 FLOOR_FAILURE_RATE = 0.02
-RATE_MARGIN = 0.02
-PRIOR_OUTCOMES = 20.0
-# Outcomes of the old version lose half of their weight in this time.
-OLD_HALF_LIFE_S = 30.0
 FLOOR_SLOW_RATE = 0.06
-MAX_BASE_RATE = 0.9
 # A machine or network under load slows both versions at once. So slowness of the new
 # version counts against the old version's outcomes of the same time, once there are so
 # many of them. Without them it counts after this time, or this many outcomes.
@@ -38,44 +31,6 @@
 UNCHECKED_SUSPICION = 0.7
 
 
-class _Rate:
-    """The old version's rate of bad outcomes, exponentially decayed over time."""
-
-    __slots__ = ("_updated_at", "bad", "floor", "seen")
-
-    def __init__(self, floor):
-        self.floor = floor
-        self.bad = 0.0
-        self.seen = 0.0
-        self._updated_at = None
-
-    def add(self, seen, bad, now):
-        if self._updated_at is not None and now > self._updated_at:
-            keep = 0.5 ** ((now - self._updated_at) / OLD_HALF_LIFE_S)
-            self.seen *= keep
-            self.bad *= keep
-        self._updated_at = now
-        self.seen += seen
-        self.bad += bad
-
-    def state(self):
-        return [self.seen, self.bad]
-
-    def adopt(self, state):
-        self.seen, self.bad = state
-
-    def upper(self):
-        """Return the base rate: an upper bound of the rate, plus a margin."""
-        return _upper_rate(self.seen, self.bad, self.floor, PRIOR_OUTCOMES)
-
-
-def _upper_rate(seen, bad, floor, prior):
-    weight = seen + prior
-    rate = (bad + floor * prior) / weight
-    spread = math.sqrt(rate * (1.0 - rate) / weight)
-    return min(max(rate + spread + RATE_MARGIN, floor), MAX_BASE_RATE)
-
-
 def _gains(base):
     """Yield (gain of a bad outcome, loss of a good one) for each worse rate."""
     for gap in ALTERNATIVE_GAPS:
@@ -198,7 +153,7 @@
         new = self.all_new
         if self.is_compared():
             new = self.new
-            control = _upper_rate(
+            control = upper_rate(
                 self.old.seen, self.old.slow, FLOOR_SLOW_RATE, CONTROL_PRIOR_OUTCOMES
             )
             base = max(base, control)
@@ -250,8 +205,8 @@
         self._episode = _Episode(unchecked_outcomes)
         self._failed = _Cusum()
         self._slow = _Cusum()
-        self._old_failed = _Rate(FLOOR_FAILURE_RATE)
-        self._old_slow = _Rate(FLOOR_SLOW_RATE)
+        self._old_failed = BaseRate(FLOOR_FAILURE_RATE)
+        self._old_slow = BaseRate(FLOOR_SLOW_RATE)
         self._failed_alike = StratifiedTest()
         self._slow_alike = StratifiedTest()
 
--- a/test/test_rollout_evidence.py
+++ b/test/test_rollout_evidence.py
@@ -7,6 +7,7 @@
 from lovagepier.decisions.rollout_plan import (
     CANARY_SHARE_FRACTION,
     CANARY_SLACK_FRACTION,
+    MAX_SWITCH_SUSPICION,
     Stage,
 )
 from lovagepier.entry._messages import Roster
@@ -370,3 +371,15 @@
     observe(rollouts, "old", OLD_FIRST_S, 60)
     leave_early(rollouts, new_left=1)
     assert stage_at_the_last_moment(rollouts) == Stage.SWITCHED
+
+
+def test_a_route_whose_requests_always_fail_is_no_evidence():
+    """Its timeout is shorter than its requests take, whatever the version."""
+    rollouts = make_rollouts()
+    for number in range(40):
+        for version in ("old", "new"):
+            work = make_work(f"{version}-{number}", route="talk" if number % 4 else "x")
+            status = "ok" if number % 4 else "late"
+            rollouts.observe("model", version, work, ended(work, status=status), 1.0)
+    rollouts.step(lambda service: 0, DURATION_S * 0.9)
+    assert rollouts._rollouts["model"].progress.suspicion < MAX_SWITCH_SUSPICION
