--- a/lovagepier/decisions/slowness.py
+++ b/lovagepier/decisions/slowness.py
@@ -1,6 +1,7 @@
 """Detection of outcomes that are slow compared with the old version."""
 
 from collections import deque
+from dataclasses import replace
 
 from sortedcontainers import SortedList
 
@@ -25,10 +26,14 @@
 _OWN_QUANTILE = 0.25
 _LOAD_FACTOR = 1.5
 _MAX_TARGETS = 128
+# Keys whose old times are kept, those used last.
+_MAX_KEYS = 512
 # One slow target of several is not a fault of its version. Slow outcomes count if at
-# least this fraction of those at the other targets was slow. The outcomes of a target
-# lose this fraction of their weight with each new one.
+# least this fraction of those at the other targets was slow, or while these are too few
+# to show it. The outcomes of a target lose this fraction of their weight with each new
+# one.
 _MIN_OTHERS_SLOW = 0.05
+_MIN_OTHERS_SEEN = 6.0
 _WEIGHT_LOSS = 0.1
 # What is compared, see `_normalize`.
 MEASURES = ("first", "pace", "unstreamed")
@@ -138,6 +143,8 @@
             del self._weights[next(iter(self._weights))]
         others_seen = sum(weight for weight, _ in others)
         others_slow = sum(weight for _, weight in others)
+        if others_seen < _MIN_OTHERS_SEEN:
+            return False
         return slow and others_slow < others_seen * _MIN_OTHERS_SLOW
 
 
@@ -161,11 +168,17 @@
         """Return whether an outcome is slow; learn from it if `is_old`.
 
         Nothing is slow until there are `_MIN_SAMPLES` of the old version. Returns None
-        for a slow outcome that says nothing about the new version, because only one of
-        its targets shows any.
+        for an outcome that says nothing: a slow one if only one target of the new
+        version shows any, and a request that was cancelled before it took too long.
         """
+        if outcome.status == "cancelled":
+            values = self._least_values(key, group, work, outcome)
+            if not values:
+                return None
+        else:
+            values = _normalize(work, outcome)
         slow = False
-        for measure, value in _normalize(work, outcome):
+        for measure, value in values:
             threshold = self._threshold(measure, key, group, outcome.target)
             slow = slow or (threshold is not None and value > threshold)
             self._learn(measure, key, group, is_old, outcome.target, value)
@@ -174,6 +187,32 @@
         targets = self._new_targets.setdefault(group, _NewTargets())
         return None if targets.add(outcome.target, slow) else slow
 
+    def is_usual_known(self, key, work, outcome, group=""):
+        """Return whether `judge` can compare an outcome with the old version's."""
+        values = _normalize(work, outcome)
+        if outcome.status == "cancelled":
+            values += _normalize(work, _as_first(outcome))
+        return any(
+            self._threshold(measure, key, group, outcome.target) is not None
+            for measure, _ in values
+        )
+
+    def _least_values(self, key, group, work, outcome):
+        """Return [(measure, value)] of a cancelled request that is slow already.
+
+        It would have taken longer than until it was cancelled. Below the threshold
+        that is consistent with both a usual and a slow response.
+        """
+        if outcome.first_seconds is not None or outcome.total_seconds is None:
+            return []
+        as_first = _normalize(work, _as_first(outcome))
+        for values in (as_first, _normalize(work, outcome)):
+            for measure, value in values:
+                threshold = self._threshold(measure, key, group, outcome.target)
+                if threshold is not None:
+                    return values if value > threshold else []
+        return []
+
     def _threshold(self, measure, key, group, target):
         baseline = self._baselines[measure].get(key)
         if baseline is None:
@@ -183,7 +222,11 @@
         return baseline.threshold(self._quantile, allowance)
 
     def _learn(self, measure, key, group, is_old, target, value):
-        baseline = self._baselines[measure].setdefault(key, _Baseline())
+        baselines = self._baselines[measure]
+        baseline = baselines.pop(key, None) or _Baseline()
+        baselines[key] = baseline
+        if len(baselines) > _MAX_KEYS:
+            del baselines[next(iter(baselines))]
         if is_old:
             baseline.add(value)
         median = baseline.median()
@@ -216,6 +259,11 @@
                     self._baselines[measure][key] = _Baseline(value)
 
 
+def _as_first(outcome):
+    """Return an outcome whose first byte came when the request ended."""
+    return replace(outcome, first_seconds=outcome.total_seconds, total_seconds=None)
+
+
 def _normalize(work, outcome):
     """Return (measure, value) pairs of an outcome.
 
--- a/lovagepier/decisions/versions.py
+++ b/lovagepier/decisions/versions.py
@@ -2,6 +2,9 @@
 
 __all__ = ["preferred_versions"]
 
+# A version with a share may run this many requests, however few run in all.
+MIN_SHARE_IN_FLIGHT = 3.0
+
 
 def preferred_versions(fleet, old_version, share, draw):
     """Return the versions that a request may go to, preferred first.
@@ -36,4 +39,5 @@
     if fraction >= 1.0:
         return False
     total = fleet.in_flight() + 1
-    return fleet.in_flight(version) + 1 > max(1.0, fraction * total * 2.0)
+    bound = max(MIN_SHARE_IN_FLIGHT, fraction * total * 2.0)
+    return fleet.in_flight(version) + 1 > bound
--- a/lovagepier/entry/_grants.py
+++ b/lovagepier/entry/_grants.py
@@ -123,7 +123,8 @@
         progress = self._progress
         tier = progress.route.tier
         seconds = (ended_at or self._loop.time()) - started_at
-        total = seconds if status == "ok" else None
+        is_unanswered = status == "cancelled" and not progress.response_started
+        total = seconds if status == "ok" or is_unanswered else None
         metrics = self._frontend.metrics
         metrics.count(f"dispatch_{status.replace('-', '_')}", tier)
         metrics.time("dispatch", seconds, tier)
--- a/lovagepier/entry/_rollouts.py
+++ b/lovagepier/entry/_rollouts.py
@@ -7,15 +7,8 @@
 import time
 
 from lovagepier import platform
-from lovagepier.decisions.evidence import Counts
-from lovagepier.decisions.rollback import RollbackTrigger
-from lovagepier.decisions.rollout_plan import (
-    SLOW_QUANTILE,
-    RolloutPlan,
-    RolloutProgress,
-    Stage,
-)
-from lovagepier.decisions.slowness import SlownessDetector
+from lovagepier.decisions.rollout_plan import RolloutPlan, RolloutProgress, Stage
+from lovagepier.entry._version_comparison import VersionComparison
 from lovagepier.logs import component_logger
 
 __all__ = ["Rollouts"]
@@ -25,8 +18,9 @@
 # How long after the store came back from an older copy its writers write again what
 # the copy lacks.
 RESTORE_PERIOD_S = 10.0
-_FAILED_STATUSES = ("failed", "vanished", "late")
-_SUCCESS_STATUSES = ("ok",)
+# A rollout that others began so long ago has had a canary stage. Clocks may differ by
+# less.
+EARLIER_BEGIN_S = 2.0
 _STATE_BY_STAGE = {
     Stage.CANARY: "running",
     Stage.SWITCHED: "running",
@@ -55,22 +49,20 @@
     """
 
     __slots__ = (
+        "comparison",
         "has_evidence",
         "last_write_at",
         "order",
         "plan",
         "progress",
-        "slowness",
         "stored_state",
-        "trigger",
     )
 
-    def __init__(self, order, plan):
+    def __init__(self, order, plan, comparison):
         self.order = order
         self.plan = plan
         self.progress = RolloutProgress()
-        self.trigger = RollbackTrigger()
-        self.slowness = SlownessDetector(SLOW_QUANTILE)
+        self.comparison = comparison
         # Whether it was rolled back because of failures rather than for lack of
         # evidence. A host in a partition sees too few outcomes to roll back for
         # the other hosts.
@@ -91,6 +83,9 @@
         self._view = view
         self._write_state = write_state
         self._rollouts = {}
+        # Comparisons of services without a rollout: what is usual before the next.
+        self._comparisons = {}
+        self._slack_fraction = 1.0
         self._changed = set()
 
     def refresh(self, now):
@@ -101,9 +96,24 @@
                 rollout.order = order
                 rollout.stored_state = None
             elif rollout is None or rollout.order.revision < order.revision:
-                self._rollouts[service] = self._begin(order, now)
+                self._begin_known(order, now)
+                continue
             self._read_state(self._rollouts[service])
 
+    def _begin_known(self, order, now):
+        """Begin a rollout, which other hosts may have begun earlier."""
+        rollout = self._rollouts[order.service] = self._begin(order, now)
+        rollout.progress.slack_fraction = self._slack_fraction
+        self._read_state(rollout)
+        if now - rollout.plan.began >= EARLIER_BEGIN_S:
+            rollout.plan.assume_canary(rollout.progress)
+
+    def set_slack_fraction(self, fraction):
+        """Set this host's part of the exposure slack while several coordinate."""
+        self._slack_fraction = fraction
+        for rollout in self._rollouts.values():
+            rollout.progress.slack_fraction = fraction
+
     def _is_written_again(self, rollout, order, now):
         """Return whether an order is the known one, from a copy of the store.
 
@@ -132,7 +142,8 @@
             self._cfg.moves_exposure_slack,
             now,
         )
-        return _Rollout(order, plan)
+        comparison = self._comparisons.pop(order.service, None)
+        return _Rollout(order, plan, comparison or VersionComparison())
 
     def _read_state(self, rollout):
         item = self._view.rollout_state(rollout.order.service)
@@ -211,26 +222,21 @@
             rollout.progress.sent_new += 1
 
     def observe(self, service, version, work, outcome, now):
-        """Record an outcome and roll back once the new version is found to be bad."""
+        """Record an outcome and roll back once the new version is found to be bad.
+
+        Without a rollout, outcomes show what is usual before the next one.
+        """
         rollout = self._open(service)
-        if rollout is None or outcome.status not in (
-            *_SUCCESS_STATUSES,
-            *_FAILED_STATUSES,
-        ):
-            return
         is_new = version == "new"
-        failed = outcome.status in _FAILED_STATUSES
-        slow = not failed and rollout.slowness.judge(
-            work.route, not is_new, work, outcome
-        )
-        rollout.progress.outcomes_new += is_new
-        rollout.progress.failed_new += is_new and failed
-        if slow is None:
-            return
-        counts = Counts(1, int(failed), int(slow))
-        cause = rollout.trigger.observe(work.route, is_new, counts, now)
-        if cause is not None and is_new:
-            self.roll_back(service, rollout.order.revision, cause)
+        if rollout is not None:
+            cause = rollout.comparison.observe(
+                rollout.progress, is_new, work, outcome, now
+            )
+            if cause is not None:
+                self.roll_back(service, rollout.order.revision, cause)
+        elif not is_new:
+            comparison = self._comparisons.setdefault(service, VersionComparison())
+            comparison.observe(None, False, work, outcome, now)
 
     def roll_back(self, service, revision, cause):
         """Roll back on evidence from this host or a peer, if the order still stands."""
@@ -267,7 +273,11 @@
                 rollout.progress.sent_new,
                 rollout.progress.outcomes_new,
                 rollout.progress.failed_new,
-                [rollout.slowness.thresholds(), rollout.trigger.state()],
+                [
+                    rollout.comparison.slowness.thresholds(),
+                    rollout.comparison.trigger.state(),
+                ],
+                rollout.comparison.left.state(),
             ]
             for service, rollout in self._rollouts.items()
             if self._open(service) is not None
@@ -286,8 +296,10 @@
             known.failed_new = max(known.failed_new, counts[3])
             if len(counts) > 4:
                 thresholds, comparisons = counts[4]
-                rollout.slowness.adopt(thresholds)
-                rollout.trigger.adopt(comparisons)
+                rollout.comparison.slowness.adopt(thresholds)
+                rollout.comparison.trigger.adopt(comparisons)
+            if len(counts) > 5:
+                rollout.comparison.left.adopt(counts[5])
 
     # Work of the coordinator in use
 
@@ -313,11 +325,13 @@
                     sent=rollout.progress.sent,
                     sent_new=rollout.progress.sent_new,
                     suspicion=round(rollout.progress.suspicion, 2),
+                    score=round(rollout.progress.score, 2),
                 )
 
     def _advance(self, service, rollout, old_running, now):
         rollout.progress.old_running = old_running(service)
-        rollout.progress.suspicion = rollout.trigger.overall_suspicion()
+        rollout.progress.suspicion = rollout.comparison.trigger.overall_suspicion()
+        rollout.progress.score = rollout.comparison.score()
         rollout.progress.new_ready = any(
             target.service == service
             and target.version == rollout.order.version
--- a/test/test_rollout_evidence.py
+++ b/test/test_rollout_evidence.py
@@ -1,8 +1,15 @@
 """What a coordinator that takes over in the middle of a rollout knows of it."""
 
+import time
 from types import SimpleNamespace
 
-from lovagepier.decisions.rollout_plan import CANARY_EXPOSURE_FRACTION
+from lovagepier import platform
+from lovagepier.decisions.rollout_plan import (
+    CANARY_SHARE_FRACTION,
+    CANARY_SLACK_FRACTION,
+    MAX_SWITCH_SUSPICION,
+    Stage,
+)
 from lovagepier.entry._messages import Roster
 from lovagepier.entry._rollouts import Rollouts
 from lovagepier.entry.store_types import RolloutOrder
@@ -16,18 +23,19 @@
 ENOUGH_OUTCOMES = 20
 DURATION_S = 15.0
 # A canary stage gets so many requests whatever the load is.
-CANARY_OUTCOMES = int(EXPOSURE_SLACK * CANARY_EXPOSURE_FRACTION)
+CANARY_OUTCOMES = int(EXPOSURE_SLACK * CANARY_SLACK_FRACTION)
 
 
-def make_rollouts():
+def make_rollouts(is_ordered=True):
     order = RolloutOrder("model", "v2", DURATION_S, 18)
     view = SimpleNamespace(
-        orders={"model": order},
+        orders={"model": order} if is_ordered else {},
         rollout_state=lambda service: None,
         targets={
             "e1": SimpleNamespace(service="model", version="v2", draining=False),
         },
         last_answer_at=None,
+        restored_at=None,
     )
     cfg = SimpleNamespace(moves_exposure_share=0.1, moves_exposure_slack=EXPOSURE_SLACK)
     rollouts = Rollouts(cfg, view, lambda *args: None)
@@ -35,6 +43,12 @@
     return rollouts
 
 
+def order_rollout(rollouts, now=0.0):
+    rollouts._view.orders = {"model": RolloutOrder("model", "v2", DURATION_S, 18)}
+    rollouts._view.last_answer_at = now
+    rollouts.refresh(now)
+
+
 def observe(rollouts, version, first_s, count, now=1.0):
     """Observe outcomes of a version; return after how many it was rolled back."""
     for number in range(count):
@@ -183,3 +197,189 @@
     observe(rollouts, "new", SLOW_FIRST_S, needed - 1)
     rollouts.step(lambda service: 0, DURATION_S / 2)
     assert rollouts.share("model", DURATION_S / 2) < 0.5
+
+
+PATIENCE_S = 0.4
+
+
+def observe_leaving(rollouts, version, count, seconds):
+    """Observe requests whose callers left after `seconds` without a response.
+
+    Return after how many the version was rolled back, None if it was not.
+    """
+    for number in range(count):
+        work = make_work(f"left-{version}-{number}", route=("talk", "note")[number % 2])
+        outcome = ended(work, status="cancelled", total_seconds=seconds)
+        rollouts.observe("model", version, work, outcome, 1.0)
+        if rollouts.rollbacks():
+            return number + 1
+    return None
+
+
+def test_callers_that_leave_a_slow_version_count_against_it():
+    """Replays EXPOSURE: most callers leave before a slow response is there."""
+    rollouts = make_rollouts()
+    observe(rollouts, "old", OLD_FIRST_S, 60)
+    assert observe_leaving(rollouts, "new", ENOUGH_OUTCOMES, PATIENCE_S) is not None
+
+
+def test_callers_that_leave_before_a_usual_response_tell_nothing():
+    rollouts = make_rollouts()
+    observe(rollouts, "old", OLD_FIRST_S, 60)
+    assert observe_leaving(rollouts, "new", 200, OLD_FIRST_S / 2) is None
+
+
+def test_callers_that_leave_both_versions_alike_do_not_roll_back_the_new_one():
+    rollouts = make_rollouts()
+    observe(rollouts, "old", OLD_FIRST_S, 60)
+    for _ in range(60):
+        observe(rollouts, "old", OLD_FIRST_S, 2)
+        observe_leaving(rollouts, "old", 2, PATIENCE_S)
+        observe(rollouts, "new", OLD_FIRST_S, 1)
+        assert observe_leaving(rollouts, "new", 1, PATIENCE_S) is None
+
+
+def test_a_new_version_is_compared_with_what_was_usual_before_its_order():
+    """Replays EXPOSURE: its first responses come before enough of the old version's."""
+    rollouts = make_rollouts(is_ordered=False)
+    observe(rollouts, "", OLD_FIRST_S, 60)
+    order_rollout(rollouts)
+    assert observe(rollouts, "new", SLOW_FIRST_S, ENOUGH_OUTCOMES) is not None
+
+
+def test_what_was_usual_before_a_rollback_is_learnt_anew_without_the_new_version():
+    rollouts = make_rollouts()
+    observe(rollouts, "old", OLD_FIRST_S, 60)
+    assert observe(rollouts, "new", SLOW_FIRST_S, ENOUGH_OUTCOMES) is not None
+    for number in range(60):
+        for version, first_s in (("new", SLOW_FIRST_S), ("", OLD_FIRST_S)):
+            work = make_work(f"{version}-{number}", route=("talk", "note")[number % 2])
+            outcome = ended(work, first_seconds=first_s, total_seconds=first_s + 0.4)
+            rollouts.observe("model", version, work, outcome, 1.5)
+    order = RolloutOrder("model", "v3", DURATION_S, 40)
+    rollouts._view.orders = {"model": order}
+    rollouts.refresh(2.0)
+    assert not rollouts.rollbacks()
+    assert observe(rollouts, "new", SLOW_FIRST_S, ENOUGH_OUTCOMES) is not None
+
+
+def grant_all(rollouts, seconds, rate=17, now=0.0):
+    """Offer requests; return how many go to the new version."""
+    due = granted = 0
+    for number in range(int(seconds * rate)):
+        rollouts.step(lambda service: 0, now + number / rate)
+        rollouts.count_sent("model")
+        due += rollouts.share("model", number / rate)
+        if due >= 1:
+            due -= 1
+            granted += 1
+            rollouts.count_new("model")
+    return granted
+
+
+def test_a_host_that_starts_in_a_rollout_does_not_grant_its_slack_again():
+    """All hosts were killed at once, so no roster tells what they had granted."""
+    order = RolloutOrder("model", "v2", DURATION_S, 18)
+    value = platform.encode_rollout_state(order, "running", time.time() - 8.0)
+    rollouts = make_rollouts(is_ordered=False)
+    item = SimpleNamespace(value=value, revision=20)
+    rollouts._view.rollout_state = lambda service: item
+    order_rollout(rollouts, now=100.0)
+    before = grant_all(make_rollouts(), 8.0)
+    granted = grant_all(rollouts, 4.0, now=100.0)
+    shared = 0.1 * CANARY_SHARE_FRACTION * 12 * 17
+    assert before + granted <= CANARY_OUTCOMES + shared
+
+
+def test_hosts_that_coordinate_apart_share_the_slack():
+    halves = [make_rollouts(), make_rollouts()]
+    for rollouts in halves:
+        rollouts.set_slack_fraction(0.5)
+    granted = sum(grant_all(rollouts, 3.0) for rollouts in halves)
+    sent = 2 * 3 * 17
+    assert granted <= 0.1 * sent + CANARY_OUTCOMES
+
+
+def test_outcomes_before_the_bar_is_known_are_judged_once_it_is():
+    """Replays EXPOSURE: the order came 3 s after the first request."""
+    rollouts = make_rollouts()
+    observe(rollouts, "new", SLOW_FIRST_S, ENOUGH_OUTCOMES)
+    assert not rollouts.rollbacks()
+    observe(rollouts, "old", OLD_FIRST_S, 60)
+    assert observe(rollouts, "new", SLOW_FIRST_S, 3) is not None
+
+
+def test_few_fast_outcomes_elsewhere_do_not_excuse_the_target_that_gets_most():
+    """Replays EXPOSURE: one new target of three got nine requests of ten."""
+    rollouts = make_rollouts()
+    observe(rollouts, "old", OLD_FIRST_S, 60)
+    for target in ("e2", "e3"):
+        work = make_work(target, route="talk")
+        outcome = ended(work, target, first_seconds=OLD_FIRST_S, total_seconds=0.5)
+        rollouts.observe("model", "new", work, outcome, 1.0)
+    assert observe(rollouts, "new", SLOW_FIRST_S, ENOUGH_OUTCOMES) is not None
+
+
+def test_one_slow_target_of_several_does_not_roll_back():
+    rollouts = make_rollouts()
+    observe(rollouts, "old", OLD_FIRST_S, 60)
+    for number in range(120):
+        target = f"e{number % 3}"
+        first_s = SLOW_FIRST_S if target == "e1" else OLD_FIRST_S
+        work = make_work(f"n{number}", route=("talk", "note")[number % 2])
+        outcome = ended(
+            work, target, first_seconds=first_s, total_seconds=first_s + 0.4
+        )
+        rollouts.observe("model", "new", work, outcome, 1.0)
+    assert not rollouts.rollbacks()
+
+
+def leave_early(rollouts, new_left):
+    """Let callers leave before the bar for 8 s: 1 of 8 old ones, and of the new ones.
+
+    `new_left` is how many of 4 callers of the new version leave each second.
+    """
+    for second in range(8):
+        now = 1.0 + second
+        for version, count, left in (("old", 8, 1), ("new", 4, new_left)):
+            for number in range(count):
+                work = make_work(f"{version}-{second}-{number}", route="talk")
+                outcome = ended(work, first_seconds=OLD_FIRST_S, total_seconds=0.5)
+                if number < left:
+                    seconds = OLD_FIRST_S * 0.9
+                    outcome = ended(work, status="cancelled", total_seconds=seconds)
+                rollouts.observe("model", version, work, outcome, now)
+
+
+def stage_at_the_last_moment(rollouts):
+    rollouts.step(lambda service: 0, DURATION_S * 0.9)
+    return rollouts._rollouts["model"].plan.stage
+
+
+def test_a_version_that_more_callers_leave_early_gets_no_more_traffic():
+    """Their patience ends before a response can be called slow."""
+    rollouts = make_rollouts()
+    observe(rollouts, "old", OLD_FIRST_S, 60)
+    leave_early(rollouts, new_left=3)
+    successor = take_over(rollouts)
+    assert stage_at_the_last_moment(rollouts) == Stage.ROLLED_BACK
+    assert stage_at_the_last_moment(successor) == Stage.ROLLED_BACK
+
+
+def test_callers_that_leave_both_versions_early_tell_nothing():
+    rollouts = make_rollouts()
+    observe(rollouts, "old", OLD_FIRST_S, 60)
+    leave_early(rollouts, new_left=1)
+    assert stage_at_the_last_moment(rollouts) == Stage.SWITCHED
+
+
+def test_a_route_whose_requests_always_fail_is_no_evidence():
+    """Its timeout is shorter than its requests take, whatever the version."""
+    rollouts = make_rollouts()
+    for number in range(40):
+        for version in ("old", "new"):
+            work = make_work(f"{version}-{number}", route="talk" if number % 4 else "x")
+            status = "ok" if number % 4 else "late"
+            rollouts.observe("model", version, work, ended(work, status=status), 1.0)
+    rollouts.step(lambda service: 0, DURATION_S * 0.9)
+    assert rollouts._rollouts["model"].progress.suspicion < MAX_SWITCH_SUSPICION
