--- a/trials/soak_fleet.py
+++ b/trials/soak_fleet.py
@@ -62,16 +62,22 @@
 
 
 class HostProcess:
-    """One entry host: its settings file, its proxy to the store and its process."""
+    """One entry host: its settings file, its proxy to the store and its process.
+
+    `build_folder` holds the package that it runs from its next start on, None for that
+    of this checkout.
+    """
 
     def __init__(self, number, folder, store_proxy, seeds):
+        self.build_folder = None
         self.name = f"n{number}"
         self.path = folder / f"{self.name}.ini"
         self.log = folder / f"{self.name}.log"
         self.store_proxy = store_proxy
         text = settings(self.name, store_proxy.port, seeds=seeds)
         self.path.write_text(text)
-        self.address = parse_entry_settings(text).callers_listen
+        self.cfg = parse_entry_settings(text)
+        self.address = self.cfg.callers_listen
         self.process = None
         self._log_begin = 0
         self.is_stopped = False
@@ -93,6 +99,7 @@
                 stdout=log,
                 stderr=log,
                 env=env,
+                cwd=self.build_folder,
             )
         while not await self._accepts():
             await asyncio.sleep(0.005)
@@ -141,8 +148,11 @@
         self._target_number = 0
         self._tasks = []
 
-    async def start(self):
-        """Start everything and wait until a request is served by each host."""
+    async def start(self, build_folder=None):
+        """Start everything and wait until a request is served by each host.
+
+        The hosts run the package in `build_folder`, see `HostProcess`.
+        """
         await self.store.start()
         await self.write_config()
         self._tasks.append(asyncio.create_task(self.store.expire_leases()))
@@ -151,7 +161,9 @@
                 await self.add_target(service)
         for number in range(1, HOSTS + 1):
             proxy = await Proxy().start(self.store.port)
-            self.hosts.append(HostProcess(number, self.folder, proxy, ""))
+            host = HostProcess(number, self.folder, proxy, "")
+            host.build_folder = build_folder
+            self.hosts.append(host)
         await asyncio.gather(*(host.start() for host in self.hosts))
 
     async def write_config(self):
