Send each peer what its build reads

Cause: a frame had all fields of the sender's build and the reader took exactly its own. Now tags and fields have the format since which they exist, beside their definition; a host states the formats that it has when a link is opened, in headers that older builds ignore, and sends what the peer's format has. A peer that states none has the oldest, or that of the newest frame that it sent. Readers pass over further fields and unknown tags, with one line a link and a counter. Peers without a common format are refused with both numbers and dialled ever more rarely. Rows inside fields (hosts, comparisons of versions, running requests) are cut for the peer by the fall-backs of entry/_older_formats.py.

Ruled out: leaving it at readers that pass over what they don't know, since the old readers can't be changed.

--- a/lovagepier/entry/_cluster.py
+++ b/lovagepier/entry/_cluster.py
@@ -10,6 +10,7 @@
 from lovagepier.entry._candidates import Candidates
 from lovagepier.entry._capacity import CapacityShares
 from lovagepier.entry._followers import Followers
+from lovagepier.entry._links import LinkCounts
 from lovagepier.entry._messages import (
     DispatchRequest,
     DispatchResult,
@@ -28,11 +29,13 @@
     TargetPaused,
     Withdraw,
 )
+from lovagepier.entry._older_formats import readable_progress
 from lovagepier.entry._outgoing import STANDBY_HEARTBEAT_ROUNDS, OutgoingLinks
 from lovagepier.entry._replication import Replication
 from lovagepier.entry._requests import Requests
 from lovagepier.entry._statements import TargetStatements
 from lovagepier.errors import ErrorKind
+from lovagepier.frames import from_values
 from lovagepier.logs import component_logger
 
 __all__ = ["Cluster"]
@@ -69,7 +72,8 @@
     targets say of themselves.
 
     `boot` identifies this incarnation of the host. `coordinator_name` is the host of
-    the coordinator in use, None before the first.
+    the coordinator in use, None before the first. `link_counts` are the `LinkCounts`
+    of all its links.
     """
 
     def __init__(self, cfg, view, coordinator, apply_keys, boot=""):
@@ -82,8 +86,9 @@
         )
         self._loop = asyncio.get_running_loop()
         self.followers = Followers(cfg, view, coordinator, boot)
+        self.link_counts = LinkCounts()
         self._outgoing = OutgoingLinks(
-            self.on_message, self._on_link, self.choose_coordinator
+            self.on_message, self._on_link, self.choose_coordinator, self.link_counts
         )
         self.candidates = Candidates(cfg, view, self._outgoing, self.followers, boot)
         self.requests = Requests(self._send_to_coordinator)
@@ -131,7 +136,9 @@
             self._handle_as_coordinator(self._cfg.host_name, message)
             return
         link = self._outgoing.links.get(self.coordinator_name)
-        if link is None or not link.send(message):
+        if link is not None:
+            link.send(message)
+        if link is None or not link.is_open:
             self._loop.call_soon(self.choose_coordinator)
 
     def _send_if_follower(self, message):
@@ -200,7 +207,8 @@
             coordinator.on_withdraw(entry, message.id, now)
         elif isinstance(message, RunningReport):
             rows = [
-                (DispatchRequest(*fields), target) for fields, target in message.running
+                (from_values(DispatchRequest, values), target)
+                for values, target in message.running
             ]
             report = replace(message, running=rows)
             self.followers.on_joined(entry)
@@ -230,7 +238,7 @@
         self._roster = link.roster
         self._quota_levels = roster.quota_levels
         self._retry_levels = roster.retry_levels
-        self._coordinator.rollouts.merge_progress(roster.rollouts)
+        self._coordinator.rollouts.merge_progress(readable_progress(roster.rollouts))
         self._merge_evidence(roster)
         self._coordinator.replace_limits(roster, self._loop.time())
         if roster.leaving is not None:
--- a/lovagepier/entry/_followers.py
+++ b/lovagepier/entry/_followers.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
+from lovagepier import build_name
 from lovagepier.entry._messages import Roster
+from lovagepier.frames import FORMAT
 from lovagepier.logs import component_logger
 
 __all__ = ["Followers"]
@@ -10,16 +12,6 @@
 _log = component_logger("members")
 
 
-def _row(heartbeat):
-    return [
-        heartbeat.name,
-        heartbeat.caller_address,
-        heartbeat.zone,
-        heartbeat.draining,
-        heartbeat.is_cut_off,
-    ]
-
-
 class Followers:
     """Hosts that use this host's coordinator or keep a standby link to it.
 
@@ -35,6 +27,7 @@
         self._coordinator = coordinator
         self._loop = asyncio.get_running_loop()
         self._heartbeats = {}
+        self._rows = {}
         self._host_rows = None
         self._sent_hosts = {}
         self._sent = {}
@@ -69,14 +62,28 @@
         link.store_answered_at = self._loop.time() - heartbeat.store_age
         known = self._heartbeats.get(heartbeat.name)
         self._heartbeats[heartbeat.name] = heartbeat
-        if known is None or _row(known) != _row(heartbeat):
-            self._host_rows = None
-        if known is None or _row(known)[3:] != _row(heartbeat)[3:]:
-            self._rosters_due = True
+        self._put_row(link, heartbeat)
         if known is not None and known.is_follower and not heartbeat.is_follower:
             self._coordinator.on_entry_lost(heartbeat.name, self._loop.time())
         return known is None or known.is_follower != heartbeat.is_follower
 
+    def _put_row(self, link, heartbeat):
+        row = [
+            heartbeat.name,
+            heartbeat.caller_address,
+            heartbeat.zone,
+            heartbeat.draining,
+            heartbeat.is_cut_off,
+            link.format,
+            link.build,
+        ]
+        known = self._rows.get(heartbeat.name)
+        self._rows[heartbeat.name] = row
+        if row != known:
+            self._host_rows = None
+        if known is None or row[3:5] != known[3:5]:
+            self._rosters_due = True
+
     def _register_link(self, link, name):
         link.peer = name
         old = self.links.get(name)
@@ -92,6 +99,7 @@
         self._sent_hosts.pop(link.peer, None)
         self._sent.pop(link.peer, None)
         self._heartbeats.pop(link.peer, None)
+        self._rows.pop(link.peer, None)
         self._host_rows = None
         self._coordinator.on_entry_lost(link.peer, self._loop.time())
         _log.info("the link from an entry host ended", host=link.peer)
@@ -121,8 +129,10 @@
                 cfg.host_zone,
                 self.draining,
                 self._is_cut_off,
+                FORMAT,
+                build_name(),
             ]
-            self._host_rows = [own, *map(_row, self._heartbeats.values())]
+            self._host_rows = [own, *self._rows.values()]
         return self._host_rows
 
     def roster(self, link):
--- a/lovagepier/entry/_host.py
+++ b/lovagepier/entry/_host.py
@@ -8,6 +8,7 @@
 
 from result import Err
 
+from lovagepier import build_name
 from lovagepier.entry._cluster import Cluster
 from lovagepier.entry._coordinator import Coordinator
 from lovagepier.entry._frontend import GRACE_MARGIN_S, Frontend
@@ -18,6 +19,7 @@
 from lovagepier.entry._verdicts import Verdicts
 from lovagepier.entry._view import HOST_PREFIX, StoreView, encode_host
 from lovagepier.errors import UserError
+from lovagepier.formats import OWN_FORMATS
 from lovagepier.logs import component_logger
 from lovagepier.platform import number_of
 from lovagepier.settings import read_settings_file
@@ -121,7 +123,9 @@
         self._loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._loop.set_exception_handler(_log_unhandled)
         self._start_actors()
-        links = LinkServer(self._on_link_message, self._on_link_closed)
+        links = LinkServer(
+            self._on_link_message, self._on_link_closed, self.cluster.link_counts
+        )
         await links.start(self.cfg.peers_listen)
         await self.frontend.listen(self._sockets)
         tasks = [
@@ -130,7 +134,13 @@
             self._loop.create_task(self._reload_forever()),
             self._loop.create_task(self.frontend.connector.run()),
         ]
-        _log.info("started", host=self.cfg.host_name, boot=self._boot)
+        _log.info(
+            "started",
+            host=self.cfg.host_name,
+            boot=self._boot,
+            build=build_name(),
+            formats=OWN_FORMATS,
+        )
         await self._stopping.wait()
         await self._drain()
         for task in tasks:
--- a/lovagepier/entry/_links.py
+++ b/lovagepier/entry/_links.py
@@ -1,16 +1,26 @@
 """Links between entry hosts: CBOR messages over WebSocket, on the event loop."""
 
 import asyncio
+import enum
 import logging
+from dataclasses import dataclass
 
 from websockets.asyncio.client import connect
 from websockets.asyncio.server import serve
-from websockets.exceptions import ConnectionClosed, WebSocketException
+from websockets.exceptions import ConnectionClosed, InvalidStatus, WebSocketException
 
-from lovagepier.frames import MAX_FRAME_BYTES, CodecError, decode, encode
+from lovagepier import formats
+from lovagepier.frames import (
+    FORMAT,
+    MAX_FRAME_BYTES,
+    CodecError,
+    NotInFormat,
+    decode,
+    encode,
+)
 from lovagepier.logs import component_logger
 
-__all__ = ["Link", "LinkServer", "dial"]
+__all__ = ["Dialed", "Link", "LinkCounts", "LinkServer", "dial"]
 
 # A peer that leaves this many messages unread is disconnected.
 MAX_OUTBOX_MESSAGES = 2000
@@ -21,6 +31,34 @@
 _QUIET_LOG.setLevel(logging.CRITICAL)
 
 
+class Dialed(enum.Enum):
+    """What became of dialing a peer.
+
+    UNREADABLE is a link that ended because one end could not read the other's frames,
+    UNSUPPORTED one that was refused for lack of a common format.
+    """
+
+    FAILED = "failed"
+    ENDED = "ended"
+    UNREADABLE = "unreadable"
+    UNSUPPORTED = "unsupported"
+
+
+@dataclass(slots=True)
+class LinkCounts:
+    """What did not fit on all links of a host because of different formats.
+
+    `skipped` frames had an unknown tag or further fields, `omitted` messages were not
+    sent because the peer's format lacks them, `unreadable` links were closed for a
+    malformed frame, `unsupported` ones for lack of a common format.
+    """
+
+    skipped: int = 0
+    omitted: int = 0
+    unreadable: int = 0
+    unsupported: int = 0
+
+
 class Link:
     """One open connection to a peer.
 
@@ -32,23 +70,42 @@
     last stated, None before its first roster. `store_answered_at` is the loop time at
     which the store last answered the peer, by its last heartbeat or roster. `in_use`
     tells whether one end is the coordinator of the other; other links are on standby.
+    `format` is the format in which messages are sent, `build` the peer's build, empty
+    if it does not say. A peer that states no format has that of the newest frame that
+    it sent.
     """
 
     __slots__ = (
         "_conn",
         "_outbox",
         "_sender",
+        "_counts",
+        "_has_frames",
+        "_has_omitted",
+        "_has_skipped",
+        "_is_stated",
         "boot",
+        "build",
+        "format",
         "last_frame_at",
         "in_use",
         "is_open",
+        "is_unreadable",
         "peer",
         "roster",
         "store_answered_at",
     )
 
-    def __init__(self, conn):
+    def __init__(self, conn, peer_formats, counts):
         self._conn = conn
+        self._counts = counts
+        self._is_stated = peer_formats.is_stated
+        self._has_frames = False
+        self._has_omitted = False
+        self._has_skipped = False
+        self.format = peer_formats.number
+        self.build = peer_formats.build
+        self.is_unreadable = False
         self._outbox = asyncio.Queue(MAX_OUTBOX_MESSAGES)
         self._sender = None
         self.last_frame_at = asyncio.get_running_loop().time()
@@ -59,23 +116,51 @@
         self.store_answered_at = float("-inf")
         self.in_use = False
 
+    @property
+    def is_mute(self):
+        """Whether the peer has neither sent a frame nor stated its formats."""
+        return not self._has_frames and not self._is_stated
+
     @property
     def backlog(self):
         """Number of messages that wait to be sent."""
         return self._outbox.qsize()
 
     def send(self, body):
-        """Queue one message; return whether the link accepted it."""
+        """Queue one message; return whether the link accepted it.
+
+        A message that the peer's format lacks is left out.
+        """
         if not self.is_open:
             return False
         try:
-            self._outbox.put_nowait(encode(body))
+            self._outbox.put_nowait(encode(body, number=self.format))
+        except NotInFormat as exc:
+            self._omit(str(exc))
+            return False
         except asyncio.QueueFull:
             _log.warning("disconnected a peer that reads too slowly", peer=self.peer)
             self.close()
             return False
         return True
 
+    def expect_format(self, number):
+        """Take a peer that states no format for one of at least format `number`."""
+        if number > self.format and not self._is_stated:
+            self.format = min(number, FORMAT)
+
+    def _omit(self, why):
+        self._counts.omitted += 1
+        if not self._has_omitted:
+            self._has_omitted = True
+            _log.info(
+                "a peer of an older format gets less",
+                peer=self.peer,
+                build=self.build,
+                format=self.format,
+                why=why,
+            )
+
     def close(self):
         """Abort the connection without waiting for queued messages."""
         self.is_open = False
@@ -90,9 +175,18 @@
         try:
             async for data in self._conn:
                 self.last_frame_at = loop.time()
-                self._handle(on_message, decode(data).message)
+                self._receive(on_message, decode(data))
         except CodecError as exc:
-            _log.warning("closed a link that sent a malformed frame", why=str(exc))
+            self.is_unreadable = True
+            self._counts.unreadable += 1
+            _log.warning(
+                "closed a link that sent a malformed frame",
+                why=str(exc),
+                peer=self.peer,
+                build=self.build,
+                format=self.format,
+                own_formats=formats.OWN_FORMATS,
+            )
         except (ConnectionClosed, WebSocketException, OSError) as exc:
             # The owner of the link chooses another coordinator.
             _log.info("a link ended", peer=self.peer, why=type(exc).__name__)
@@ -100,6 +194,23 @@
             self._sender.cancel()
             self.close()
 
+    def _receive(self, on_message, frame):
+        self._has_frames = True
+        self.expect_format(frame.since)
+        if frame.message is None or frame.skipped:
+            self._counts.skipped += 1
+            if not self._has_skipped:
+                self._has_skipped = True
+                _log.info(
+                    "passed over what a peer of a newer format sends",
+                    peer=self.peer,
+                    build=self.build,
+                    message=type(frame.message).__name__,
+                    fields=frame.skipped,
+                )
+        if frame.message is not None:
+            self._handle(on_message, frame.message)
+
     def _handle(self, on_message, message):
         try:
             on_message(self, message)
@@ -120,12 +231,14 @@
             self.close()
 
 
-async def dial(address, on_open, on_message, on_close):
-    """Connect to a peer and run the link; return whether it was opened."""
+async def dial(address, on_open, on_message, on_close, counts):
+    """Connect to a peer and run the link until it ends; return a `Dialed`."""
     host, port = address
+    peer = f"{host}:{port}"
     try:
         conn = await connect(
             f"ws://{host}:{port}/",
+            additional_headers=formats.own_headers(),
             open_timeout=CONNECT_TIMEOUT_S,
             close_timeout=CONNECT_TIMEOUT_S,
             ping_interval=None,
@@ -134,26 +247,54 @@
             logger=_QUIET_LOG,
             proxy=None,
         )
+    except InvalidStatus as exc:
+        if exc.response.status_code != formats.UNSUPPORTED_STATUS:
+            _log.debug("could not connect to a peer", peer=peer, why=str(exc))
+            return Dialed.FAILED
+        _log_formats(formats.read_headers(exc.response.headers), peer, counts, True)
+        return Dialed.UNSUPPORTED
     except (OSError, TimeoutError, WebSocketException) as exc:
-        _log.debug("could not connect to a peer", peer=f"{host}:{port}", why=str(exc))
-        return False
-    link = Link(conn)
+        _log.debug("could not connect to a peer", peer=peer, why=str(exc))
+        return Dialed.FAILED
+    peer_formats = formats.read_headers(conn.response.headers)
+    _log_formats(peer_formats, peer, counts)
+    if peer_formats.number is None:
+        conn.transport.abort()
+        return Dialed.UNSUPPORTED
+    link = Link(conn, peer_formats, counts)
     on_open(link)
     try:
         await link.run(on_message)
     finally:
         on_close(link)
-    return True
+    return Dialed.UNREADABLE if link.is_unreadable or link.is_mute else Dialed.ENDED
+
+
+def _log_formats(peer_formats, peer, counts, is_refused=False):
+    """Log a statement of formats that is wrong or leaves none in common."""
+    if not peer_formats.fault and not is_refused:
+        return
+    is_unsupported = is_refused or peer_formats.number is None
+    counts.unsupported += is_unsupported
+    _log.warning(
+        "a peer of an unsupported build" if is_unsupported else "formats of a peer",
+        peer=peer,
+        build=peer_formats.build,
+        formats=peer_formats.text,
+        own_formats=formats.OWN_FORMATS,
+        why=peer_formats.fault or "it refused this build",
+    )
 
 
 class LinkServer:
     """Accepts links from other entry hosts."""
 
-    __slots__ = ("_on_close", "_on_message", "_server")
+    __slots__ = ("_counts", "_on_close", "_on_message", "_server")
 
-    def __init__(self, on_message, on_close):
+    def __init__(self, on_message, on_close, counts):
         self._on_message = on_message
         self._on_close = on_close
+        self._counts = counts
         self._server = None
 
     async def start(self, address):
@@ -161,14 +302,25 @@
         self._server = await serve(
             self._run,
             *address,
+            process_request=self._check_formats,
+            process_response=formats.add_headers,
             ping_interval=None,
             compression=None,
             max_size=MAX_FRAME_BYTES,
             logger=_QUIET_LOG,
         )
 
+    def _check_formats(self, conn, request):
+        peer_formats = formats.read_headers(request.headers)
+        peer = ":".join(map(str, conn.remote_address[:2]))
+        _log_formats(peer_formats, peer, self._counts)
+        if peer_formats.number is None:
+            return formats.refusal(conn)
+        return None
+
     async def _run(self, conn):
-        link = Link(conn)
+        peer_formats = formats.read_headers(conn.request.headers)
+        link = Link(conn, peer_formats, self._counts)
         try:
             await link.run(self._on_message)
         finally:
--- a/lovagepier/entry/_messages.py
+++ b/lovagepier/entry/_messages.py
@@ -1,11 +1,13 @@
 """Messages between entry hosts and the coordinator. Times are in seconds.
 
-A message goes out as its tag and its values in the order of its fields.
+A message goes out as its tag and its values in the order of its fields. New fields come
+last, with the format `since` which they exist; see `frames`.
 """
 
 from dataclasses import dataclass, field
 
-from lovagepier.frames import message
+from lovagepier.entry._older_formats import host_rows, rollout_rows
+from lovagepier.frames import field_count, message, since
 
 __all__ = [
     "DispatchRequest",
@@ -46,30 +48,29 @@
     version: int
     as_of: int
     store_age: float
-    is_cut_off: bool = False
+    is_cut_off: bool = since(2, False)
 
 
-@message("e.roster")
+@message("e.roster", reshape={"hosts": host_rows, "rollouts": rollout_rows})
 @dataclass(slots=True)
 class Roster:
     """The coordinator's answer to a heartbeat, with what its followers must know.
 
-    `hosts` rows are [name, callers' address, zone, draining, is_cut_off]; None if they
-    are the same as in the last roster on this link. `store_age` is the time since
-    the store last answered the coordinator. `poisoned` are the fingerprints of
-    requests that no host may run, `suspects` the `PoisonDetector.suspect_rows`, None
-    if they did not change. `rollbacks` rows are [service, order revision, cause] of
-    rollouts that were rolled back. `quota_levels` maps accounts whose quotas are
-    nearly spent to the fraction of the burst that is left, None if it is unknown.
-    `rollouts` rows are [service, order revision, dispatches, dispatches to the new
-    version, outcomes of the new version, failures of the new version, comparisons] of
-    open rollouts; the last are the `SlownessDetector.thresholds` and the
-    `RollbackTrigger.state`. `boot` identifies the sender's incarnation, empty if it
-    does not say.
-    `retry_levels` maps services to the tokens left in their `RetryBudget`s.
-    `rate_limits` and `rejection_limits` are the rows of the coordinator's
-    `StatedLimits` and `leaving` the `StoreView.leaving`, each None if it did not
-    change.
+    `hosts` rows are [name, callers' address, zone, draining, is_cut_off, format,
+    build]; None if they are the same as in the last roster on this link. `store_age` is
+    the time since the store last answered the coordinator. `poisoned` are the
+    fingerprints of requests that no host may run, `suspects` the
+    `PoisonDetector.suspect_rows`, None if they did not change. `rollbacks` rows are
+    [service, order revision, cause] of rollouts that were rolled back. `quota_levels`
+    maps accounts whose quotas are nearly spent to the fraction of the burst that is
+    left, None if it is unknown. `rollouts` rows are [service, order revision,
+    dispatches, dispatches to the new version, outcomes of the new version, failures of
+    the new version, comparisons] of open rollouts; the last are the
+    `SlownessDetector.thresholds` and the `RollbackTrigger.state`. `boot` identifies the
+    sender's incarnation, empty if it does not say. `retry_levels` maps services to the
+    tokens left in their `RetryBudget`s. `rate_limits` and `rejection_limits` are the
+    rows of the coordinator's `StatedLimits` and `leaving` the `StoreView.leaving`, each
+    None if it did not change.
     """
 
     coordinator: str
@@ -85,8 +86,8 @@
     suspects: list | None = None
     retry_levels: dict = field(default_factory=dict)
     rate_limits: list | None = None
-    leaving: list | None = None
-    rejection_limits: list | None = None
+    leaving: list | None = since(2, None)
+    rejection_limits: list | None = since(3, None)
 
 
 @message("e.ask")
@@ -179,7 +180,7 @@
     incarnation: str
 
 
-@message("e.leaving")
+@message("e.leaving", since=2)
 @dataclass(slots=True)
 class TargetLeaving:
     """An incarnation of a target said in the response to `request` that it leaves."""
@@ -188,7 +189,7 @@
     request: str
 
 
-@message("e.pause")
+@message("e.pause", since=2)
 @dataclass(slots=True)
 class TargetPaused:
     """A target wants nothing from `host` for a number of seconds.
@@ -215,7 +216,7 @@
     target: str
     incarnation: str
     per_second: float | None
-    kind: str = "rate_limit"
+    kind: str = since(3, "rate_limit", essential=True)
 
 
 @message("e.withdraw")
@@ -230,7 +231,12 @@
     id: str
 
 
-@message("e.register")
+def _running_rows(rows, number):
+    count = field_count(DispatchRequest, number)
+    return [[values[:count], target] for values, target in rows]
+
+
+@message("e.register", reshape={"running": _running_rows})
 @dataclass(slots=True)
 class RunningReport:
     """What an entry host runs, for a coordinator that may not know.
@@ -249,9 +255,9 @@
     spent: dict = field(default_factory=dict)
     suspects: list = field(default_factory=list)
     rate_limits: list = field(default_factory=list)
-    leaving: list = field(default_factory=list)
-    pauses: list = field(default_factory=list)
-    rejection_limits: list = field(default_factory=list)
+    leaving: list = since(2, default_factory=list)
+    pauses: list = since(2, default_factory=list)
+    rejection_limits: list = since(3, default_factory=list)
 
 
 @message("e.changed")
--- a/lovagepier/entry/_outgoing.py
+++ b/lovagepier/entry/_outgoing.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from lovagepier.entry._links import dial
+from lovagepier.entry._links import Dialed, dial
 from lovagepier.logs import component_logger
 
 __all__ = ["STANDBY_HEARTBEAT_ROUNDS", "OutgoingLinks"]
@@ -11,6 +11,9 @@
 LINK_TIMEOUT_S = 1.0
 # A standby link carries one heartbeat in this many rounds.
 STANDBY_HEARTBEAT_ROUNDS = 4
+# A host that can't talk to this one is dialed again after this time, which doubles.
+MISFIT_REDIAL_INTERVAL_S = 0.6
+MAX_REDIAL_INTERVAL_S = 10.0
 
 _log = component_logger("members")
 
@@ -19,13 +22,15 @@
     """Open links by host name; dials each host at most once at a time.
 
     `on_message(link, message)` gets what peers send, `on_open(link)` each new
-    link. `on_change()` is called when a link has ended.
+    link. `on_change()` is called when a link has ended. `counts` are the `LinkCounts`.
     """
 
-    def __init__(self, on_message, on_open, on_change):
+    def __init__(self, on_message, on_open, on_change, counts):
         self._on_message = on_message
         self._on_open = on_open
         self._on_change = on_change
+        self._counts = counts
+        self._misfits = {}
         self._loop = asyncio.get_running_loop()
         self._dialing = {}
         self._redial_at = {}
@@ -71,13 +76,30 @@
             self._on_change()
 
         try:
-            opened = await dial(address, on_open, self._on_message, on_close)
-            if not opened and name not in self._unreachable:
-                self._unreachable.add(name)
-                _log.warning("could not connect to a host", host=name, address=address)
+            dialed = await dial(
+                address, on_open, self._on_message, on_close, self._counts
+            )
+            self._note(name, address, dialed)
         finally:
             self._dialing.pop(name, None)
 
+    def _note(self, name, address, dialed):
+        """Log a failure to connect; dial a host that can't be talked to more rarely."""
+        if dialed is Dialed.FAILED and name not in self._unreachable:
+            self._unreachable.add(name)
+            _log.warning("could not connect to a host", host=name, address=address)
+        if dialed not in (Dialed.UNREADABLE, Dialed.UNSUPPORTED):
+            self._misfits.pop(name, None)
+            return
+        count = self._misfits[name] = self._misfits.get(name, 0) + 1
+        interval_s = min(
+            MISFIT_REDIAL_INTERVAL_S * 2 ** (count - 1), MAX_REDIAL_INTERVAL_S
+        )
+        self._redial_at[name] = self._loop.time() + interval_s
+        _log.warning(
+            "could not talk to a host", host=name, why=dialed.value, redial_s=interval_s
+        )
+
     def close_silent(self, incoming):
         """Close all links that timed out, including the `incoming` ones."""
         now = self._loop.time()
--- a/lovagepier/entry/_requests.py
+++ b/lovagepier/entry/_requests.py
@@ -3,12 +3,12 @@
 import asyncio
 
 from lovagepier.entry._messages import (
-    DispatchRequest,
     DispatchResult,
     FirstEvent,
     Granted,
     Withdraw,
 )
+from lovagepier.frames import field_values
 
 __all__ = ["Requests"]
 
@@ -113,7 +113,4 @@
 
     def running_rows(self):
         """Return the `running` rows of a `RunningReport`."""
-        return [
-            [[getattr(req, field) for field in DispatchRequest.__slots__], target]
-            for req, target in self._running.values()
-        ]
+        return [[field_values(req), target] for req, target in self._running.values()]
--- a/lovagepier/entry/_target_connector.py
+++ b/lovagepier/entry/_target_connector.py
@@ -39,7 +39,9 @@
         self._loop = asyncio.get_running_loop()
         self._paths = TargetPaths(cfg.host_name, cfg.host_zone, make_zone_cost(cfg))
         self._comparison = TargetComparison(view, connections, self._paths.is_broken)
-        self._tunnels = Tunnels(cfg.host_name, self._find_address)
+        self._tunnels = Tunnels(
+            cfg.host_name, self._find_address, self._find_format, cluster.link_counts
+        )
         self._retrying = {}
 
     def is_broken(self, incarnation):
@@ -165,7 +167,7 @@
         rows = [row for row in self._cluster.live_hosts() if not row[3]]
         # A coordinator of an earlier version sends rows without the last column.
         live = [
-            Peer(row[0], row[2], row[4:] == [True])
+            Peer(row[0], row[2], row[4:5] == [True])
             for row in rows
             if row[0] != own and row[0] in members
         ]
@@ -175,6 +177,11 @@
         host = self._view.members().get(name)
         return host.link_address if host is not None else None
 
+    def _find_format(self, name):
+        """Return the format of a host as its coordinator knows it, 0 if it doesn't."""
+        rows = (row for row in self._cluster.live_hosts() if row[0] == name)
+        return next((row[5] for row in rows if len(row) > 5), 0)
+
     # Broken paths
 
     async def run(self):
--- a/lovagepier/entry/_tunnel_messages.py
+++ b/lovagepier/entry/_tunnel_messages.py
@@ -17,7 +17,7 @@
 ]
 
 
-@message("e.tunnel")
+@message("e.tunnel", since=2)
 @dataclass(slots=True)
 class TunnelOpen:
     """Asks to connect `host`, the sender, to one incarnation of a target."""
@@ -28,7 +28,7 @@
     incarnation: str
 
 
-@message("e.tunnel-up")
+@message("e.tunnel-up", since=2)
 @dataclass(slots=True)
 class TunnelOpened:
     """The receiver of `TunnelOpen` is connected to the target."""
@@ -36,7 +36,7 @@
     number: int
 
 
-@message("e.tunnel-data")
+@message("e.tunnel-data", since=2)
 @dataclass(slots=True)
 class TunnelData:
     """Bytes to or from the target."""
@@ -45,7 +45,7 @@
     data: bytes
 
 
-@message("e.tunnel-flow")
+@message("e.tunnel-flow", since=2)
 @dataclass(slots=True)
 class TunnelFlow:
     """Asks to stop (`paused`) or to resume sending the target's bytes."""
@@ -54,7 +54,7 @@
     paused: bool
 
 
-@message("e.tunnel-end")
+@message("e.tunnel-end", since=2)
 @dataclass(slots=True)
 class TunnelClosed:
     """The tunnel has ended, or could not be opened.
--- a/lovagepier/entry/_tunnels.py
+++ b/lovagepier/entry/_tunnels.py
@@ -109,12 +109,15 @@
     """Opens tunnels on links of their own, one to each host that is asked.
 
     `host_name` is this host's; `find_address(name)` returns the (address, port) at
-    which a host accepts links, or None.
+    which a host accepts links, or None, `find_format(name)` its format, 0 if unknown.
+    `counts` are the `LinkCounts`.
     """
 
-    def __init__(self, host_name, find_address):
+    def __init__(self, host_name, find_address, find_format, counts):
         self._host_name = host_name
         self._find_address = find_address
+        self._find_format = find_format
+        self._counts = counts
         self._loop = asyncio.get_running_loop()
         self._numbers = itertools.count(1)
         self._links = {}
@@ -149,11 +152,13 @@
         tunnel = _Tunnel(link, next(self._numbers), conn)
         self._tunnels[tunnel.number] = tunnel
         try:
-            link.send(
+            is_sent = link.send(
                 TunnelOpen(
                     tunnel.number, self._host_name, target.id, target.incarnation
                 )
             )
+            if not is_sent:
+                raise HostUnreachable("its build opens no tunnels")
             await tunnel.opened
         except BaseException:
             tunnel.abort()
@@ -177,6 +182,7 @@
 
         def on_open(link):
             link.peer = host
+            link.expect_format(self._find_format(host))
             self._links[host] = link
             opened.set_result(link)
 
@@ -185,7 +191,13 @@
             if address is None:
                 return None
             running = self._loop.create_task(
-                dial(address, on_open, self._on_message, self._on_link_closed)
+                dial(
+                    address,
+                    on_open,
+                    self._on_message,
+                    self._on_link_closed,
+                    self._counts,
+                )
             )
             await asyncio.wait((opened, running), return_when=asyncio.FIRST_COMPLETED)
         finally:
--- a/lovagepier/frames.py
+++ b/lovagepier/frames.py
@@ -1,57 +1,198 @@
-"""CBOR frames: [tag, correlation, is reply, field values...]."""
+"""CBOR frames: [tag, correlation, is reply, field values...].
+
+Builds of different age talk to each other. What they send has a format, a number that
+grows by one with a release that changes it. A tag and a field have the number of the
+format since which they exist; a frame has only what the peer's format has, and a
+reader passes over what it doesn't know.
+"""
 
 import io
-from dataclasses import MISSING, dataclass, fields
+from dataclasses import MISSING, dataclass, field, fields
 
 import cbor2
 
-__all__ = ["MAX_FRAME_BYTES", "CodecError", "Frame", "decode", "encode", "message"]
-
+__all__ = [
+    "FORMAT",
+    "MAX_FRAME_BYTES",
+    "OLDEST_FORMAT",
+    "CodecError",
+    "Frame",
+    "NotInFormat",
+    "decode",
+    "encode",
+    "field_count",
+    "field_values",
+    "from_values",
+    "layouts",
+    "message",
+    "since",
+]
+
+# The format of this build, and the oldest one that it can talk to.
+FORMAT = 5
+OLDEST_FORMAT = 1
 MAX_FRAME_BYTES = 4 << 20
 _BY_TAG = {}
-_TAG_OF = {}
+_BY_CLASS = {}
 
 
 class CodecError(ValueError):
     """The received bytes are not a valid frame of this protocol."""
 
 
+class NotInFormat(ValueError):
+    """The peer's format has no such message, or can't say what it says."""
+
+
 @dataclass(slots=True, frozen=True)
 class Frame:
-    """One decoded frame; `correlation` 0 means that no answer is expected."""
+    """One decoded frame; `correlation` 0 means that no answer is expected.
+
+    `message` is None if the tag is not known here. `since` is the oldest format that
+    has the frame's tag and fields, `skipped` the number of further fields.
+    """
 
     message: object
     correlation: int
     is_reply: bool
+    since: int = OLDEST_FORMAT
+    skipped: int = 0
+
 
+def since(number, default=MISSING, *, default_factory=MISSING, essential=False):
+    """Return a dataclass field that exists since format `number`.
+
+    A message whose field is `essential` is not sent to a peer that lacks it, unless the
+    field has its default value: without the field it would mean something else.
+    """
+    return field(
+        default=default,
+        default_factory=default_factory,
+        metadata={"since": number, "essential": essential},
+    )
+
+
+class Layout:
+    """How one message is sent: its tag, and its fields by format.
+
+    `counts` holds the number of fields in each format from 1 to `FORMAT`, None for a
+    format without the tag. `reshape(value, number)` functions by field name give the
+    values for formats older than this build's.
+    """
 
-def message(tag):
+    __slots__ = (
+        "_essential",
+        "_newest",
+        "_reshape",
+        "cls",
+        "counts",
+        "names",
+        "required",
+        "since",
+        "tag",
+        "_field_since",
+    )
+
+    def __init__(self, tag, cls, number, reshape):
+        own = fields(cls)
+        self.tag = tag
+        self.cls = cls
+        self.since = number
+        self.names = tuple(each.name for each in own)
+        self.required = sum(
+            each.default is MISSING and each.default_factory is MISSING for each in own
+        )
+        self._field_since = [
+            max(each.metadata.get("since", number), number) for each in own
+        ]
+        if self._field_since != sorted(self._field_since):
+            raise ValueError(f"{tag}: newer fields come last")
+        self._reshape = [
+            (index, reshape[name])
+            for index, name in enumerate(self.names)
+            if name in reshape
+        ]
+        self._essential = [
+            (index, each.default)
+            for index, each in enumerate(own)
+            if each.metadata.get("essential")
+        ]
+        self._newest = FORMAT if reshape else max([number, *self._field_since])
+        self.counts = [None] * (number - 1) + [
+            sum(each <= at for each in self._field_since)
+            for at in range(number, FORMAT + 1)
+        ]
+
+    def values(self, body, number):
+        """Return the field values for a format; raise `NotInFormat`."""
+        values = [getattr(body, name) for name in self.names]
+        if number >= self._newest:
+            return values
+        count = self.counts[number - 1]
+        if count is None:
+            raise NotInFormat(f"format {number} has no {self.tag}")
+        for index, default in self._essential:
+            if index >= count and values[index] != default:
+                name = self.names[index]
+                raise NotInFormat(f"format {number} has no {name} in {self.tag}")
+        for index, reshape in self._reshape:
+            values[index] = reshape(values[index], number)
+        return values[:count]
+
+    def since_of(self, count):
+        """Return the oldest format that has the first `count` fields."""
+        return self._field_since[count - 1] if count else self.since
+
+
+def message(tag, since=OLDEST_FORMAT, reshape=None):
     """Register a message dataclass under a tag, its permanent name on the wire.
 
-    If the class has a method `check`, `decode` calls it to validate the fields. A
-    field with a default value may be missing, as from a sender that does not know it.
+    `since` is the format since which the tag exists. `reshape` maps names of fields
+    to functions that return a value as an older format has it. If the class has a
+    method `check`, `decode` calls it to validate the fields. A field with a default
+    value may be missing, as from a sender that does not know it; see `since`.
     """
 
     def register(cls):
         if tag in _BY_TAG:
             raise ValueError(f"tag {tag} is registered twice")
-        names = tuple(field.name for field in fields(cls))
-        required = sum(
-            field.default is MISSING and field.default_factory is MISSING
-            for field in fields(cls)
-        )
-        _BY_TAG[tag] = (cls, names, required)
-        _TAG_OF[cls] = (tag, names)
+        layout = Layout(tag, cls, since, reshape or {})
+        _BY_TAG[tag] = layout
+        _BY_CLASS[cls] = layout
         return cls
 
     return register
 
 
-def encode(body, correlation=0, is_reply=False):
-    """Return the bytes of a frame that carries the message `body`."""
-    tag, names = _TAG_OF[type(body)]
-    values = [getattr(body, name) for name in names]
-    return cbor2.dumps([tag, correlation, is_reply, *values])
+def layouts():
+    """Return the `Layout`s of all registered messages by tag."""
+    return dict(_BY_TAG)
+
+
+def field_values(body, number=FORMAT):
+    """Return the values of a message's fields as a list, as a format has them."""
+    return _BY_CLASS[type(body)].values(body, number)
+
+
+def field_count(cls, number):
+    """Return how many fields of a message class a format has, None if not the tag."""
+    return _BY_CLASS[cls].counts[number - 1]
+
+
+def from_values(cls, values):
+    """Return a message from its field values, without those that it doesn't know."""
+    return cls(*values[: len(_BY_CLASS[cls].names)])
+
+
+def encode(body, correlation=0, is_reply=False, number=FORMAT):
+    """Return the bytes of a frame that carries the message `body` in a format.
+
+    Raise `NotInFormat` if that format can't carry it.
+    """
+    layout = _BY_CLASS[type(body)]
+    return cbor2.dumps(
+        [layout.tag, correlation, is_reply, *layout.values(body, number)]
+    )
 
 
 def decode(data):
@@ -78,18 +219,29 @@
     if not isinstance(parts, list) or len(parts) < 3:
         raise CodecError("the frame is not a list of at least three items")
     tag, correlation, is_reply, *values = parts
-    if not isinstance(tag, str) or tag not in _BY_TAG:
-        raise CodecError("the frame has an unknown tag")
-    cls, names, required = _BY_TAG[tag]
+    if not isinstance(tag, str):
+        raise CodecError("the frame's tag is not text")
     if not isinstance(correlation, int) or not isinstance(is_reply, bool):
         raise CodecError("the frame's correlation or reply flag is malformed")
-    if not required <= len(values) <= len(names):
-        raise CodecError(f"{tag} has {len(values)} fields, {len(names)} expected")
-    body = cls(*values)
+    layout = _BY_TAG.get(tag)
+    if layout is None:
+        return Frame(None, correlation, is_reply, skipped=len(values))
+    if len(values) < layout.required:
+        raise CodecError(
+            f"{tag} has {len(values)} fields, at least {layout.required} expected"
+        )
+    known = values[: len(layout.names)]
+    body = layout.cls(*known)
     check = getattr(body, "check", None)
     if check is not None:
         try:
             check()
         except (TypeError, ValueError, KeyError, IndexError, AttributeError):
             raise CodecError(f"{tag} has a field of the wrong type")
-    return Frame(body, correlation, is_reply)
+    return Frame(
+        body,
+        correlation,
+        is_reply,
+        layout.since_of(len(known)),
+        len(values) - len(known),
+    )
--- a/test/test_followers.py
+++ b/test/test_followers.py
@@ -8,6 +8,7 @@
 from lovagepier.entry._messages import Heartbeat
 from lovagepier.entry._settings import parse_entry_settings
 from lovagepier.entry._view import StoreView
+from lovagepier.frames import FORMAT
 from test.entry_builders import settings
 
 
@@ -16,6 +17,8 @@
 
     def __init__(self):
         self.peer = ""
+        self.build = "0.1.0"
+        self.format = FORMAT
         self.in_use = False
         self.store_answered_at = 0.0
 
--- a/test/test_malformed_inputs.py
+++ b/test/test_malformed_inputs.py
@@ -14,7 +14,7 @@
 
 from lovagepier import platform
 from lovagepier.entry._view import HOST_PREFIX, StoreView, encode_host
-from lovagepier.frames import CodecError, decode
+from lovagepier.frames import FORMAT, CodecError, decode
 from test.entry_builders import call, config, connect, entry_fleet, wait_until
 
 scalars = st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8)
@@ -115,6 +115,8 @@
     def __init__(self):
         self.peer = "n9"
         self.boot = None
+        self.build = ""
+        self.format = FORMAT
         self.in_use = False
         self.is_open = True
         self.last_frame_at = 0.0
--- a/test/test_mixed_builds.py
+++ b/test/test_mixed_builds.py
@@ -12,8 +12,8 @@
 
 HOSTS = 4
 CALLERS = 6
-# A change of the coordinator takes a second at the most, see `entry._outgoing`; the rest is
-# for four processes and their callers on a busy machine.
+# A change of the coordinator takes a second, see `entry._outgoing`; the rest is for
+# four processes and their callers on a busy machine.
 ONE_COORDINATOR_S = 6.0
 STEP_S = 1.5
 STOP_S = 12.0
