--- a/test/test_succession.py
+++ b/test/test_succession.py
@@ -137,3 +137,26 @@
         assert (await call(second, "/read/x", "r1")).status == 200
 
     run_scenario(scenario, hosts=2)
+
+
+def test_a_stronger_host_that_drained_is_followed_again_after_its_restart():
+    """Stops the coordinator, which says that it drains, and starts it again.
+
+    Its successor kept the word of its former coordinator, and never followed it again.
+    """
+
+    async def scenario(fleet):
+        (weak,) = fleet.hosts
+        strong = await fleet.host("n2", host={"cores": "4"})
+        await wait_until(lambda: weak.cluster.coordinator_name == "n2")
+        await wait_until(lambda: weak.cluster._roster)
+        strong._stopping.set()
+        await wait_until(lambda: weak.cluster.coordinator_name == "n1")
+        await wait_until(lambda: fleet.tasks[-1].done(), 10.0)
+        again = await fleet.host("n2", host={"cores": "4"})
+        await wait_until(
+            lambda: {h.cluster.coordinator_name for h in (weak, again)} == {"n2"}
+        )
+        assert (await call(weak, "/read/x", "r1")).status == 200
+
+    run_scenario(scenario, hosts=1)
--- a/trials/mixed_day.py
+++ b/trials/mixed_day.py
@@ -113,6 +113,7 @@
     parser.add_argument("--seed")
     parser.add_argument("--log", help="hosts whose output is shown, or all")
     parser.add_argument("--vary", action="store_true")
+    parser.add_argument("--no-cpu", action="store_true")
     parser.add_argument(
         "--bench", default=os.environ.get(BENCH_VARIABLE), help="the bench's program"
     )
@@ -140,8 +141,7 @@
     for option in ("seed", "log"):
         if getattr(args, option):
             command += [f"--{option}", getattr(args, option)]
-    if args.vary:
-        command.append("--vary")
+    command += ["--vary"] * args.vary + ["--no-cpu"] * args.no_cpu
     command += ["--why", f"trial: hosts of {old} ({args.which}) beside {new}"]
     code = subprocess.run(command, cwd=folder, check=False).returncode
     for name in _copy_journal(folder, known):
