Take a draining host for draining only until it restarts

A host that became coordinator kept the last roster of its predecessor, which drained, and with it the word that the predecessor drains, for good. If that came back with a higher capacity score, all hosts but one followed it: two coordinators, each with a part of the targets and quotas. The word now holds for the incarnation whose registration was known when the roster came.

Evidence: test_succession failed after 5 s before and passes now; the roster of a follower is replaced when a row changes, so nothing else kept a word too long.

--- a/lovagepier/entry/_candidates.py
+++ b/lovagepier/entry/_candidates.py
@@ -29,6 +29,8 @@
         self._loop = asyncio.get_running_loop()
         self._renewed_at = None
         self._registered_until = 0.0
+        self._roster = None
+        self._draining = {}
 
     def names(self, roster):
         """Return the hosts that may be coordinator, most senior first.
@@ -40,10 +42,23 @@
             members,
             self._cfg.host_name,
             stale={host.name for host in members if self._is_stale(host)},
-            draining={row[0] for row in roster if row[3]},
+            draining=self._draining_names(roster, members),
             own_last=self._followers.draining or self.has_lapsed(),
         )
 
+    def _draining_names(self, roster, members):
+        """Return the hosts that the roster says are draining and that did not restart.
+
+        The roster of a former coordinator stays when this host succeeds it.
+        """
+        if roster is not self._roster:
+            self._roster = roster
+            boots = {host.name: host.boot for host in members}
+            self._draining = {row[0]: boots.get(row[0]) for row in roster if row[3]}
+        return {
+            host.name for host in members if self._draining.get(host.name) == host.boot
+        }
+
     def _is_stale(self, host):
         """Return whether a host is known to have restarted since it registered."""
         if host.name == self._cfg.host_name:
--- a/trials/mixed_day.py
+++ b/trials/mixed_day.py
@@ -75,6 +75,8 @@
     target = ROOT / "target"
     if target.is_dir():
         shutil.copytree(target, folder / "target", symlinks=True)
+        # Newer than the list of what it holds, or it is built again.
+        os.utime(folder / "target" / "deps")
     _git("add", "--all", cwd=folder)
     _git(
         "-c",
