--- a/lovagepier/commands/_main.py
+++ b/lovagepier/commands/_main.py
@@ -3,7 +3,7 @@
 import argparse
 import sys
 
-from lovagepier import __version__
+from lovagepier import build_name
 from lovagepier.commands import (  # noqa: F401  each registers itself
     _bench,
     _config,
@@ -16,6 +16,7 @@
 )
 from lovagepier.commands._registry import COMMANDS
 from lovagepier.errors import UserError
+from lovagepier.formats import OWN_FORMATS
 
 __all__ = ["main"]
 
@@ -26,7 +27,9 @@
         description="A request scheduler for unlike engines.",
         epilog="Exit codes: 0 done, 1 error, 2 wrong usage, 3 the answer is no.",
     )
-    parser.add_argument("--version", action="version", version=__version__)
+    parser.add_argument(
+        "--version", action="version", version=f"{build_name()} formats {OWN_FORMATS}"
+    )
     subparsers = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
     for name, subcommand in COMMANDS.items():
         sub = subparsers.add_parser(
--- a/lovagepier/commands/_status.py
+++ b/lovagepier/commands/_status.py
@@ -32,7 +32,9 @@
         store = "reachable" if node["store_ok"] else "out of reach"
         print(
             f"{node['node']}  zone {node['zone']}  region {node['region']}  {state}  "
-            f"version {node['version']}  running {node['running']}  store {store}"
+            f"version {node['version']}  running {node['running']}  store {store}  "
+            # Builds before format 5 don't state theirs.
+            f"build {node.get('build', '?')} (formats {node.get('formats', '?')})"
         )
         for pool in node["pools"]:
             print(
--- a/lovagepier/entry/_frontend.py
+++ b/lovagepier/entry/_frontend.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from lovagepier.entry._build_gauges import build_gauges
 from lovagepier.entry._caller_conn import BadRequest, CallerConnection
 from lovagepier.entry._exchange import Exchange
 from lovagepier.entry._target_checks import TargetChecks
@@ -305,6 +306,7 @@
             # Whether this host is the coordinator.
             "is_home": int(self.cluster.coordinator_name == self.cfg.host_name),
             "target_connections_opened": self.target_connections.opened,
+            **build_gauges(self.cluster.live_hosts(), self.cluster.link_counts),
         }
 
     async def _handle_ready(self, conn, call):
--- a/lovagepier/node/_node.py
+++ b/lovagepier/node/_node.py
@@ -10,9 +10,11 @@
 
 import pykka
 
+from lovagepier import build_name
 from lovagepier.backing import HostList, WeightStore, open_store
 from lovagepier.config import ConfigStore, ConfigView, empty_document
 from lovagepier.errors import UserError
+from lovagepier.formats import OWN_FORMATS
 from lovagepier.logs import component_logger
 from lovagepier.metrics import Metrics
 from lovagepier.node._actors import Tick, post
@@ -124,7 +126,13 @@
         self.orders.start()
         threading.Thread(target=self._tick, name="ticks", daemon=True).start()
         self.timeline.add("node", "started", boot=self.boot)
-        self._log.info("node started", node=self.cfg.node_name, boot=self.boot)
+        self._log.info(
+            "node started",
+            node=self.cfg.node_name,
+            boot=self.boot,
+            build=build_name(),
+            formats=OWN_FORMATS,
+        )
 
     def facts(self):
         """Return what the other nodes learn about this one through membership."""
@@ -407,6 +415,8 @@
             "zone": self.cfg.node_zone,
             "region": self.cfg.node_region,
             "boot": self.boot,
+            "build": build_name(),
+            "formats": OWN_FORMATS,
             "version": self.view.version,
             "stopping": self.stopping.is_set(),
             "store_ok": self.store_ok,
--- a/lovagepier/peers/_links.py
+++ b/lovagepier/peers/_links.py
@@ -8,10 +8,17 @@
 
 from websockets.asyncio.client import connect
 from websockets.asyncio.server import serve
-from websockets.exceptions import ConnectionClosed, WebSocketException
-
-from lovagepier import keys
-from lovagepier.frames import MAX_FRAME_BYTES, CodecError, decode, encode
+from websockets.exceptions import ConnectionClosed, InvalidStatus, WebSocketException
+
+from lovagepier import formats, keys
+from lovagepier.frames import (
+    FORMAT,
+    MAX_FRAME_BYTES,
+    CodecError,
+    NotInFormat,
+    decode,
+    encode,
+)
 from lovagepier.logs import component_logger
 
 __all__ = ["Links", "PeerUnreachable"]
@@ -19,10 +26,15 @@
 MAX_OUTBOX_MESSAGES = 4096
 CONNECT_TIMEOUT_S = 1.0
 IDLE_CLOSE_S = 120.0
+# A peer without a common format is not dialed again for this long.
+MISFIT_REDIAL_INTERVAL_S = 10.0
 
 
 class PeerUnreachable(Exception):
-    """The outbox is full, or the link broke and the message may have arrived."""
+    """The message was not sent, or the link broke and it may have arrived.
+
+    It is not sent if the outbox is full, or if the peer's format lacks it.
+    """
 
 
 class _Link:
@@ -46,7 +58,8 @@
 
     `on_message(message, reply)` runs on the event loop's thread and must not
     block; `reply(answer)` may be called from any thread. `bytes_sent` and
-    `bytes_received` count payload bytes.
+    `bytes_received` count payload bytes. `frames_skipped` had an unknown tag or further
+    fields, `messages_omitted` were not sent because the peer's format lacks them.
     """
 
     def __init__(self, cfg, on_message):
@@ -57,10 +70,13 @@
         self._correlations = itertools.count(1)
         self._loop = asyncio.new_event_loop()
         self._server = None
+        self._misfits_until = {}
         self._log = component_logger("peers")
         self.bytes_sent = 0
         self.bytes_received = 0
         self.messages_sent = 0
+        self.frames_skipped = 0
+        self.messages_omitted = 0
         self.port = None
 
     def start(self):
@@ -87,7 +103,8 @@
             self._serve_peer,
             host,
             port,
-            process_request=self._check_key,
+            process_request=self._check_peer,
+            process_response=formats.add_headers,
             max_size=MAX_FRAME_BYTES,
             compression=None,
             ssl=self._server_tls(),
@@ -111,38 +128,81 @@
         context.check_hostname = False
         return context
 
-    def _check_key(self, connection, request):
+    def _check_peer(self, connection, request):
         token = keys.bearer_token(request.headers.get("Authorization"))
         hashes = [keys.digest(self._cfg.peers_key), *self._cfg.peers_accept_key_hashes]
         if not keys.matches_any(token, hashes):
             self._log.warning("refused a peer with an unknown key")
             return connection.respond(401, "unknown peer key\n")
+        peer_formats = formats.read_headers(request.headers)
+        self._log_formats(peer_formats, connection.remote_address)
+        if peer_formats.number is None:
+            return formats.refusal(connection)
         return None
 
-    async def _serve_peer(self, connection):
+    def _log_formats(self, peer_formats, address):
+        if peer_formats.fault:
+            self._log.warning(
+                "formats of a peer",
+                address=":".join(map(str, address[:2])),
+                build=peer_formats.build,
+                formats=peer_formats.text,
+                own_formats=formats.OWN_FORMATS,
+                why=peer_formats.fault,
+            )
+
+    async def _serve_peer(self, connection, peer_formats=None):
+        if peer_formats is None:
+            peer_formats = formats.read_headers(connection.request.headers)
+        has_skipped = False
         try:
             async for data in connection:
                 self.bytes_received += len(data)
-                self._handle_frame(data, connection)
+                frame = decode(data)
+                if frame.message is None or frame.skipped:
+                    self.frames_skipped += 1
+                    if not has_skipped:
+                        has_skipped = True
+                        self._log_skipped(peer_formats, frame)
+                if frame.message is not None:
+                    self._handle_frame(frame, connection, peer_formats.number)
         except CodecError as exc:
             self._log.warning("closed a link that sent a malformed frame", why=str(exc))
             await connection.close(1003, "malformed frame")
         except ConnectionClosed:
             pass
 
-    def _handle_frame(self, data, connection):
-        frame = decode(data)
+    def _log_skipped(self, peer_formats, frame):
+        self._log.info(
+            "passed over what a peer of a newer format sends",
+            build=peer_formats.build,
+            message=type(frame.message).__name__,
+            fields=frame.skipped,
+        )
+
+    def _handle_frame(self, frame, connection, number):
         if frame.is_reply:
             self._deliver_reply(frame)
             return
 
         def reply(body):
-            if frame.correlation:
-                answer = encode(body, frame.correlation, True)
-                self._loop.call_soon_threadsafe(self._send_reply, connection, answer)
+            if not frame.correlation:
+                return
+            try:
+                answer = encode(body, frame.correlation, True, number)
+            except NotInFormat as exc:
+                self._omit(number, exc)
+                return
+            self._loop.call_soon_threadsafe(self._send_reply, connection, answer)
 
         self._on_message(frame.message, reply)
 
+    def _omit(self, number, exc):
+        self.messages_omitted += 1
+        self._log.info(
+            "a peer of an older format gets less", format=number, why=str(exc)
+        )
+
     def _send_reply(self, connection, data):
         self.bytes_sent += len(data)
         self.messages_sent += 1
@@ -201,6 +261,10 @@
         )
 
     def _enqueue(self, address, data, correlation, on_error):
+        if self._loop.time() < self._misfits_until.get(address, 0.0):
+            if on_error is not None:
+                on_error(PeerUnreachable("no common format"))
+            return
         link = self._links.get(address)
         if link is None:
             link = self._links[address] = _Link(address)
@@ -230,7 +294,10 @@
         try:
             async with connect(
                 f"{scheme}://{host}:{port}/",
-                additional_headers={"Authorization": f"Bearer {self._cfg.peers_key}"},
+                additional_headers={
+                    "Authorization": f"Bearer {self._cfg.peers_key}",
+                    **formats.own_headers(),
+                },
                 open_timeout=CONNECT_TIMEOUT_S,
                 close_timeout=CONNECT_TIMEOUT_S,
                 max_size=MAX_FRAME_BYTES,
@@ -239,16 +306,35 @@
                 ssl=self._client_tls(),
                 logger=_silent_logger(),
             ) as connection:
-                await self._pump(link, connection)
+                peer_formats = formats.read_headers(connection.response.headers)
+                self._log_formats(peer_formats, link.address)
+                if peer_formats.number is None:
+                    self._put_off(link)
+                else:
+                    await self._pump(link, connection, peer_formats)
+        except InvalidStatus as exc:
+            if exc.response.status_code == formats.UNSUPPORTED_STATUS:
+                self._put_off(link)
+                stated = formats.read_headers(exc.response.headers)
+                stated.fault = stated.fault or "it refused this build"
+                self._log_formats(stated, link.address)
+            else:
+                self._log_lost(link, exc)
         except (OSError, WebSocketException, TimeoutError, EOFError) as exc:
-            self._log.debug(
-                "link to a peer lost", address=f"{host}:{port}", why=str(exc)
-            )
+            self._log_lost(link, exc)
         finally:
             self._drop(link)
 
-    async def _pump(self, link, connection):
-        reader = self._loop.create_task(self._serve_peer(connection))
+    def _log_lost(self, link, exc):
+        host, port = link.address
+        self._log.debug("link to a peer lost", address=f"{host}:{port}", why=str(exc))
+
+    def _put_off(self, link):
+        """Leave a peer without a common format alone for a while."""
+        self._misfits_until[link.address] = self._loop.time() + MISFIT_REDIAL_INTERVAL_S
+
+    async def _pump(self, link, connection, peer_formats):
+        reader = self._loop.create_task(self._serve_peer(connection, peer_formats))
         try:
             while True:
                 getter = self._loop.create_task(link.outbox.get())
@@ -259,12 +345,28 @@
                     getter.cancel()
                     return
                 data = getter.result()
+                if peer_formats.number < FORMAT:
+                    data = self._in_older_format(link, data, peer_formats.number)
+                    if data is None:
+                        continue
                 await connection.send(data)
                 self.bytes_sent += len(data)
                 self.messages_sent += 1
         finally:
             reader.cancel()
 
+    def _in_older_format(self, link, data, number):
+        """Return a frame as an older format has it, None if that lacks the message."""
+        frame = decode(data)
+        try:
+            return encode(frame.message, frame.correlation, number=number)
+        except NotInFormat as exc:
+            self._omit(number, exc)
+            on_error = link.pending.pop(frame.correlation, None)
+            if on_error is not None:
+                on_error(PeerUnreachable(str(exc)))
+            return None
+
     def _drop(self, link):
         # The messages sent over this link may have arrived, but their answers
         # would have come back over it.
--- a/test/test_link_formats.py
+++ b/test/test_link_formats.py
@@ -9,6 +9,7 @@
 from websockets.asyncio.server import serve
 from websockets.exceptions import ConnectionClosed, InvalidStatus
 
+from lovagepier.entry._build_gauges import build_gauges
 from lovagepier.entry._links import LinkCounts, LinkServer
 from lovagepier.entry._messages import Heartbeat, TargetLeaving
 from lovagepier.entry._outgoing import OutgoingLinks
@@ -197,3 +198,21 @@
         ) == len(dials)
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("columns", [4, 5, 6, 7])
+def test_metrics_show_the_builds_of_the_fleet(columns):
+    row = ["n1", "127.0.0.1:1", "a1", False, False, 5, '0.1"0']
+    gauges = build_gauges([row[:columns], row], LinkCounts(skipped=3))
+    assert gauges["link_skipped"] == 3
+    known = 'hosts_by_build{build="0.1\\"0",format="5"}'
+    if columns == 7:
+        assert gauges[known] == 2
+    else:
+        assert gauges[known] == 1
+        assert gauges['hosts_by_build{build="unknown",format="unknown"}'] == 1
+
+
+def test_metrics_stand_any_row_of_a_peer():
+    rows = [[None] * 7, [[], {}, 1.5, "x", b"", {"a": []}, ["b"]], []]
+    assert build_gauges(rows, LinkCounts())
