--- a/lovagepier/__init__.py
+++ b/lovagepier/__init__.py
@@ -1,8 +1,11 @@
 """A request scheduler for heterogeneous engines."""
 
+from functools import cache
+
 __version__ = "0.1.0"
 
 
+@cache
 def build_name():
     """Return the version, and the commit if the build wrote it down."""
     try:
