Refuse frames of builds before the oldest format, rather than follow them

A host of this build beside followed its rosters, which have a field less than format 1, was cut off for its report, and came back: 121 changes of the coordinator in 5 s at one host of four (a trial over processes).

--- a/lovagepier/frames.py
+++ b/lovagepier/frames.py
@@ -76,8 +76,8 @@
     """How one message is sent: its tag, and its fields by format.
 
     `counts` holds the number of fields in each format from 1 to `FORMAT`, None for a
-    format without the tag. `reshape(value, number)` functions by field name give the
-    values for formats older than this build's.
+    format without the tag, `required` those of the oldest one. `reshape(value, number)`
+    functions by field name give the values for formats older than this build's.
     """
 
     __slots__ = (
@@ -99,9 +99,6 @@
         self.cls = cls
         self.since = number
         self.names = tuple(each.name for each in own)
-        self.required = sum(
-            each.default is MISSING and each.default_factory is MISSING for each in own
-        )
         self._field_since = [
             max(each.metadata.get("since", number), number) for each in own
         ]
@@ -122,6 +119,7 @@
             sum(each <= at for each in self._field_since)
             for at in range(number, FORMAT + 1)
         ]
+        self.required = self.counts[max(number, OLDEST_FORMAT) - 1]
 
     def values(self, body, number):
         """Return the field values for a format; raise `NotInFormat`."""
@@ -149,8 +147,8 @@
 
     `since` is the format since which the tag exists. `reshape` maps names of fields
     to functions that return a value as an older format has it. If the class has a
-    method `check`, `decode` calls it to validate the fields. A field with a default
-    value may be missing, as from a sender that does not know it; see `since`.
+    method `check`, `decode` calls it to validate the fields. A field that is newer
+    than the oldest format may be missing; it has a default value, see `since`.
     """
 
     def register(cls):
@@ -227,8 +225,10 @@
     if layout is None:
         return Frame(None, correlation, is_reply, skipped=len(values))
     if len(values) < layout.required:
+        oldest = max(layout.since, OLDEST_FORMAT)
         raise CodecError(
-            f"{tag} has {len(values)} fields, at least {layout.required} expected"
+            f"{tag} has {len(values)} fields, {layout.required} in format {oldest}: "
+            "the sender's build is older"
         )
     known = values[: len(layout.names)]
     body = layout.cls(*known)
--- a/test/test_formats.py
+++ b/test/test_formats.py
@@ -18,6 +18,7 @@
 from lovagepier.frames import (
     FORMAT,
     OLDEST_FORMAT,
+    CodecError,
     NotInFormat,
     decode,
     encode,
@@ -211,6 +212,16 @@
     assert (frame.correlation, frame.is_reply) == (7, True)
 
 
+@pytest.mark.parametrize("tag", ["e.beat", "e.roster", "e.register", "e.tunnel-end"])
+def test_a_frame_of_a_build_before_the_oldest_format_is_refused(tag):
+    """A host would follow one that can't read its reports, and leave it, in a loop."""
+    number = max(OLDEST_FORMAT, layouts()[tag].since)
+    parts = cbor2.loads(encode(own_samples()[tag], number=number))
+    assert decode(cbor2.dumps(parts)).message
+    with pytest.raises(CodecError, match=f"in format {number}: the sender"):
+        decode(cbor2.dumps(parts[:-1]))
+
+
 def test_a_newer_field_in_front_of_an_older_one_is_refused():
     from dataclasses import dataclass
 
