Let the newest build decide while two run

Hosts register a point of capacity more for a newer format, so that all builds rank them first. An older coordinator that keeps taking such a host for draining is noticed by its missing link; the point is withdrawn then.

--- a/lovagepier/entry/_candidates.py
+++ b/lovagepier/entry/_candidates.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from lovagepier.decisions.succession import rank_candidates
+from lovagepier.entry._precedence import Precedence
 
 __all__ = ["Candidates"]
 
@@ -17,7 +18,7 @@
     """The candidates for coordinator by registrations, rosters and links.
 
     `boot` identifies this incarnation of the host; `outgoing` and `followers` hold
-    its links.
+    its links. `precedence` is that of its build.
     """
 
     def __init__(self, cfg, view, outgoing, followers, boot):
@@ -31,6 +32,7 @@
         self._registered_until = 0.0
         self._roster = None
         self._draining = {}
+        self.precedence = Precedence(cfg.host_name, view, outgoing, followers)
 
     def names(self, roster):
         """Return the hosts that may be coordinator, most senior first.
@@ -89,7 +91,8 @@
 
         These are the candidates senior to this host, up to `MIN_SENIOR_LINKS` that
         are up or twice as many in all, or the configured seeds while no hosts are
-        known. A draining host considers all other candidates.
+        known. A draining host considers all other candidates, and a coordinator those
+        that don't link to it.
         """
         members = self._view.members()
         wanted = {}
@@ -106,6 +109,9 @@
             up_count += self._outgoing.is_up(name)
             if up_count >= MIN_SENIOR_LINKS or len(wanted) >= 2 * MIN_SENIOR_LINKS:
                 break
+        for name in self.precedence.hosts_to_dial():
+            if name in members:
+                wanted[name] = members[name].link_address
         if not members:
             for address in self._cfg.peers_seeds:
                 if address != self._cfg.peers_listen:
--- a/lovagepier/entry/_host.py
+++ b/lovagepier/entry/_host.py
@@ -14,7 +14,13 @@
 from lovagepier.entry._frontend import GRACE_MARGIN_S, Frontend
 from lovagepier.entry._links import LinkServer
 from lovagepier.entry._settings import parse_entry_settings
-from lovagepier.entry._store_actors import LEASE_TTL_S, Registrar, Watcher, WriteKey
+from lovagepier.entry._store_actors import (
+    LEASE_TTL_S,
+    Registrar,
+    Registration,
+    Watcher,
+    WriteKey,
+)
 from lovagepier.entry._tunnel_messages import TUNNEL_MESSAGES
 from lovagepier.entry._verdicts import Verdicts
 from lovagepier.entry._view import HOST_PREFIX, StoreView, encode_host
@@ -166,20 +172,21 @@
             on_loop(self._on_store_fault),
         )
         key = f"{HOST_PREFIX}{self.cfg.host_name}.{self._boot}"
-        host, port = self.cfg.peers_listen
-        value = encode_host(
-            self.cfg.host_name, f"{host}:{port}", _capacity_score(self.cfg)
-        )
         lease = max(LEASE_TTL_S, self.cfg.store_lease_least)
         self._registrar = Registrar.start(
             address,
             key,
-            value,
+            self._registration(),
             lease,
             on_loop(self._on_written),
             on_loop(self.cluster.candidates.on_registered),
         )
 
+    def _registration(self):
+        host, port = self.cfg.peers_listen
+        score = _capacity_score(self.cfg) + self.cluster.candidates.precedence.points
+        return encode_host(self.cfg.host_name, f"{host}:{port}", score)
+
     def _on_link_message(self, link, message):
         if isinstance(message, TUNNEL_MESSAGES):
             self.frontend.tunnel_server.on_message(link, message)
@@ -306,6 +313,10 @@
                 if is_coordinator:
                     self.coordinator.rollouts.write_states(now)
                     self._verdicts.write(now)
+                if self.cluster.candidates.precedence.must_withdraw(
+                    is_coordinator, now
+                ):
+                    self._registrar.tell(Registration(self._registration()))
                 self.cluster.followers.push_rosters()
                 self._set_watching()
             except Exception as exc:  # noqa: BLE001  a failing tick must not end the host
--- a/lovagepier/entry/_store_actors.py
+++ b/lovagepier/entry/_store_actors.py
@@ -14,7 +14,7 @@
 from lovagepier.logs import component_logger
 from lovagepier.platform import PlatformStore, number_of
 
-__all__ = ["LEASE_TTL_S", "Registrar", "Watcher", "WriteKey"]
+__all__ = ["LEASE_TTL_S", "Registrar", "Registration", "Watcher", "WriteKey"]
 
 # A watch call waits this long for changes; a dead connection is noticed as soon.
 WATCH_TIMEOUT_S = 2.0
@@ -57,6 +57,13 @@
     lease_s: float = 0.0
 
 
+@dataclass(slots=True, frozen=True)
+class Registration:
+    """Asks to register this host with another value."""
+
+    value: bytes
+
+
 class _Backoff:
     """Exponential delays with jitter after failed calls."""
 
@@ -193,6 +200,9 @@
             return
         if self._key is None:
             return
+        if isinstance(message, Registration):
+            self._replace(message.value)
+            return
         if self._lease is None:
             self._register()
         elif time.monotonic() - self._renewed_at >= RENEW_INTERVAL_S:
@@ -229,6 +239,19 @@
         self._note_renewal(called_at)
         _log.info("registered this host", key=self._key, lease=self._lease)
 
+    def _replace(self, value):
+        """Register with another value; its age stays."""
+        self._value = value
+        if self._lease is None:
+            return
+        written = self._store.put(self._key, value, lease=self._lease)
+        if isinstance(written, Err):
+            _log.warning(
+                "could not register this host again", why=str(written.err_value)
+            )
+            # The next step registers it anew.
+            self._lease = None
+
     def _renew(self):
         called_at = time.monotonic()
         answer = self._store.renew_lease(self._lease)
--- a/test/test_mixed_builds.py
+++ b/test/test_mixed_builds.py
@@ -10,12 +10,11 @@
 from test.old_builds import extract_build
 from trials.soak_fleet import Fleet
 
-HOSTS = 4
 CALLERS = 6
 # A change of the coordinator takes a second, see `entry._outgoing`; the rest is for
 # four processes and their callers on a busy machine.
 ONE_COORDINATOR_S = 6.0
-STEP_S = 1.5
+STEP_S = 0.7
 STOP_S = 12.0
 
 
@@ -67,12 +66,16 @@
         await self.one_coordinator()
         await asyncio.sleep(STEP_S)
 
+    def host(self, name):
+        return next(host for host in self.fleet.hosts if host.name == name)
+
     async def one_coordinator(self):
-        """Wait until all hosts use the same coordinator."""
+        """Wait until all hosts use the same coordinator; return its name."""
         hosts = self.fleet.live_hosts()
         await wait_until(
             lambda: len({_home(host) for host in hosts}) == 1, ONE_COORDINATOR_S
         )
+        return _home(hosts[0])
 
     async def close(self):
         self._is_over = True
@@ -114,9 +117,8 @@
         assert "unexpected error" not in log, name
 
 
-@pytest.mark.parametrize("commit", ["3794c33", "0953dc6"])
-def test_hosts_are_replaced_one_after_the_other_and_back(commit, tmp_path):
-    """Replaces two hosts, takes one back, then replaces all of them."""
+def play(commit, tmp_path, scenario):
+    """Start a fleet of the old build, play a scenario on it and check the promises."""
     old = extract_build(commit, tmp_path / "old")
     folder = tmp_path / "fleet"
     folder.mkdir()
@@ -125,16 +127,52 @@
         mixed = MixedFleet(folder, {"old": old, "new": None})
         try:
             await mixed.start("old")
-            await mixed.one_coordinator()
-            first, second, third, fourth = mixed.fleet.hosts
-            await mixed.replace(first, "new")
-            await mixed.replace(second, "new")
-            await mixed.replace(first, "old")
-            await mixed.fleet.write_config()
-            for host in (first, third, fourth):
-                await mixed.replace(host, "new")
+            await scenario(mixed, await mixed.one_coordinator())
         finally:
             await mixed.close()
         check_promises(mixed)
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("commit", ["3794c33", "0953dc6"])
+def test_hosts_are_replaced_one_after_the_other_and_back(commit, tmp_path):
+    """Replaces two hosts, takes one back, then replaces all of them.
+
+    The newest build decides: the first host that is replaced, then the other one.
+    """
+
+    async def scenario(mixed, home):
+        first, second, third, _ = (
+            host
+            for host in [*mixed.fleet.hosts, None]
+            if host is None or host.name != home
+        )
+        await mixed.replace(first, "new")
+        assert await mixed.one_coordinator() == first.name
+        await mixed.replace(second, "new")
+        assert await mixed.one_coordinator() == first.name
+        await mixed.replace(first, "old")
+        assert await mixed.one_coordinator() == second.name
+        await mixed.fleet.write_config()
+        for host in (first, third, mixed.host(home)):
+            await mixed.replace(host, "new")
+            assert await mixed.one_coordinator() == second.name
+
+    play(commit, tmp_path, scenario)
+
+
+@pytest.mark.parametrize("commit", ["3794c33", "0953dc6"])
+def test_a_replaced_coordinator_does_not_part_the_fleet(commit, tmp_path):
+    """Replaces the coordinator, whose successor takes it for draining for good."""
+
+    async def scenario(mixed, home):
+        await mixed.replace(mixed.host(home), "new")
+        next_home = await mixed.one_coordinator()
+        assert next_home != home
+        assert "registering without precedence" in mixed.host(home).log.read_text()
+        others = [h for h in mixed.fleet.hosts if h.name not in (home, next_home)]
+        await mixed.replace(others[0], "new")
+        await mixed.one_coordinator()
+
+    play(commit, tmp_path, scenario)
