--- a/test/old_builds.py
+++ b/test/old_builds.py
@@ -25,6 +25,7 @@
 def extract_build(commit, folder):
     """Put the package of a commit into `folder`; return `folder`."""
     need_commit(commit)
+    folder.mkdir(parents=True, exist_ok=True)
     archive = _git("archive", commit, "lovagepier").stdout
     with tarfile.open(fileobj=io.BytesIO(archive)) as tar:
         tar.extractall(folder, filter="data")
--- a/trials/soak_faults.py
+++ b/trials/soak_faults.py
@@ -16,6 +16,8 @@
     "stream": ("error", "shed", "reset", "broken_stream", "trickle", "rubbish"),
 }
 PLANNED = ("stop_host", "reload_host", "new_config", "leaving_target")
+# Planned work in a soak of two builds.
+REPLACEMENT = "replace_host"
 UNPLANNED = (
     "kill_host",
     "freeze_host",
@@ -44,6 +46,8 @@
     async def run(self, seconds, planned_only):
         """Inject faults for a time, several at once; wait until all have ended."""
         kinds = PLANNED if planned_only else (*PLANNED, *UNPLANNED)
+        if self._fleet.old_build is not None:
+            kinds = (*kinds, REPLACEMENT)
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             kind = self._rng.choice(kinds)
@@ -68,10 +72,21 @@
 
     # Hosts
 
-    async def _stop_host(self):
+    async def _replace_host(self):
+        """Stop a host and start it with the other build."""
         host = self._pick_host()
         if host is None:
             return
+        is_old = host.build_folder is not None
+        host.build_folder = None if is_old else self._fleet.old_build
+        await self._stop(host)
+
+    async def _stop_host(self):
+        host = self._pick_host()
+        if host is not None:
+            await self._stop(host)
+
+    async def _stop(self, host):
         host.is_stopped = True
         host.signal(signal.SIGTERM)
         began = time.monotonic()
