Decode as fast as before

Decoding a heartbeat took 6.5 us, 5.5 before formats; 5.2 now (roster 6.7 before, 6.5 now; request 13.0 before, 12.9 now). Encoding and bytes are as before: 65, 73 and 237 bytes.

--- a/lovagepier/frames.py
+++ b/lovagepier/frames.py
@@ -44,7 +44,7 @@
     """The peer's format has no such message, or can't say what it says."""
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Frame:
     """One decoded frame; `correlation` 0 means that no answer is expected.
 
@@ -76,8 +76,9 @@
     """How one message is sent: its tag, and its fields by format.
 
     `counts` holds the number of fields in each format from 1 to `FORMAT`, None for a
-    format without the tag, `required` those of the oldest one. `reshape(value, number)`
-    functions by field name give the values for formats older than this build's.
+    format without the tag, `required` those of the oldest one, `since_by_count` the
+    oldest format that has so many fields. `reshape(value, number)` functions by field
+    name give the values for formats older than this build's.
     """
 
     __slots__ = (
@@ -89,8 +90,8 @@
         "names",
         "required",
         "since",
+        "since_by_count",
         "tag",
-        "_field_since",
     )
 
     def __init__(self, tag, cls, number, reshape):
@@ -99,10 +100,8 @@
         self.cls = cls
         self.since = number
         self.names = tuple(each.name for each in own)
-        self._field_since = [
-            max(each.metadata.get("since", number), number) for each in own
-        ]
-        if self._field_since != sorted(self._field_since):
+        field_since = [max(each.metadata.get("since", number), number) for each in own]
+        if field_since != sorted(field_since):
             raise ValueError(f"{tag}: newer fields come last")
         self._reshape = [
             (index, reshape[name])
@@ -114,11 +113,11 @@
             for index, each in enumerate(own)
             if each.metadata.get("essential")
         ]
-        self._newest = FORMAT if reshape else max([number, *self._field_since])
+        self._newest = FORMAT if reshape else max([number, *field_since])
         self.counts = [None] * (number - 1) + [
-            sum(each <= at for each in self._field_since)
-            for at in range(number, FORMAT + 1)
+            sum(each <= at for each in field_since) for at in range(number, FORMAT + 1)
         ]
+        self.since_by_count = [number, *field_since]
         self.required = self.counts[max(number, OLDEST_FORMAT) - 1]
 
     def values(self, body, number):
@@ -137,10 +136,6 @@
             values[index] = reshape(values[index], number)
         return values[:count]
 
-    def since_of(self, count):
-        """Return the oldest format that has the first `count` fields."""
-        return self._field_since[count - 1] if count else self.since
-
 
 def message(tag, since=OLDEST_FORMAT, reshape=None):
     """Register a message dataclass under a tag, its permanent name on the wire.
@@ -230,8 +225,10 @@
             f"{tag} has {len(values)} fields, {layout.required} in format {oldest}: "
             "the sender's build is older"
         )
-    known = values[: len(layout.names)]
-    body = layout.cls(*known)
+    skipped = len(values) - len(layout.names)
+    if skipped > 0:
+        del values[-skipped:]
+    body = layout.cls(*values)
     check = getattr(body, "check", None)
     if check is not None:
         try:
@@ -239,9 +236,5 @@
         except (TypeError, ValueError, KeyError, IndexError, AttributeError):
             raise CodecError(f"{tag} has a field of the wrong type")
     return Frame(
-        body,
-        correlation,
-        is_reply,
-        layout.since_of(len(known)),
-        len(values) - len(known),
+        body, correlation, is_reply, layout.since_by_count[len(values)], max(skipped, 0)
     )
