--- a/lovagepier/entry/_cluster.py
+++ b/lovagepier/entry/_cluster.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-from dataclasses import replace
 
 from lovagepier.entry._candidates import Candidates
 from lovagepier.entry._capacity import CapacityShares
@@ -35,7 +34,6 @@
 from lovagepier.entry._requests import Requests
 from lovagepier.entry._statements import TargetStatements
 from lovagepier.errors import ErrorKind
-from lovagepier.frames import from_values
 from lovagepier.logs import component_logger
 
 __all__ = ["Cluster"]
@@ -206,13 +204,9 @@
         elif isinstance(message, Withdraw):
             coordinator.on_withdraw(entry, message.id, now)
         elif isinstance(message, RunningReport):
-            rows = [
-                (from_values(DispatchRequest, values), target)
-                for values, target in message.running
-            ]
-            report = replace(message, running=rows)
+            report = message.with_requests()
             self.followers.on_joined(entry)
-            self.statements.mark_leaving(message.leaving)
+            self.statements.mark_leaving(report.leaving)
             coordinator.on_running_report(entry, report, now)
 
     def _on_heartbeat(self, link, heartbeat):
--- a/lovagepier/entry/_messages.py
+++ b/lovagepier/entry/_messages.py
@@ -4,10 +4,10 @@
 last, with the format `since` which they exist; see `frames`.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from lovagepier.entry._older_formats import host_rows, rollout_rows
-from lovagepier.frames import field_count, message, since
+from lovagepier.frames import field_count, from_values, message, since
 
 __all__ = [
     "DispatchRequest",
@@ -259,6 +259,14 @@
     pauses: list = since(2, default_factory=list)
     rejection_limits: list = since(3, default_factory=list)
 
+    def with_requests(self):
+        """Return the report with `DispatchRequest`s in `running`, not their values."""
+        rows = [
+            (from_values(DispatchRequest, values), target)
+            for values, target in self.running
+        ]
+        return replace(self, running=rows)
+
 
 @message("e.changed")
 @dataclass(slots=True)
--- a/lovagepier/entry/_older_formats.py
+++ b/lovagepier/entry/_older_formats.py
@@ -4,13 +4,15 @@
 
 # Columns of a host's row in formats 1, 2 to 4, and later ones.
 _HOST_COLUMNS = {1: 4, 2: 5, 3: 5, 4: 5}
-# Parts of a comparison of versions that formats 1 to 4 have in common.
+# Columns of a rollout's row before its [thresholds, comparisons], which older builds
+# take for the last one.
+_PROGRESS_COUNTS = 6
+# Thresholds of a route, and parts of a comparison that formats 1 to 4 have in common.
+_COMMON_THRESHOLDS = 3
 _COMMON_PARTS = 4
-# Items of the fifth part in this format, the last ones lists of counts.
+# Items of the fifth part since format 4, the last ones lists of counts.
 _EPISODE_ITEMS = 5
 _EPISODE_COUNTS = 3
-# Columns of a rollout's row before its comparisons.
-_PROGRESS_COUNTS = 6
 
 
 def host_rows(rows, number):
@@ -31,11 +33,11 @@
 
 
 def _with_common_parts(row):
-    *counts, (thresholds, comparisons) = row
+    thresholds, comparisons = row[_PROGRESS_COUNTS]
     return [
-        *counts,
+        *row[:_PROGRESS_COUNTS],
         [
-            thresholds,
+            {key: values[:_COMMON_THRESHOLDS] for key, values in thresholds.items()},
             {route: parts[:_COMMON_PARTS] for route, parts in comparisons.items()},
         ],
     ]
@@ -52,13 +54,12 @@
 def _readable(row):
     if len(row) <= _PROGRESS_COUNTS:
         return row
-    *counts, (thresholds, comparisons) = row
+    thresholds, comparisons = row[_PROGRESS_COUNTS]
+    parts = {route: _readable_parts(each) for route, each in comparisons.items()}
     return [
-        *counts,
-        [
-            thresholds,
-            {route: _readable_parts(parts) for route, parts in comparisons.items()},
-        ],
+        *row[:_PROGRESS_COUNTS],
+        [thresholds, parts],
+        *row[_PROGRESS_COUNTS + 1 :],
     ]
 
 
