--- a/lovagepier/entry/_candidates.py
+++ b/lovagepier/entry/_candidates.py
@@ -91,8 +91,8 @@
 
         These are the candidates senior to this host, up to `MIN_SENIOR_LINKS` that
         are up or twice as many in all, or the configured seeds while no hosts are
-        known. A draining host considers all other candidates, and a coordinator those
-        that don't link to it.
+        known. A draining host considers all other candidates, and a coordinator the
+        hosts of older builds that don't link to it.
         """
         members = self._view.members()
         wanted = {}
--- a/lovagepier/entry/_precedence.py
+++ b/lovagepier/entry/_precedence.py
@@ -41,7 +41,7 @@
         self.points = FORMAT - LAST_FORMAT_WITHOUT_POINTS
 
     def hosts_to_dial(self):
-        """Return the registered hosts that don't link to this one."""
+        """Return the hosts of older builds that don't link to this one."""
         return self._to_dial
 
     def must_withdraw(self, is_coordinator, now):
@@ -54,7 +54,9 @@
         self._unlinked_since = {
             (host.name, host.boot): known.get((host.name, host.boot), now)
             for host in self._view.members().values()
-            if host.name != self._host and host.name not in self._followers.links
+            if host.format <= LAST_FORMAT_WITHOUT_POINTS
+            and host.name != self._host
+            and host.name not in self._followers.links
         }
         self._to_dial = [
             name
@@ -62,7 +64,7 @@
             if now - since >= DIAL_AFTER_S
         ]
         for (name, boot), since in self._unlinked_since.items():
-            if now - since >= WITHDRAW_AFTER_S and self._is_older(name, boot):
+            if now - since >= WITHDRAW_AFTER_S and self._is_up(name, boot):
                 self.points = 0
                 _log.warning(
                     "an older build does not follow this host; registering without "
@@ -72,9 +74,6 @@
                 return True
         return False
 
-    def _is_older(self, name, boot):
-        """Return whether a host is up, and of a build that may exclude this host."""
-        if not self._outgoing.is_known(name):
-            return False
-        link = self._outgoing.links[name]
-        return link.boot == boot and link.format <= LAST_FORMAT_WITHOUT_POINTS
+    def _is_up(self, name, boot):
+        known = self._outgoing.is_known(name)
+        return known and self._outgoing.links[name].boot == boot
--- a/lovagepier/entry/_view.py
+++ b/lovagepier/entry/_view.py
@@ -6,6 +6,7 @@
 from lovagepier import platform
 from lovagepier.entry._verdicts import POISON_PREFIX, decode_verdict
 from lovagepier.entry.store_types import HostRecord
+from lovagepier.frames import FORMAT
 from lovagepier.logs import component_logger
 
 __all__ = ["HOST_PREFIX", "StoreView", "encode_host"]
@@ -28,7 +29,12 @@
 def encode_host(name, peer_address, capacity_score=0):
     """Return the value of the store entry that registers an entry host."""
     return json.dumps(
-        {"name": name, "peers": peer_address, "power": capacity_score}
+        {
+            "name": name,
+            "peers": peer_address,
+            "power": capacity_score,
+            "format": FORMAT,
+        }
     ).encode()
 
 
@@ -41,6 +47,8 @@
         create_revision=item.create_revision,
         capacity_score=int(raw["power"]),
         boot=item.key.rpartition(".")[2],
+        # Builds up to format 4 don't say theirs.
+        format=int(raw.get("format", 0)),
     )
 
 
--- a/lovagepier/entry/store_types.py
+++ b/lovagepier/entry/store_types.py
@@ -37,7 +37,8 @@
     `peer_address` is the HOST:PORT for other entry hosts. `create_revision`
     is the store revision of its registration: the lowest has been registered
     longest. Hosts with a higher `capacity_score` are preferred as coordinator;
-    0 is the lowest score. `boot` identifies the incarnation that registered.
+    0 is the lowest score. `boot` identifies the incarnation that registered, `format`
+    is the format of its build, 0 if it does not say.
     """
 
     name: str
@@ -45,6 +46,7 @@
     create_revision: int
     capacity_score: int
     boot: str
+    format: int = 0
 
     @property
     def link_address(self):
