--- a/lovagepier/entry/_coordinator.py
+++ b/lovagepier/entry/_coordinator.py
@@ -14,11 +14,12 @@
 from lovagepier.decisions.quotas import Quotas
 from lovagepier.decisions.rendezvous import hash_fraction
 from lovagepier.decisions.scheduler import PoolScheduler, SchedulerOptions
-from lovagepier.decisions.work import Grant, Outcome, Refusal, Work
+from lovagepier.decisions.work import Grant, Outcome, Refusal, Work, bounded_tokens
 from lovagepier.entry._budgets import make_quotas, make_retry_budget
 from lovagepier.entry._messages import Granted, Refused
 from lovagepier.entry._rollouts import Rollouts
 from lovagepier.entry._stated_limits import StatedLimits
+from lovagepier.entry._target_groups import targets_by_service
 from lovagepier.entry._zones import make_zone_cost
 from lovagepier.entry.catalog import ROUTE_TIERS
 from lovagepier.errors import ErrorKind
@@ -121,7 +122,7 @@
             pool = _Pool(PoolScheduler(options, self._rng))
             pool.scheduler.poison_detector = self.poison_detector
             pool.scheduler.pauses = self.pauses
-            pool.scheduler.set_rate_share(self._quota_share, 0.0)
+            pool.scheduler.targets.set_rate_share(self._quota_share, 0.0)
             self._pools[service] = pool
         return pool
 
@@ -131,7 +132,7 @@
         """Update targets and rollouts from the view of the store."""
         self.rollouts.refresh(now)
         self.rollouts.take_changed()
-        targets = self._targets_by_service()
+        targets = targets_by_service(self._view, self._pools)
         for service in set(targets) | set(self._pools):
             self._refresh_pool(service, targets.get(service, {}), now)
         for limits in self.stated_limits.values():
@@ -149,17 +150,11 @@
                 poisoned=crash.poisoned,
             )
 
-    def _targets_by_service(self):
-        by_service = {}
-        for target in self._view.targets.values():
-            by_service.setdefault(target.service, {})[target.id] = target
-        return by_service
-
     def _refresh_pool(self, service, targets, now):
         pool = self._pool(service)
         self._apply_rollout(service, pool, now)
         for name in [name for name in pool.incarnations if name not in targets]:
-            pool.scheduler.remove_target(name, now)
+            pool.scheduler.targets.remove(name, now)
             self._drop_limits(name, pool.incarnations.pop(name))
             self.pauses.drop(name)
         slots = self._usable_slots(targets.values())
@@ -172,7 +167,7 @@
             for target in targets.values()
         }
         for name, is_draining in draining.items():
-            pool.scheduler.set_draining(name, is_draining)
+            pool.scheduler.targets.set_draining(name, is_draining)
         # Each update may grant waiting requests, so all draining targets are excluded
         # before the first one.
         rejection_limit = self.rejection_limits.lowest(targets)
@@ -208,8 +203,13 @@
         The store need not have changed: it may be down while a rollback takes effect.
         """
         for service in self.rollouts.take_changed():
-            targets = self._targets_by_service().get(service, {})
-            self._refresh_pool(service, targets, now)
+            self._fill_pool(service, now)
+
+    def _fill_pool(self, service, now):
+        """Return a service's pool with the targets of the view."""
+        targets = targets_by_service(self._view, (service,)).get(service, {})
+        self._refresh_pool(service, targets, now)
+        return self._pools[service]
 
     def _apply_rollout(self, service, pool, now):
         share = self.rollouts.share(service, now)
@@ -222,7 +222,7 @@
         self._quota_share = quota_share
         for pool in self._pools.values():
             pool.scheduler.retry_budget.set_share(quota_share, now)
-            pool.scheduler.set_rate_share(quota_share, now)
+            pool.scheduler.targets.set_rate_share(quota_share, now)
         if share == self._share:
             return
         _log.info(
@@ -255,7 +255,8 @@
         for limits in self.stated_limits.values():
             limits.take_over(now)
         for service, level in (retry_levels or {}).items():
-            self._pool(service).scheduler.retry_budget.adopt(level)
+            pool = self._pools.get(service) or self._fill_pool(service, now)
+            pool.scheduler.retry_budget.adopt(level)
 
     def retry_levels(self):
         """Return {service: tokens left in its retry budget}."""
@@ -272,7 +273,7 @@
         if refusal is not None:
             self._send(entry, refusal)
             return
-        pool = self._pool(req.service)
+        pool = self._pools.get(req.service) or self._fill_pool(req.service, now)
         if req.attempt == 0:
             self.rollouts.count_sent(req.service)
         work = self._make_work(entry, req, now)
@@ -325,11 +326,11 @@
             soft_deadline=now + req.soft_deadline_s,
             abandoned_at=now + req.patience_s if req.patience_s else math.inf,
             route=req.route,
-            prefill_tokens=req.prefill_tokens,
-            max_decode_tokens=req.decode_tokens,
-            decode_tokens=req.decode_tokens,
+            prefill_tokens=bounded_tokens(req.prefill_tokens),
+            max_decode_tokens=bounded_tokens(req.decode_tokens),
+            decode_tokens=bounded_tokens(req.decode_tokens),
             blocks=tuple(name for name, _ in req.prefix_blocks),
-            block_tokens=tuple(tokens for _, tokens in req.prefix_blocks),
+            block_tokens=tuple(bounded_tokens(size) for _, size in req.prefix_blocks),
             draw=hash_fraction(req.id),
             fingerprint=req.fingerprint,
             # The last part belongs to this request or its session alone.
@@ -359,7 +360,7 @@
             result.status,
             result.first,
             result.total,
-            result.tokens,
+            bounded_tokens(result.tokens),
         )
         for service, pool in self._pools.items():
             found = pool.scheduler.find_running(work_id)
@@ -380,7 +381,7 @@
         if state is None or state.down or state.incarnation != message.incarnation:
             return
         self._back_off(pool, message.target, now)
-        pool.scheduler.target_crashed(message.target, state.incarnation_id, now)
+        pool.scheduler.targets.on_crash(message.target, state.incarnation_id, now)
         self._log_crashes()
 
     def _back_off(self, pool, target, now):
@@ -414,7 +415,7 @@
             limits.on_stated(message, f"{entry}/{message.id}", now)
 
     def on_withdraw(self, entry, request_id, now):
-        """Drop a waiting request that needs no grant any more; see `Withdraw`."""
+        """Drop a waiting request that no longer needs a grant; see `Withdraw`."""
         for pool in self._pools.values():
             if pool.scheduler.withdraw(f"{entry}/{request_id}", now):
                 return
@@ -432,7 +433,7 @@
         self.pauses.merge_rows(entry, report.pauses, now)
         self._apply_stage_changes(now)
         for req, target in report.running:
-            pool = self._pool(req.service)
+            pool = self._pools.get(req.service) or self._fill_pool(req.service, now)
             pool.scheduler.adopt_running(self._make_work(entry, req, now), target, now)
 
     def on_entry_lost(self, entry, now):
@@ -446,7 +447,7 @@
     # Periodic work
 
     def tick(self, now, is_coordinator=True):
-        """Refuse work that can't be served any more and retry targets that were down.
+        """Refuse work that can no longer be served and retry targets that were down.
 
         Rollouts advance only on the host that is the coordinator in use
         (`is_coordinator`), because only that one has the evidence.
@@ -460,7 +461,7 @@
             for name, retry_at in list(pool.down_until.items()):
                 if now >= retry_at:
                     del pool.down_until[name]
-                    pool.scheduler.begin_probing(name)
+                    pool.scheduler.targets.begin_probing(name)
             self._send_decisions(pool.scheduler.release_lost((), now))
             self._send_decisions(pool.scheduler.tick(now))
 
--- a/lovagepier/entry/_frontend.py
+++ b/lovagepier/entry/_frontend.py
@@ -6,8 +6,8 @@
 from lovagepier.entry._caller_conn import BadRequest, CallerConnection
 from lovagepier.entry._exchange import Exchange
 from lovagepier.entry._target_checks import TargetChecks
-from lovagepier.entry._target_conn import TargetConnectionPool
 from lovagepier.entry._target_connector import TargetConnector
+from lovagepier.entry._target_pool import TargetConnectionPool
 from lovagepier.entry._tunnel_server import TunnelServer
 from lovagepier.entry.catalog import ROUTE_TIERS, CallerLimits
 from lovagepier.errors import ErrorKind, error_spec
@@ -69,7 +69,7 @@
 class Frontend:
     """Serves callers' connections and holds what all calls share.
 
-    `stops_at` is None until the host is told to stop, then the loop time by which
+    `stops_at` is None until the host begins its shutdown, then the loop time by which
     all responses have to be complete. `has_catalog` is set once there is a
     configuration.
     """
@@ -299,6 +299,8 @@
             "store_era": era_of(self.view.as_of),
             "store_revision": number_of(self.view.as_of),
             "store_age_seconds": round(self.view.store_age(now), 3),
+            "unreadable_documents": self.view.undecoded_count,
+            "unreadable_document_changes": self.view.undecoded_changes,
             "targets": len(self.view.targets),
             "hosts": len(self.view.members()),
             "callers_open": len(self._caller_conns),
--- a/lovagepier/entry/_store_actors.py
+++ b/lovagepier/entry/_store_actors.py
@@ -117,15 +117,22 @@
 
     def on_receive(self, message):
         """Make one call to the store, unless paused, and schedule the next."""
-        if not self._wanted.wait(PAUSED_CHECK_INTERVAL_S):
-            self.actor_ref.tell(_Step())
-            return
+        try:
+            if self._wanted.wait(PAUSED_CHECK_INTERVAL_S):
+                self._step()
+        except Exception as exc:  # noqa: BLE001  an error would end the actor
+            _log.error("a step of the watch failed", exc_info=exc)
+            # What the call brought may be lost.
+            self._must_rescan = True
+            self._backoff.failed()
+        self.actor_ref.tell(_Step())
+
+    def _step(self):
         self._after = max(self._after or 0, self._known()) or None
         if self._after is None or self._must_rescan:
             self._scan()
         else:
             self._watch()
-        self.actor_ref.tell(_Step())
 
     def _scan(self):
         answer = self._store.scan("")
@@ -149,6 +156,8 @@
                 )
                 self._must_rescan = True
                 return
+            # The pages of a scan are shorter, and without the history.
+            self._must_rescan = answer.err_value.is_unreadable
             self._failed(answer.err_value)
             return
         events, self._after = answer.ok_value
@@ -195,21 +204,29 @@
 
     def on_receive(self, message):
         """Make the write of a `WriteKey`, else register or renew if it is time."""
-        if isinstance(message, WriteKey):
-            self._on_written(message, self._write(message))
-            return
+        try:
+            if isinstance(message, WriteKey):
+                self._on_written(message, self._write(message))
+                return
+            if isinstance(message, Registration):
+                self._replace(message.value)
+                return
+            self._step()
+        except Exception as exc:  # noqa: BLE001  an error would end the actor
+            _log.error("a call to the store failed", exc_info=exc)
+            self._backoff.failed()
+        if isinstance(message, _Step) and self._key is not None:
+            self.actor_ref.tell(_Step())
+
+    def _step(self):
         if self._key is None:
             return
-        if isinstance(message, Registration):
-            self._replace(message.value)
-            return
         if self._lease is None:
             self._register()
         elif time.monotonic() - self._renewed_at >= RENEW_INTERVAL_S:
             self._renew()
         else:
             time.sleep(REGISTRAR_IDLE_S)
-        self.actor_ref.tell(_Step())
 
     def _write(self, message):
         if not message.lease_s:
@@ -242,7 +259,7 @@
     def _replace(self, value):
         """Register with another value; its age stays."""
         self._value = value
-        if self._lease is None:
+        if self._key is None or self._lease is None:
             return
         written = self._store.put(self._key, value, lease=self._lease)
         if isinstance(written, Err):
--- a/lovagepier/entry/_target_checks.py
+++ b/lovagepier/entry/_target_checks.py
@@ -1,9 +1,9 @@
-"""Finds out why a target broke off or fell silent: a crash, a lost path or neither."""
+"""Finds out why a target closed early or is silent: a crash, a lost path or neither."""
 
 import asyncio
 
 from lovagepier.entry._messages import TargetDown
-from lovagepier.entry._target_conn import ConnectFailed
+from lovagepier.entry._target_pool import ConnectFailed
 from lovagepier.logs import component_logger
 
 __all__ = ["TargetChecks"]
--- a/lovagepier/entry/_target_conn.py
+++ b/lovagepier/entry/_target_conn.py
@@ -1,18 +1,18 @@
-"""HTTP/1.1 connections to targets (h11 on an asyncio transport) and their pool."""
+"""HTTP/1.1 connections to targets: h11 on an asyncio transport."""
 
 import asyncio
 
 import h11
 
+from lovagepier.entry._undelimited_body import (
+    SecondResponse,
+    UndelimitedBody,
+    is_undelimited,
+)
 from lovagepier.logs import component_logger
 from lovagepier.platform import decode_response
 
-__all__ = [
-    "ConnectFailed",
-    "TargetConnectionLost",
-    "TargetConnection",
-    "TargetConnectionPool",
-]
+__all__ = ["TargetConnection", "TargetConnectionLost"]
 
 # Reading pauses while a slow caller leaves more than this unread.
 MAX_UNPARSED_BYTES = 256 * 1024
@@ -22,11 +22,10 @@
 MAX_IDLE_S = 10.0
 # Subtracted from the idle timeout that a target announces, to close first.
 IDLE_MARGIN_S = 1.0
-# Idle connections kept to one target. Targets count those of all hosts against their
-# bound on connections, and reset new ones beyond it.
-MAX_IDLE_PER_TARGET = 2
-# Responses to earlier requests that are skipped before the connection is closed, and
-# the bytes of their bodies.
+# Requests that one connection carries; their ids are kept.
+MAX_REQUESTS = 256
+# Responses that are read for one request, those to others included, before the
+# connection is closed, and the bytes of a skipped one's body.
 MAX_STALE_RESPONSES = 4
 MAX_STALE_BYTES = 1024 * 1024
 # Interim responses (1xx) accepted before a response.
@@ -41,21 +40,6 @@
 _log = component_logger("targets")
 
 
-class ConnectFailed(Exception):
-    """No connection could be opened: nothing of the request was sent.
-
-    `refused` tells whether the target's host answered that nobody listens, `is_unsure`
-    that the fault may be this host's: no other host could judge the target. If it
-    `needs_others`, the host that judged reaches no target of the service at all.
-    """
-
-    def __init__(self, why, refused=False, is_unsure=False, needs_others=False):
-        super().__init__(why)
-        self.refused = refused
-        self.is_unsure = is_unsure
-        self.needs_others = needs_others
-
-
 class TargetConnectionLost(Exception):
     """The connection ended or broke HTTP after the request was sent.
 
@@ -74,14 +58,16 @@
     """
 
     __slots__ = (
+        "_body_ended",
+        "_carried_ids",
         "_failure",
-        "_events",
         "_http",
         "_loop",
         "_paused",
         "_readable",
         "_request",
         "_transport",
+        "_undelimited",
         "_unparsed_bytes",
         "idle_since",
         "idle_timeout_s",
@@ -100,6 +86,9 @@
         self._paused = False
         self._unparsed_bytes = 0
         self._request = None
+        self._undelimited = None
+        self._body_ended = False
+        self._carried_ids = set()
         self.idle_since = 0.0
         self.idle_timeout_s = MAX_IDLE_S
         self.is_leaving = False
@@ -162,6 +151,13 @@
             and self._loop.time() - self.idle_since < self.idle_timeout_s
         )
 
+    def has_carried(self, request_id):
+        """Whether a request with this id was sent here before.
+
+        A copy of the first answer could not be told from the answer to the second.
+        """
+        return request_id in self._carried_ids
+
     def send(self, method, target, headers, body):
         """Send one whole request."""
         self._http = h11.Connection(
@@ -202,10 +198,11 @@
     async def read_head(self, request_id):
         """Return the `TargetResponse` to `request_id`.
 
-        A response that echoes another id belongs to an earlier request on this
-        connection and is skipped. One without an id is taken for the response only if
-        no other request was sent here. Raise `TargetConnectionLost` after too many.
+        Only a response that echoes the id is taken, on new connections too: others
+        belong to earlier requests or to none, and state nothing about this one. They
+        are skipped. Raise `TargetConnectionLost` after too many.
         """
+        self._carried_ids.add(request_id)
         for _ in range(MAX_STALE_RESPONSES):
             event = await self._next_final_event()
             if not isinstance(event, h11.Response):
@@ -214,16 +211,23 @@
                 event.status_code, list(event.headers), event.http_version
             )
             self.is_leaving = self.is_leaving or response.is_leaving
+            undelimited = is_undelimited(event)
             if response.request_id == request_id:
+                self._body_ended = False
+                self._undelimited = UndelimitedBody(response) if undelimited else None
                 return response
-            if not response.request_id:
-                if not self.requests_served:
-                    return response
-                # It may be a second copy of an earlier response.
-                raise TargetConnectionLost("a response without an id on a reused link")
             _log.info(
-                "skipped a response to another request", other=response.request_id
+                "skipped a response that does not name the request",
+                request=request_id,
+                named=response.request_id,
+                status=response.status,
+                not_executed=response.not_executed,
+                undelimited=undelimited,
+                reused=self.requests_served,
             )
+            if undelimited or self._request.method == b"HEAD":
+                # Where it ends, and the true answer begins, can't be told.
+                raise TargetConnectionLost("a response to another request has no end")
             await self._skip_response()
         raise TargetConnectionLost("too many responses to other requests")
 
@@ -244,7 +248,7 @@
                 skipped += len(event.data)
             if skipped > MAX_STALE_BYTES:
                 raise TargetConnectionLost("an endless response to another request")
-        rest = self._http.trailing_data[0]
+        rest, has_ended = self._http.trailing_data
         # h11 expects one response per request. The request was sent and is still
         # unanswered, so a new parser is told of a request that is not sent again.
         self._http = h11.Connection(
@@ -260,21 +264,38 @@
         self._http.send(h11.EndOfMessage())
         if rest:
             self._http.receive_data(rest)
+        if has_ended:
+            self._http.receive_data(b"")
 
     async def read_data(self):
         """Return the next bytes of the body, or None at its end.
 
         Raise `TargetConnectionLost` if the body is truncated.
         """
-        event = await self._next_event()
+        while not self._body_ended:
+            event = await self._next_event()
+            self._body_ended = isinstance(event, h11.EndOfMessage)
+            try:
+                data = self._read_event(event)
+            except SecondResponse as exc:
+                raise TargetConnectionLost(str(exc))
+            if data:
+                return data
+        return None
+
+    def _read_event(self, event):
+        """Return the bytes of the body that an event brings."""
         if isinstance(event, h11.Data):
-            return bytes(event.data)
-        if isinstance(event, h11.EndOfMessage):
-            # A body without a length is complete only if the close was clean.
-            if self._failure is not None and self._failure.startswith("reset"):
-                raise TargetConnectionLost(self._failure)
-            return None
-        raise TargetConnectionLost("the body ended early")
+            data = bytes(event.data)
+            return data if self._undelimited is None else self._undelimited.feed(data)
+        if not isinstance(event, h11.EndOfMessage):
+            raise TargetConnectionLost("the body ended early")
+        if self._undelimited is None:
+            return b""
+        # A body without a length is complete only if the close was clean.
+        if self._failure is not None and self._failure.startswith("reset"):
+            raise TargetConnectionLost(self._failure)
+        return self._undelimited.end()
 
     async def read_body(self):
         """Return the whole body.
@@ -313,9 +334,12 @@
         """
         reusable = (
             self.is_reusable
+            and len(self._carried_ids) < MAX_REQUESTS
             and not response.closes_connection
             and self._failure is None
             and self._http is not None
+            # A copy of it would be framed by the method of a later request.
+            and self._request.method != b"HEAD"
             and self._http.our_state is h11.DONE
             and self._http.their_state is h11.DONE
             and not self._http.trailing_data[0]
@@ -341,78 +365,3 @@
             self._failure = "closed here"
         if self._transport is not None:
             self._transport.abort()
-
-
-class TargetConnectionPool:
-    """Opens connections and keeps idle ones for reuse, the latest used first.
-
-    A connection is reused only for the same incarnation of its target. `opened`
-    counts the attempts to connect.
-    """
-
-    __slots__ = ("_connect_timeout_s", "_idle", "opened")
-
-    def __init__(self, connect_timeout_s):
-        self._connect_timeout_s = connect_timeout_s
-        self._idle = {}
-        self.opened = 0
-
-    def take_idle(self, target):
-        """Remove and return a usable idle connection to a target, or None."""
-        idle = self._idle.get((target.host, target.port, target.incarnation))
-        while idle:
-            conn = idle.pop()
-            if conn.usable:
-                return conn
-            conn.close()
-        return None
-
-    async def open(self, target):
-        """Return a new connection to `target`; raise `ConnectFailed`."""
-        conn = await self.connect(TargetConnection, target)
-        conn.idle_since = asyncio.get_running_loop().time()
-        return conn
-
-    async def connect(self, make_protocol, target):
-        """Connect a new protocol to `target` and return it; raise `ConnectFailed`."""
-        loop = asyncio.get_running_loop()
-        self.opened += 1
-        try:
-            async with asyncio.timeout(self._connect_timeout_s):
-                _, protocol = await loop.create_connection(
-                    make_protocol, target.host, target.port
-                )
-        except (OSError, TimeoutError, ValueError, OverflowError) as exc:
-            refused = isinstance(exc, ConnectionRefusedError)
-            raise ConnectFailed(type(exc).__name__, refused)
-        return protocol
-
-    def put_idle(self, target, conn):
-        """Keep a connection whose response was read to its end, for reuse.
-
-        Beyond `MAX_IDLE_PER_TARGET` the one that was idle the longest is closed.
-        """
-        key = (target.host, target.port, target.incarnation)
-        idle = self._idle.setdefault(key, [])
-        idle.append(conn)
-        if len(idle) > MAX_IDLE_PER_TARGET:
-            idle.pop(0).close()
-
-    def close_idle(self, target):
-        """Close all idle connections to a target."""
-        for conn in self._idle.pop((target.host, target.port, target.incarnation), ()):
-            conn.close()
-
-    def close_stale(self, incarnations):
-        """Close idle connections that are too old or whose target is gone.
-
-        `incarnations` are those of the current targets.
-        """
-        for key in list(self._idle):
-            idle = self._idle[key]
-            current = key[2] in incarnations
-            for conn in [c for c in idle if not (current and c.usable)]:
-                idle.remove(conn)
-                conn.close()
-            if not idle:
-                del self._idle[key]
--- a/test/test_entry_path.py
+++ b/test/test_entry_path.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lovagepier.entry import _cluster, _exchange
+from lovagepier.entry import _cluster, _stream_relay
 from lovagepier.entry._frontend import REFUSE_AFTER_S
 from lovagepier.entry._view import encode_host
 from test.entry_builders import (
@@ -117,7 +117,17 @@
     run_scenario(scenario)
 
 
-@pytest.mark.parametrize("mode", ["extra", "late_extra", "unframed"])
+@pytest.mark.parametrize(
+    "mode",
+    [
+        "extra",
+        "late_extra",
+        "unnamed_extra",
+        "unnamed_refusal",
+        "unframed",
+        "unframed_twice",
+    ],
+)
 def test_each_caller_gets_the_answer_to_its_own_request(mode):
     async def scenario(fleet):
         fleet.targets["w1"].mode = mode
@@ -146,7 +156,7 @@
 
 
 def test_a_silent_stream_resumes_at_another_target(monkeypatch):
-    monkeypatch.setattr(_exchange, "MIN_SILENCE_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(_stream_relay, "MIN_SILENCE_TIMEOUT_S", 0.1)
 
     async def scenario(fleet):
         fleet.targets["m1"].mode = "silent_stream"
@@ -168,7 +178,7 @@
 
 
 def test_a_silent_stream_is_not_cut_without_another_target(monkeypatch):
-    monkeypatch.setattr(_exchange, "MIN_SILENCE_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(_stream_relay, "MIN_SILENCE_TIMEOUT_S", 0.1)
 
     async def scenario(fleet):
         fleet.targets["m1"].mode = "stream"
