--- a/lovagepier/entry/_candidates.py
+++ b/lovagepier/entry/_candidates.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from lovagepier.decisions.succession import rank_candidates
+from lovagepier.entry._precedence import Precedence
 
 __all__ = ["Candidates"]
 
@@ -17,7 +18,7 @@
     """The candidates for coordinator by registrations, rosters and links.
 
     `boot` identifies this incarnation of the host; `outgoing` and `followers` hold
-    its links.
+    its links. `precedence` is that of its build.
     """
 
     def __init__(self, cfg, view, outgoing, followers, boot):
@@ -29,6 +30,9 @@
         self._loop = asyncio.get_running_loop()
         self._renewed_at = None
         self._registered_until = 0.0
+        self._roster = None
+        self._draining = {}
+        self.precedence = Precedence(cfg.host_name, view, outgoing, followers)
 
     def names(self, roster):
         """Return the hosts that may be coordinator, most senior first.
@@ -40,10 +44,23 @@
             members,
             self._cfg.host_name,
             stale={host.name for host in members if self._is_stale(host)},
-            draining={row[0] for row in roster if row[3]},
+            draining=self._draining_names(roster, members),
             own_last=self._followers.draining or self.has_lapsed(),
         )
 
+    def _draining_names(self, roster, members):
+        """Return the hosts that the roster says are draining and that did not restart.
+
+        The roster of a former coordinator stays when this host succeeds it.
+        """
+        if roster is not self._roster:
+            self._roster = roster
+            boots = {host.name: host.boot for host in members}
+            self._draining = {row[0]: boots.get(row[0]) for row in roster if row[3]}
+        return {
+            host.name for host in members if self._draining.get(host.name) == host.boot
+        }
+
     def _is_stale(self, host):
         """Return whether a host is known to have restarted since it registered."""
         if host.name == self._cfg.host_name:
@@ -74,7 +91,8 @@
 
         These are the candidates senior to this host, up to `MIN_SENIOR_LINKS` that
         are up or twice as many in all, or the configured seeds while no hosts are
-        known. A draining host considers all other candidates.
+        known. A draining host considers all other candidates, and a coordinator the
+        hosts of older builds that don't link to it.
         """
         members = self._view.members()
         wanted = {}
@@ -91,6 +109,9 @@
             up_count += self._outgoing.is_up(name)
             if up_count >= MIN_SENIOR_LINKS or len(wanted) >= 2 * MIN_SENIOR_LINKS:
                 break
+        for name in self.precedence.hosts_to_dial():
+            if name in members:
+                wanted[name] = members[name].link_address
         if not members:
             for address in self._cfg.peers_seeds:
                 if address != self._cfg.peers_listen:
--- a/lovagepier/entry/_cluster.py
+++ b/lovagepier/entry/_cluster.py
@@ -5,11 +5,11 @@
 """
 
 import asyncio
-from dataclasses import replace
 
 from lovagepier.entry._candidates import Candidates
 from lovagepier.entry._capacity import CapacityShares
 from lovagepier.entry._followers import Followers
+from lovagepier.entry._links import LinkCounts
 from lovagepier.entry._messages import (
     DispatchRequest,
     DispatchResult,
@@ -28,6 +28,7 @@
     TargetPaused,
     Withdraw,
 )
+from lovagepier.entry._older_formats import readable_progress
 from lovagepier.entry._outgoing import STANDBY_HEARTBEAT_ROUNDS, OutgoingLinks
 from lovagepier.entry._replication import Replication
 from lovagepier.entry._requests import Requests
@@ -69,7 +70,8 @@
     targets say of themselves.
 
     `boot` identifies this incarnation of the host. `coordinator_name` is the host of
-    the coordinator in use, None before the first.
+    the coordinator in use, None before the first. `link_counts` are the `LinkCounts`
+    of all its links.
     """
 
     def __init__(self, cfg, view, coordinator, apply_keys, boot=""):
@@ -82,8 +84,9 @@
         )
         self._loop = asyncio.get_running_loop()
         self.followers = Followers(cfg, view, coordinator, boot)
+        self.link_counts = LinkCounts()
         self._outgoing = OutgoingLinks(
-            self.on_message, self._on_link, self.choose_coordinator
+            self.on_message, self._on_link, self.choose_coordinator, self.link_counts
         )
         self.candidates = Candidates(cfg, view, self._outgoing, self.followers, boot)
         self.requests = Requests(self._send_to_coordinator)
@@ -131,7 +134,9 @@
             self._handle_as_coordinator(self._cfg.host_name, message)
             return
         link = self._outgoing.links.get(self.coordinator_name)
-        if link is None or not link.send(message):
+        if link is not None:
+            link.send(message)
+        if link is None or not link.is_open:
             self._loop.call_soon(self.choose_coordinator)
 
     def _send_if_follower(self, message):
@@ -199,12 +204,9 @@
         elif isinstance(message, Withdraw):
             coordinator.on_withdraw(entry, message.id, now)
         elif isinstance(message, RunningReport):
-            rows = [
-                (DispatchRequest(*fields), target) for fields, target in message.running
-            ]
-            report = replace(message, running=rows)
+            report = message.with_requests()
             self.followers.on_joined(entry)
-            self.statements.mark_leaving(message.leaving)
+            self.statements.mark_leaving(report.leaving)
             coordinator.on_running_report(entry, report, now)
 
     def _on_heartbeat(self, link, heartbeat):
@@ -230,7 +232,7 @@
         self._roster = link.roster
         self._quota_levels = roster.quota_levels
         self._retry_levels = roster.retry_levels
-        self._coordinator.rollouts.merge_progress(roster.rollouts)
+        self._coordinator.rollouts.merge_progress(readable_progress(roster.rollouts))
         self._merge_evidence(roster)
         self._coordinator.replace_limits(roster, self._loop.time())
         if roster.leaving is not None:
--- a/lovagepier/entry/_host.py
+++ b/lovagepier/entry/_host.py
@@ -8,16 +8,24 @@
 
 from result import Err
 
+from lovagepier import build_name
 from lovagepier.entry._cluster import Cluster
 from lovagepier.entry._coordinator import Coordinator
 from lovagepier.entry._frontend import GRACE_MARGIN_S, Frontend
 from lovagepier.entry._links import LinkServer
 from lovagepier.entry._settings import parse_entry_settings
-from lovagepier.entry._store_actors import LEASE_TTL_S, Registrar, Watcher, WriteKey
+from lovagepier.entry._store_actors import (
+    LEASE_TTL_S,
+    Registrar,
+    Registration,
+    Watcher,
+    WriteKey,
+)
 from lovagepier.entry._tunnel_messages import TUNNEL_MESSAGES
 from lovagepier.entry._verdicts import Verdicts
 from lovagepier.entry._view import HOST_PREFIX, StoreView, encode_host
 from lovagepier.errors import UserError
+from lovagepier.formats import OWN_FORMATS
 from lovagepier.logs import component_logger
 from lovagepier.platform import number_of
 from lovagepier.settings import read_settings_file
@@ -121,7 +129,9 @@
         self._loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._loop.set_exception_handler(_log_unhandled)
         self._start_actors()
-        links = LinkServer(self._on_link_message, self._on_link_closed)
+        links = LinkServer(
+            self._on_link_message, self._on_link_closed, self.cluster.link_counts
+        )
         await links.start(self.cfg.peers_listen)
         await self.frontend.listen(self._sockets)
         tasks = [
@@ -130,7 +140,13 @@
             self._loop.create_task(self._reload_forever()),
             self._loop.create_task(self.frontend.connector.run()),
         ]
-        _log.info("started", host=self.cfg.host_name, boot=self._boot)
+        _log.info(
+            "started",
+            host=self.cfg.host_name,
+            boot=self._boot,
+            build=build_name(),
+            formats=OWN_FORMATS,
+        )
         await self._stopping.wait()
         await self._drain()
         for task in tasks:
@@ -156,20 +172,21 @@
             on_loop(self._on_store_fault),
         )
         key = f"{HOST_PREFIX}{self.cfg.host_name}.{self._boot}"
-        host, port = self.cfg.peers_listen
-        value = encode_host(
-            self.cfg.host_name, f"{host}:{port}", _capacity_score(self.cfg)
-        )
         lease = max(LEASE_TTL_S, self.cfg.store_lease_least)
         self._registrar = Registrar.start(
             address,
             key,
-            value,
+            self._registration(),
             lease,
             on_loop(self._on_written),
             on_loop(self.cluster.candidates.on_registered),
         )
 
+    def _registration(self):
+        host, port = self.cfg.peers_listen
+        score = _capacity_score(self.cfg) + self.cluster.candidates.precedence.points
+        return encode_host(self.cfg.host_name, f"{host}:{port}", score)
+
     def _on_link_message(self, link, message):
         if isinstance(message, TUNNEL_MESSAGES):
             self.frontend.tunnel_server.on_message(link, message)
@@ -299,6 +316,10 @@
                 if is_coordinator:
                     self.coordinator.rollouts.write_states(now)
                     self._verdicts.write(now)
+                if self.cluster.candidates.precedence.must_withdraw(
+                    is_coordinator, now
+                ):
+                    self._registrar.tell(Registration(self._registration()))
                 self.cluster.followers.push_rosters()
                 self._set_watching()
             except Exception as exc:  # noqa: BLE001  a failing tick must not end the host
--- a/lovagepier/entry/_view.py
+++ b/lovagepier/entry/_view.py
@@ -6,6 +6,7 @@
 from lovagepier import platform
 from lovagepier.entry._verdicts import POISON_PREFIX, decode_verdict
 from lovagepier.entry.store_types import HostRecord
+from lovagepier.frames import FORMAT
 from lovagepier.logs import component_logger
 
 __all__ = ["HOST_PREFIX", "StoreView", "encode_host"]
@@ -23,6 +24,8 @@
 MAX_LEAVING = 2000
 # No host states a higher capacity score.
 MAX_CAPACITY_SCORE = 1000
+# No build has a higher format.
+MAX_FORMAT = 999_999
 # Characters of what a document holds that a line of the log repeats.
 MAX_LOGGED_CHARS = 200
 
@@ -32,7 +35,12 @@
 def encode_host(name, peer_address, capacity_score=0):
     """Return the value of the store entry that registers an entry host."""
     return json.dumps(
-        {"name": name, "peers": peer_address, "power": capacity_score}
+        {
+            "name": name,
+            "peers": peer_address,
+            "power": capacity_score,
+            "format": FORMAT,
+        }
     ).encode()
 
 
@@ -50,6 +58,8 @@
         create_revision=item.create_revision,
         capacity_score=platform.read_whole(raw, "power", 0, MAX_CAPACITY_SCORE),
         boot=platform.read_name(boot),
+        # Builds up to format 4 don't say theirs.
+        format=platform.read_whole({"format": 0, **raw}, "format", 0, MAX_FORMAT),
     )
 
 
