Close a tunnel's link only once its host has been missing for a second

A request through a stopping host got 502, 'the link ended', though its target ran it and the host would have seen it through: while the others change their coordinator the stopping host is in nobody's roster for a moment, and its link was closed with the tunnel open. Links without tunnels are closed as before. The new test failed before (502); a second one shows that tunnels through a host that is gone still end.

--- a/lovagepier/entry/_tunnels.py
+++ b/lovagepier/entry/_tunnels.py
@@ -21,6 +21,9 @@
 OPEN_TIMEOUT_S = 0.45
 # A link without tunnels is closed after this time.
 MAX_IDLE_LINK_S = 10.0
+# One with tunnels is closed if its host was not live for this time. While the
+# coordinator changes, a stopping host may be missing for a moment.
+MAX_MISSING_S = 1.0
 
 
 class HostUnreachable(Exception):
@@ -124,6 +127,7 @@
         self._links = {}
         self._dialing = {}
         self._idle_since = {}
+        self._missing_since = {}
         self._tunnels = {}
 
     async def open(self, host, target):
@@ -236,10 +240,16 @@
         now = self._loop.time()
         for tunnel in [t for t in self._tunnels.values() if t.is_closing()]:
             self._tunnels.pop(tunnel.number, None)
+        for host in self._missing_since.keys() & live_names:
+            del self._missing_since[host]
         for host, link in list(self._links.items()):
+            has_tunnels = bool(self._tunnels_of(link))
             if host not in live_names:
-                link.close()
-            elif self._tunnels_of(link):
+                since = self._missing_since.setdefault(host, now)
+                if not has_tunnels or now - since >= MAX_MISSING_S:
+                    del self._missing_since[host]
+                    link.close()
+            elif has_tunnels:
                 self._idle_since.pop(host, None)
             elif now - self._idle_since.setdefault(host, now) >= MAX_IDLE_LINK_S:
                 self._idle_since.pop(host, None)
--- a/test/test_tunnels.py
+++ b/test/test_tunnels.py
@@ -97,6 +97,42 @@
     run_scenario(scenario)
 
 
+def test_tunnels_outlive_a_moment_without_their_host_in_the_rosters():
+    """A stopping host was missing while the others changed their coordinator."""
+
+    async def scenario(fleet):
+        host, target = fleet.hosts[2], fleet.targets["w1"]
+        cut(host, "refused")
+        assert (await call(host, "/read/x", "r0")).status == 200
+        tunnels = host.frontend.connector._tunnels
+        target.work_s = 0.5
+        running = asyncio.create_task(call(host, "/file/x", "r1", method="POST"))
+        await wait_until(lambda: len(target.runs) == 2)
+        tunnels.close_unused({"n9"})
+        assert (await running).status == 200
+        tunnels.close_unused({"n9"})
+        await wait_until(lambda: not tunnels.has_links())
+
+    run_scenario(scenario)
+
+
+def test_tunnels_through_a_host_that_is_gone_end():
+    async def scenario(fleet):
+        host, target = fleet.hosts[2], fleet.targets["w1"]
+        cut(host, "refused")
+        assert (await call(host, "/read/x", "r0")).status == 200
+        connector = host.frontend.connector
+        target.work_s = 5.0
+        running = asyncio.create_task(call(host, "/file/x", "r1", method="POST"))
+        await wait_until(lambda: len(target.runs) == 2)
+        connector._peers = lambda: []
+        host.cluster.live_hosts = lambda: []
+        assert (await running).status == 502
+        assert len(target.runs) == 2
+
+    run_scenario(scenario)
+
+
 def test_hosts_for_tunnels_are_found_in_rosters_of_an_earlier_version():
     """During an update a coordinator may send rows without the last column."""
 
