Sort the modules of the entry host into five packages

Callers, targets, cluster, coordination and store are packages now; a pure move: imports, and names of modules in the pages.

--- /dev/null
+++ b/lovagepier/entry/_callers/__init__.py
@@ -0,0 +1,1 @@
+"""Serves callers: connections, and one exchange for each request."""
--- a/lovagepier/entry/_call_progress.py
+++ b/lovagepier/entry/_callers/call_progress.py
@@ -1,6 +1,6 @@
 """How far the handling of one call has come."""
 
-from lovagepier.entry._exclusions import Exclusions
+from lovagepier.entry._callers.exclusions import Exclusions
 
 __all__ = ["RESPONSE_MARGIN_S", "CallProgress"]
 
--- a/lovagepier/entry/_exchange.py
+++ b/lovagepier/entry/_callers/exchange.py
@@ -3,15 +3,15 @@
 import asyncio
 import enum
 
-from lovagepier.entry._call_progress import RESPONSE_MARGIN_S, CallProgress
-from lovagepier.entry._caller_response import CallerResponse
-from lovagepier.entry._events import NotContinued
-from lovagepier.entry._grants import FailedOver, Grants
-from lovagepier.entry._messages import Granted
-from lovagepier.entry._response_notes import ResponseNotes
-from lovagepier.entry._stream_relay import StreamRelay
-from lovagepier.entry._target_conn import TargetConnectionLost
-from lovagepier.entry._target_pool import ConnectFailed
+from lovagepier.entry._callers.call_progress import RESPONSE_MARGIN_S, CallProgress
+from lovagepier.entry._callers.caller_response import CallerResponse
+from lovagepier.entry._callers.events import NotContinued
+from lovagepier.entry._callers.grants import FailedOver, Grants
+from lovagepier.entry._callers.response_notes import ResponseNotes
+from lovagepier.entry._callers.stream_relay import StreamRelay
+from lovagepier.entry._cluster.messages import Granted
+from lovagepier.entry._targets.conn import TargetConnectionLost
+from lovagepier.entry._targets.pool import ConnectFailed
 from lovagepier.entry.call import fingerprint
 from lovagepier.errors import ErrorKind
 from lovagepier.logs import component_logger
--- a/lovagepier/entry/_frontend.py
+++ b/lovagepier/entry/_callers/frontend.py
@@ -3,12 +3,12 @@
 import asyncio
 
 from lovagepier.entry._build_gauges import build_gauges
-from lovagepier.entry._caller_conn import BadRequest, CallerConnection
-from lovagepier.entry._exchange import Exchange
-from lovagepier.entry._target_checks import TargetChecks
-from lovagepier.entry._target_connector import TargetConnector
-from lovagepier.entry._target_pool import TargetConnectionPool
-from lovagepier.entry._tunnel_server import TunnelServer
+from lovagepier.entry._callers.caller_conn import BadRequest, CallerConnection
+from lovagepier.entry._callers.exchange import Exchange
+from lovagepier.entry._targets.checks import TargetChecks
+from lovagepier.entry._targets.connector import TargetConnector
+from lovagepier.entry._targets.pool import TargetConnectionPool
+from lovagepier.entry._targets.tunnel_server import TunnelServer
 from lovagepier.entry.catalog import ROUTE_TIERS, CallerLimits
 from lovagepier.errors import ErrorKind, error_spec
 from lovagepier.logs import component_logger
--- a/lovagepier/entry/_grants.py
+++ b/lovagepier/entry/_callers/grants.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 
-from lovagepier.entry._messages import (
+from lovagepier.entry._cluster.messages import (
     DispatchRequest,
     DispatchResult,
     Granted,
--- a/lovagepier/entry/_stream_relay.py
+++ b/lovagepier/entry/_callers/stream_relay.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from lovagepier.entry._events import EventSplitter, EventTooLong, EventTruncated
-from lovagepier.entry._target_conn import TargetConnectionLost
+from lovagepier.entry._callers.events import EventSplitter, EventTooLong, EventTruncated
+from lovagepier.entry._targets.conn import TargetConnectionLost
 from lovagepier.logs import component_logger
 
 __all__ = ["StreamRelay"]
--- a/lovagepier/entry/_candidates.py
+++ b/lovagepier/entry/_cluster/candidates.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from lovagepier.decisions.succession import rank_candidates
-from lovagepier.entry._precedence import Precedence
+from lovagepier.entry._cluster.precedence import Precedence
 
 __all__ = ["Candidates"]
 
--- a/lovagepier/entry/_cluster.py
+++ b/lovagepier/entry/_cluster/cluster.py
@@ -6,11 +6,11 @@
 
 import asyncio
 
-from lovagepier.entry._candidates import Candidates
-from lovagepier.entry._capacity import CapacityShares
-from lovagepier.entry._followers import Followers
-from lovagepier.entry._links import LinkCounts
-from lovagepier.entry._messages import (
+from lovagepier.entry._cluster.candidates import Candidates
+from lovagepier.entry._cluster.capacity import CapacityShares
+from lovagepier.entry._cluster.followers import Followers
+from lovagepier.entry._cluster.links import LinkCounts
+from lovagepier.entry._cluster.messages import (
     DispatchRequest,
     DispatchResult,
     FirstEvent,
@@ -28,11 +28,11 @@
     TargetPaused,
     Withdraw,
 )
-from lovagepier.entry._older_formats import readable_progress
-from lovagepier.entry._outgoing import STANDBY_HEARTBEAT_ROUNDS, OutgoingLinks
-from lovagepier.entry._replication import Replication
-from lovagepier.entry._requests import Requests
-from lovagepier.entry._statements import TargetStatements
+from lovagepier.entry._cluster.older_formats import readable_progress
+from lovagepier.entry._cluster.outgoing import STANDBY_HEARTBEAT_ROUNDS, OutgoingLinks
+from lovagepier.entry._cluster.replication import Replication
+from lovagepier.entry._cluster.requests import Requests
+from lovagepier.entry._targets.statements import TargetStatements
 from lovagepier.errors import ErrorKind
 from lovagepier.logs import component_logger
 
--- a/lovagepier/entry/_followers.py
+++ b/lovagepier/entry/_cluster/followers.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from lovagepier import build_name
-from lovagepier.entry._messages import Roster
+from lovagepier.entry._cluster.messages import Roster
 from lovagepier.frames import FORMAT
 from lovagepier.logs import component_logger
 
--- a/lovagepier/entry/_messages.py
+++ b/lovagepier/entry/_cluster/messages.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass, field, replace
 
-from lovagepier.entry._older_formats import host_rows, rollout_rows
+from lovagepier.entry._cluster.older_formats import host_rows, rollout_rows
 from lovagepier.frames import field_count, from_values, message, since
 
 __all__ = [
--- a/lovagepier/entry/_outgoing.py
+++ b/lovagepier/entry/_cluster/outgoing.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from lovagepier.entry._links import Dialed, dial
+from lovagepier.entry._cluster.links import Dialed, dial
 from lovagepier.logs import component_logger
 
 __all__ = ["STANDBY_HEARTBEAT_ROUNDS", "OutgoingLinks"]
--- a/lovagepier/entry/_replication.py
+++ b/lovagepier/entry/_cluster/replication.py
@@ -5,8 +5,12 @@
 
 import cbor2
 
-from lovagepier.entry._deltas import apply_delta, make_delta
-from lovagepier.entry._messages import SnapshotRequest, StoreDelta, StoreSnapshot
+from lovagepier.entry._cluster.deltas import apply_delta, make_delta
+from lovagepier.entry._cluster.messages import (
+    SnapshotRequest,
+    StoreDelta,
+    StoreSnapshot,
+)
 from lovagepier.platform import Event, Item, is_key
 
 __all__ = ["Replication"]
--- a/lovagepier/entry/_requests.py
+++ b/lovagepier/entry/_cluster/requests.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from lovagepier.entry._messages import (
+from lovagepier.entry._cluster.messages import (
     DispatchResult,
     FirstEvent,
     Granted,
--- /dev/null
+++ b/lovagepier/entry/_coordination/__init__.py
@@ -0,0 +1,1 @@
+"""What the coordinator decides for all hosts."""
--- a/lovagepier/entry/_coordinator.py
+++ b/lovagepier/entry/_coordination/coordinator.py
@@ -15,11 +15,11 @@
 from lovagepier.decisions.rendezvous import hash_fraction
 from lovagepier.decisions.scheduler import PoolScheduler, SchedulerOptions
 from lovagepier.decisions.work import Grant, Outcome, Refusal, Work, bounded_tokens
-from lovagepier.entry._budgets import make_quotas, make_retry_budget
-from lovagepier.entry._messages import Granted, Refused
-from lovagepier.entry._rollouts import Rollouts
-from lovagepier.entry._stated_limits import StatedLimits
-from lovagepier.entry._target_groups import targets_by_service
+from lovagepier.entry._cluster.messages import Granted, Refused
+from lovagepier.entry._coordination.budgets import make_quotas, make_retry_budget
+from lovagepier.entry._coordination.rollouts import Rollouts
+from lovagepier.entry._coordination.stated_limits import StatedLimits
+from lovagepier.entry._coordination.target_groups import targets_by_service
 from lovagepier.entry._zones import make_zone_cost
 from lovagepier.entry.catalog import ROUTE_TIERS
 from lovagepier.errors import ErrorKind
--- a/lovagepier/entry/_rollouts.py
+++ b/lovagepier/entry/_coordination/rollouts.py
@@ -8,7 +8,7 @@
 
 from lovagepier import platform
 from lovagepier.decisions.rollout_plan import RolloutPlan, RolloutProgress, Stage
-from lovagepier.entry._version_comparison import VersionComparison
+from lovagepier.entry._coordination.version_comparison import VersionComparison
 from lovagepier.logs import component_logger
 
 __all__ = ["Rollouts"]
--- a/lovagepier/entry/_host.py
+++ b/lovagepier/entry/_host.py
@@ -9,21 +9,21 @@
 from result import Err
 
 from lovagepier import build_name
-from lovagepier.entry._cluster import Cluster
-from lovagepier.entry._coordinator import Coordinator
-from lovagepier.entry._frontend import GRACE_MARGIN_S, Frontend
-from lovagepier.entry._links import LinkServer
+from lovagepier.entry._callers.frontend import GRACE_MARGIN_S, Frontend
+from lovagepier.entry._cluster.cluster import Cluster
+from lovagepier.entry._cluster.links import LinkServer
+from lovagepier.entry._coordination.coordinator import Coordinator
+from lovagepier.entry._coordination.verdicts import Verdicts
 from lovagepier.entry._settings import parse_entry_settings
-from lovagepier.entry._store_actors import (
+from lovagepier.entry._store.actors import (
     LEASE_TTL_S,
     Registrar,
     Registration,
     Watcher,
     WriteKey,
 )
-from lovagepier.entry._tunnel_messages import TUNNEL_MESSAGES
-from lovagepier.entry._verdicts import Verdicts
-from lovagepier.entry._view import HOST_PREFIX, StoreView, encode_host
+from lovagepier.entry._store.view import HOST_PREFIX, StoreView, encode_host
+from lovagepier.entry._targets.tunnel_messages import TUNNEL_MESSAGES
 from lovagepier.errors import UserError
 from lovagepier.formats import OWN_FORMATS
 from lovagepier.logs import component_logger
--- /dev/null
+++ b/lovagepier/entry/_store/__init__.py
@@ -0,0 +1,1 @@
+"""What this host knows of the platform's store."""
--- a/lovagepier/entry/_view.py
+++ b/lovagepier/entry/_store/view.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from lovagepier import platform
-from lovagepier.entry._verdicts import POISON_PREFIX, decode_verdict
+from lovagepier.entry._coordination.verdicts import POISON_PREFIX, decode_verdict
 from lovagepier.entry.store_types import HostRecord
 from lovagepier.frames import FORMAT
 from lovagepier.logs import component_logger
--- /dev/null
+++ b/lovagepier/entry/_targets/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to targets, directly or through other hosts."""
--- a/lovagepier/entry/_target_checks.py
+++ b/lovagepier/entry/_targets/checks.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from lovagepier.entry._messages import TargetDown
-from lovagepier.entry._target_pool import ConnectFailed
+from lovagepier.entry._cluster.messages import TargetDown
+from lovagepier.entry._targets.pool import ConnectFailed
 from lovagepier.logs import component_logger
 
 __all__ = ["TargetChecks"]
--- a/lovagepier/entry/_target_comparison.py
+++ b/lovagepier/entry/_targets/comparison.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from lovagepier.entry._target_pool import ConnectFailed
+from lovagepier.entry._targets.pool import ConnectFailed
 
 __all__ = ["TargetComparison"]
 
--- a/lovagepier/entry/_target_conn.py
+++ b/lovagepier/entry/_targets/conn.py
@@ -4,7 +4,7 @@
 
 import h11
 
-from lovagepier.entry._undelimited_body import (
+from lovagepier.entry._targets.undelimited_body import (
     SecondResponse,
     UndelimitedBody,
     is_undelimited,
--- a/lovagepier/entry/_target_connector.py
+++ b/lovagepier/entry/_targets/connector.py
@@ -3,9 +3,9 @@
 import asyncio
 
 from lovagepier.decisions.paths import Peer, TargetPaths
-from lovagepier.entry._target_comparison import TargetComparison
-from lovagepier.entry._target_pool import ConnectFailed
-from lovagepier.entry._tunnels import HostUnreachable, Tunnels
+from lovagepier.entry._targets.comparison import TargetComparison
+from lovagepier.entry._targets.pool import ConnectFailed
+from lovagepier.entry._targets.tunnels import HostUnreachable, Tunnels
 from lovagepier.entry._zones import make_zone_cost
 from lovagepier.logs import component_logger
 
--- a/lovagepier/entry/_target_pool.py
+++ b/lovagepier/entry/_targets/pool.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from lovagepier.entry._target_conn import TargetConnection
+from lovagepier.entry._targets.conn import TargetConnection
 
 __all__ = ["MAX_IDLE_PER_TARGET", "ConnectFailed", "TargetConnectionPool"]
 
--- a/lovagepier/entry/_statements.py
+++ b/lovagepier/entry/_targets/statements.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from lovagepier.entry._messages import TargetLeaving, TargetPaused
+from lovagepier.entry._cluster.messages import TargetLeaving, TargetPaused
 from lovagepier.logs import component_logger
 
 __all__ = ["TargetStatements"]
--- a/lovagepier/entry/_tunnel_server.py
+++ b/lovagepier/entry/_targets/tunnel_server.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from lovagepier.entry._target_comparison import TargetComparison
-from lovagepier.entry._target_pool import ConnectFailed
-from lovagepier.entry._tunnel_messages import (
+from lovagepier.entry._targets.comparison import TargetComparison
+from lovagepier.entry._targets.pool import ConnectFailed
+from lovagepier.entry._targets.tunnel_messages import (
     TunnelClosed,
     TunnelData,
     TunnelFlow,
--- a/lovagepier/entry/_tunnels.py
+++ b/lovagepier/entry/_targets/tunnels.py
@@ -3,17 +3,17 @@
 import asyncio
 import itertools
 
-from lovagepier.entry._links import dial
-from lovagepier.entry._target_conn import TargetConnection
-from lovagepier.entry._target_pool import ConnectFailed
-from lovagepier.entry._tunnel_messages import (
+from lovagepier.entry._cluster.links import dial
+from lovagepier.entry._targets.conn import TargetConnection
+from lovagepier.entry._targets.pool import ConnectFailed
+from lovagepier.entry._targets.tunnel_messages import (
     TunnelClosed,
     TunnelData,
     TunnelFlow,
     TunnelOpen,
     TunnelOpened,
 )
-from lovagepier.entry._tunnel_server import MAX_TUNNEL_DATA_BYTES
+from lovagepier.entry._targets.tunnel_server import MAX_TUNNEL_DATA_BYTES
 
 __all__ = ["HostUnreachable", "Tunnels"]
 
--- a/test/brittle_model.py
+++ b/test/brittle_model.py
@@ -5,7 +5,7 @@
 
 from lovagepier.decisions.partition import slots_for_host
 from lovagepier.decisions.work import Outcome
-from lovagepier.entry._messages import LimitStated
+from lovagepier.entry._cluster.messages import LimitStated
 from test.builders import ended
 from test.rate_model import DETECTION_S, RateModel
 
--- a/test/format_samples.py
+++ b/test/format_samples.py
@@ -63,12 +63,16 @@
 import dataclasses, json, sys
 import cbor2
 from lovagepier import frames
-from lovagepier.entry import _messages
 from lovagepier.peers import messages
 try:
-    from lovagepier.entry import _tunnel_messages
+    import lovagepier.entry._cluster.messages
+    import lovagepier.entry._targets.tunnel_messages
 except ImportError:
-    pass
+    import lovagepier.entry._messages
+    try:
+        import lovagepier.entry._tunnel_messages
+    except ImportError:
+        pass
 samples = cbor2.loads(bytes.fromhex(sys.stdin.read()))
 by_type = {"str": "x", "int": 1, "float": 1.5, "bool": True, "list": [], "dict": {},
            "bytes": b"x"}
--- a/test/odd_documents.py
+++ b/test/odd_documents.py
@@ -5,8 +5,8 @@
 from hypothesis import strategies as st
 
 from lovagepier import platform
-from lovagepier.entry._verdicts import POISON_PREFIX
-from lovagepier.entry._view import HOST_PREFIX, encode_host
+from lovagepier.entry._coordination.verdicts import POISON_PREFIX
+from lovagepier.entry._store.view import HOST_PREFIX, encode_host
 from test.entry_builders import config
 
 TARGET = {
--- a/test/rate_model.py
+++ b/test/rate_model.py
@@ -3,8 +3,8 @@
 import random
 
 from lovagepier.decisions.work import Grant
-from lovagepier.entry._messages import LimitStated
-from lovagepier.entry._stated_limits import StatedLimits
+from lovagepier.entry._cluster.messages import LimitStated
+from lovagepier.entry._coordination.stated_limits import StatedLimits
 from test.builders import ended, make_scheduler, make_work
 
 STEP_S = 0.02
--- a/test/store_passage.py
+++ b/test/store_passage.py
@@ -10,17 +10,17 @@
 import structlog
 
 from lovagepier import logs, platform
-from lovagepier.entry._candidates import Candidates
-from lovagepier.entry._capacity import CapacityShares
-from lovagepier.entry._coordinator import Coordinator
-from lovagepier.entry._followers import Followers
-from lovagepier.entry._messages import DispatchRequest, DispatchResult, Granted
-from lovagepier.entry._outgoing import OutgoingLinks
-from lovagepier.entry._replication import Replication
+from lovagepier.entry._cluster.candidates import Candidates
+from lovagepier.entry._cluster.capacity import CapacityShares
+from lovagepier.entry._cluster.followers import Followers
+from lovagepier.entry._cluster.messages import DispatchRequest, DispatchResult, Granted
+from lovagepier.entry._cluster.outgoing import OutgoingLinks
+from lovagepier.entry._cluster.replication import Replication
+from lovagepier.entry._coordination.coordinator import Coordinator
+from lovagepier.entry._coordination.verdicts import Verdicts
 from lovagepier.entry._settings import parse_entry_settings
-from lovagepier.entry._target_conn import TargetConnection
-from lovagepier.entry._verdicts import Verdicts
-from lovagepier.entry._view import StoreView
+from lovagepier.entry._store.view import StoreView
+from lovagepier.entry._targets.conn import TargetConnection
 from lovagepier.frames import MAX_FRAME_BYTES, decode, encode
 from test import odd_documents
 from test.entry_builders import HOST, config
--- a/test/test_broken_streams.py
+++ b/test/test_broken_streams.py
@@ -10,7 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lovagepier.entry import _stream_relay
+from lovagepier.entry._callers import stream_relay as _stream_relay
 from test.entry_builders import config, entry_fleet, route, wait_until
 from test.stream_targets import (
     EVENTS,
--- a/test/test_crashes.py
+++ b/test/test_crashes.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from lovagepier.decisions.poison import Run
-from lovagepier.entry._target_pool import ConnectFailed
+from lovagepier.entry._targets.pool import ConnectFailed
 from lovagepier.entry.call import Call, fingerprint
 from test.entry_builders import HOST, call, entry_fleet, wait_until
 
--- a/test/test_endless_responses.py
+++ b/test/test_endless_responses.py
@@ -8,8 +8,12 @@
 
 import pytest
 
-from lovagepier.entry._events import MAX_EVENT_BYTES, EventSplitter, EventTooLong
-from lovagepier.entry._target_conn import MAX_BODY_BYTES, MAX_STALE_BYTES
+from lovagepier.entry._callers.events import (
+    MAX_EVENT_BYTES,
+    EventSplitter,
+    EventTooLong,
+)
+from lovagepier.entry._targets.conn import MAX_BODY_BYTES, MAX_STALE_BYTES
 from test.entry_builders import call, entry_fleet, wait_until
 
 # What the kernel and both transports may hold beyond what the entry host has read.
--- a/test/test_entry_deltas.py
+++ b/test/test_entry_deltas.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagepier.entry._deltas import apply_delta, make_delta
+from lovagepier.entry._cluster.deltas import apply_delta, make_delta
 
 rows = st.lists(
     st.builds(
--- a/test/test_entry_events.py
+++ b/test/test_entry_events.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagepier.entry._events import EventSplitter, EventTruncated, NotContinued
+from lovagepier.entry._callers.events import EventSplitter, EventTruncated, NotContinued
 
 ENDS = ("\n\n", "\r\n\r\n")
 
--- a/test/test_entry_path.py
+++ b/test/test_entry_path.py
@@ -4,9 +4,10 @@
 
 import pytest
 
-from lovagepier.entry import _cluster, _stream_relay
-from lovagepier.entry._frontend import REFUSE_AFTER_S
-from lovagepier.entry._view import encode_host
+from lovagepier.entry._callers import stream_relay as _stream_relay
+from lovagepier.entry._callers.frontend import REFUSE_AFTER_S
+from lovagepier.entry._cluster import cluster as _cluster
+from lovagepier.entry._store.view import encode_host
 from test.entry_builders import (
     KEY,
     call,
--- a/test/test_entry_replication.py
+++ b/test/test_entry_replication.py
@@ -2,10 +2,10 @@
 
 import asyncio
 
-from lovagepier.entry import _replication
-from lovagepier.entry._messages import SnapshotRequest
-from lovagepier.entry._replication import Replication
-from lovagepier.entry._view import StoreView
+from lovagepier.entry._cluster import replication as _replication
+from lovagepier.entry._cluster.messages import SnapshotRequest
+from lovagepier.entry._cluster.replication import Replication
+from lovagepier.entry._store.view import StoreView
 from lovagepier.platform import Item
 
 
--- a/test/test_entry_view.py
+++ b/test/test_entry_view.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagepier.entry._view import LAPSE_GRACE_S, StoreView
+from lovagepier.entry._store.view import LAPSE_GRACE_S, StoreView
 from lovagepier.platform import Event, Item
 from test.entry_builders import config
 
--- a/test/test_followers.py
+++ b/test/test_followers.py
@@ -3,11 +3,11 @@
 import asyncio
 import random
 
-from lovagepier.entry._coordinator import Coordinator
-from lovagepier.entry._followers import Followers
-from lovagepier.entry._messages import Heartbeat
+from lovagepier.entry._cluster.followers import Followers
+from lovagepier.entry._cluster.messages import Heartbeat
+from lovagepier.entry._coordination.coordinator import Coordinator
 from lovagepier.entry._settings import parse_entry_settings
-from lovagepier.entry._view import StoreView
+from lovagepier.entry._store.view import StoreView
 from lovagepier.frames import FORMAT
 from test.entry_builders import settings
 
--- a/test/test_formats.py
+++ b/test/test_formats.py
@@ -12,9 +12,11 @@
 from hypothesis import strategies as st
 
 from lovagepier.decisions.rollback import RollbackTrigger
-from lovagepier.entry import _messages as messages
-from lovagepier.entry import _tunnel_messages  # noqa: F401  registers its messages
-from lovagepier.entry._older_formats import readable_progress
+from lovagepier.entry._cluster import messages
+from lovagepier.entry._cluster.older_formats import readable_progress
+from lovagepier.entry._targets import (
+    tunnel_messages,  # noqa: F401  registers its messages
+)
 from lovagepier.frames import (
     FORMAT,
     OLDEST_FORMAT,
@@ -148,12 +150,16 @@
 import sys
 import cbor2
 from lovagepier.decisions.rollback import RollbackTrigger
-from lovagepier.entry import _messages
 from lovagepier.frames import decode
 try:
-    from lovagepier.entry import _tunnel_messages
+    from lovagepier.entry._cluster import messages as _messages
+    import lovagepier.entry._targets.tunnel_messages
 except ImportError:
-    pass
+    from lovagepier.entry import _messages
+    try:
+        import lovagepier.entry._tunnel_messages
+    except ImportError:
+        pass
 for data in cbor2.loads(bytes.fromhex(sys.stdin.read())):
     message = decode(data).message
     if isinstance(message, _messages.Roster):
--- a/test/test_http_edges.py
+++ b/test/test_http_edges.py
@@ -10,7 +10,7 @@
 
 import urllib3
 
-from lovagepier.entry._target_pool import MAX_IDLE_PER_TARGET
+from lovagepier.entry._targets.pool import MAX_IDLE_PER_TARGET
 from lovagepier.web import Response, WebServer
 from test.entry_builders import (
     call,
--- a/test/test_leaving_targets.py
+++ b/test/test_leaving_targets.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagepier.entry._view import StoreView
+from lovagepier.entry._store.view import StoreView
 from lovagepier.platform import Item, decode_response
 from test.entry_builders import call, entry_fleet, wait_until
 from test.test_target_paths import CuttablePool, cut
--- a/test/test_link_formats.py
+++ b/test/test_link_formats.py
@@ -10,9 +10,9 @@
 from websockets.exceptions import ConnectionClosed, InvalidStatus
 
 from lovagepier.entry._build_gauges import build_gauges
-from lovagepier.entry._links import LinkCounts, LinkServer
-from lovagepier.entry._messages import Heartbeat, TargetLeaving
-from lovagepier.entry._outgoing import OutgoingLinks
+from lovagepier.entry._cluster.links import LinkCounts, LinkServer
+from lovagepier.entry._cluster.messages import Heartbeat, TargetLeaving
+from lovagepier.entry._cluster.outgoing import OutgoingLinks
 from lovagepier.frames import FORMAT, OLDEST_FORMAT, encode
 from test.entry_builders import wait_until
 from trials.ports import free_port
--- a/test/test_malformed_inputs.py
+++ b/test/test_malformed_inputs.py
@@ -13,7 +13,7 @@
 from result import Err
 
 from lovagepier import platform
-from lovagepier.entry._view import HOST_PREFIX, StoreView, encode_host
+from lovagepier.entry._store.view import HOST_PREFIX, StoreView, encode_host
 from lovagepier.frames import FORMAT, CodecError, decode
 from test.entry_builders import call, config, connect, entry_fleet, wait_until
 
@@ -130,7 +130,7 @@
         self.is_open = False
 
     def handle(self, on_message, message):
-        from lovagepier.entry._links import Link
+        from lovagepier.entry._cluster.links import Link
 
         Link._handle(self, on_message, message)
 
--- a/test/test_mixed_builds.py
+++ b/test/test_mixed_builds.py
@@ -12,8 +12,8 @@
 from trials.soak_fleet import Fleet
 
 CALLERS = 6
-# A change of the coordinator takes a second, see `entry._outgoing`; the rest is for
-# four processes and their callers on a busy machine.
+# A change of the coordinator takes a second, see `entry._cluster.outgoing`; the rest
+# is for four processes and their callers on a busy machine.
 ONE_COORDINATOR_S = 6.0
 STEP_S = 0.7
 STOP_S = 12.0
--- a/test/test_odd_entries.py
+++ b/test/test_odd_entries.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from lovagepier import platform
-from lovagepier.entry._messages import DispatchResult, Granted
+from lovagepier.entry._cluster.messages import DispatchResult, Granted
 from test import odd_documents
 from test.entry_builders import HOST, KEY, config
 from test.store_passage import (
--- a/test/test_odd_entries_path.py
+++ b/test/test_odd_entries_path.py
@@ -9,8 +9,8 @@
 import pytest
 
 from lovagepier import platform
-from lovagepier.entry import _cluster
-from lovagepier.entry._view import encode_host
+from lovagepier.entry._cluster import cluster as _cluster
+from lovagepier.entry._store.view import encode_host
 from test import odd_documents
 from test.entry_builders import (
     call,
--- a/test/test_quotas.py
+++ b/test/test_quotas.py
@@ -6,14 +6,14 @@
 from hypothesis import strategies as st
 
 from lovagepier.decisions.quotas import Quotas
-from lovagepier.entry._budgets import (
+from lovagepier.entry._coordination.budgets import (
     QUOTA_BURST_FRACTION,
     QUOTA_DEBT_FRACTION,
     QUOTA_OVERAGE_FRACTION,
     QUOTA_RATE_FRACTION,
     QUOTA_REFILL_FRACTION,
 )
-from lovagepier.entry._view import encode_host
+from lovagepier.entry._store.view import encode_host
 from test.entry_builders import entry_fleet
 
 RATE, BURST = 100.0, 300.0
--- a/test/test_rollout_evidence.py
+++ b/test/test_rollout_evidence.py
@@ -10,8 +10,8 @@
     MAX_SWITCH_SUSPICION,
     Stage,
 )
-from lovagepier.entry._messages import Roster
-from lovagepier.entry._rollouts import Rollouts
+from lovagepier.entry._cluster.messages import Roster
+from lovagepier.entry._coordination.rollouts import Rollouts
 from lovagepier.entry.store_types import RolloutOrder
 from lovagepier.frames import decode, encode
 from test.builders import ended, make_work
--- a/test/test_store_era_machine.py
+++ b/test/test_store_era_machine.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from lovagepier.entry._view import LAPSE_GRACE_S, StoreView
+from lovagepier.entry._store.view import LAPSE_GRACE_S, StoreView
 from lovagepier.platform import Event, Item, make_revision, number_of
 from test.entry_builders import config
 
--- a/test/test_stray_responses.py
+++ b/test/test_stray_responses.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from lovagepier.entry._target_conn import TargetConnection
+from lovagepier.entry._targets.conn import TargetConnection
 from test.entry_builders import (
     Response,
     connect,
--- a/test/test_stream_ends.py
+++ b/test/test_stream_ends.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from lovagepier.entry._caller_conn import CallerConnection
+from lovagepier.entry._callers.caller_conn import CallerConnection
 from test.entry_builders import HOST, KEY, connect, entry_fleet
 from test.stream_targets import (
     LAST_CHUNK,
--- a/test/test_succession.py
+++ b/test/test_succession.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from lovagepier.decisions.succession import rank_candidates
-from lovagepier.entry._view import encode_host
+from lovagepier.entry._store.view import encode_host
 from test.entry_builders import call, entry_fleet, wait_until
 
 
--- a/test/test_target_backoff.py
+++ b/test/test_target_backoff.py
@@ -2,10 +2,10 @@
 
 import random
 
-from lovagepier.entry._coordinator import Coordinator
-from lovagepier.entry._messages import DispatchRequest, DispatchResult, Granted
+from lovagepier.entry._cluster.messages import DispatchRequest, DispatchResult, Granted
+from lovagepier.entry._coordination.coordinator import Coordinator
 from lovagepier.entry._settings import parse_entry_settings
-from lovagepier.entry._view import StoreView
+from lovagepier.entry._store.view import StoreView
 from lovagepier.entry.store_types import Target
 from test.entry_builders import settings
 
--- a/test/test_target_paths.py
+++ b/test/test_target_paths.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lovagepier.entry._target_pool import ConnectFailed, TargetConnectionPool
+from lovagepier.entry._targets.pool import ConnectFailed, TargetConnectionPool
 from test.entry_builders import call, entry_fleet, wait_until
 from test.test_crashes import fingerprint_of
 
--- a/test/test_tunnels.py
+++ b/test/test_tunnels.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lovagepier.entry._tunnels import HostUnreachable
+from lovagepier.entry._targets.tunnels import HostUnreachable
 from test.entry_builders import call, connect, raw_request, wait_until
 from test.stream_targets import Answer, StreamTargets, ask, head, piece
 from test.stuttering_target import Turn, add_stuttering, whole, whole_body
--- a/test/test_undelimited_bodies.py
+++ b/test/test_undelimited_bodies.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagepier.entry._undelimited_body import SecondResponse, UndelimitedBody
+from lovagepier.entry._targets.undelimited_body import SecondResponse, UndelimitedBody
 from lovagepier.platform import decode_response
 
 HEAD = (
--- a/test/test_unused_grants.py
+++ b/test/test_unused_grants.py
@@ -4,9 +4,10 @@
 
 import pytest
 
-from lovagepier.entry import _exchange, _stream_relay
-from lovagepier.entry._requests import Requests
-from lovagepier.entry._target_checks import TargetChecks
+from lovagepier.entry._callers import exchange as _exchange
+from lovagepier.entry._callers import stream_relay as _stream_relay
+from lovagepier.entry._cluster.requests import Requests
+from lovagepier.entry._targets.checks import TargetChecks
 from test.entry_builders import connect, entry_fleet, raw_request, wait_until
 from test.stream_targets import Answer, StreamTargets, chunk, head, piece
 
