Leave out a message that can't be encoded instead of ending what sends it

A text that CBOR can't hold (a lone surrogate) raised out of Link.send, so push_rosters sent nothing to the followers that came later. A message above the frame limit was sent, and the receiver closed its link each time. An address that makes no URI (fe80::1 without brackets) raised ValueError out of dial, which logged nothing and ended the task of the link.

Found by reading. The tests failed before: UnicodeEncodeError, a frame of more than 4 MiB accepted, ValueError and UnicodeError from dial. Such a message is now logged once for each link and type, counted as link_unencodable and left out; the link and all others go on.

--- a/lovagepier/entry/_links.py
+++ b/lovagepier/entry/_links.py
@@ -14,6 +14,7 @@
     FORMAT,
     MAX_FRAME_BYTES,
     CodecError,
+    EncodeError,
     NotInFormat,
     decode,
     encode,
@@ -50,13 +51,15 @@
 
     `skipped` frames had an unknown tag or further fields, `omitted` messages were not
     sent because the peer's format lacks them, `unreadable` links were closed for a
-    malformed frame, `unsupported` ones for lack of a common format.
+    malformed frame, `unsupported` ones for lack of a common format, `unencodable`
+    messages were not sent because they can't be encoded or are too large.
     """
 
     skipped: int = 0
     omitted: int = 0
     unreadable: int = 0
     unsupported: int = 0
+    unencodable: int = 0
 
 
 class Link:
@@ -84,6 +87,7 @@
         "_has_omitted",
         "_has_skipped",
         "_is_stated",
+        "_unencodable",
         "boot",
         "build",
         "format",
@@ -103,6 +107,7 @@
         self._has_frames = False
         self._has_omitted = False
         self._has_skipped = False
+        self._unencodable = set()
         self.format = peer_formats.number
         self.build = peer_formats.build
         self.is_unreadable = False
@@ -129,15 +134,21 @@
     def send(self, body):
         """Queue one message; return whether the link accepted it.
 
-        A message that the peer's format lacks is left out.
+        A message that the peer's format lacks, or that can't be encoded, is left out.
         """
         if not self.is_open:
             return False
         try:
-            self._outbox.put_nowait(encode(body, number=self.format))
+            data = encode(body, number=self.format)
+            if len(data) > MAX_FRAME_BYTES:
+                raise EncodeError(f"{len(data)} bytes, {MAX_FRAME_BYTES} fit")
+            self._outbox.put_nowait(data)
         except NotInFormat as exc:
             self._omit(str(exc))
             return False
+        except EncodeError as exc:
+            self._fail_to_encode(type(body), str(exc))
+            return False
         except asyncio.QueueFull:
             _log.warning("disconnected a peer that reads too slowly", peer=self.peer)
             self.close()
@@ -161,6 +172,17 @@
                 why=why,
             )
 
+    def _fail_to_encode(self, cls, why):
+        self._counts.unencodable += 1
+        if cls not in self._unencodable:
+            self._unencodable.add(cls)
+            _log.error(
+                "could not encode a message",
+                peer=self.peer,
+                message=cls.__name__,
+                why=why,
+            )
+
     def close(self):
         """Abort the connection without waiting for queued messages."""
         self.is_open = False
@@ -253,7 +275,8 @@
             return Dialed.FAILED
         _log_formats(formats.read_headers(exc.response.headers), peer, counts, True)
         return Dialed.UNSUPPORTED
-    except (OSError, TimeoutError, WebSocketException) as exc:
+    except (OSError, TimeoutError, ValueError, WebSocketException) as exc:
+        # The URI of an address that a host registered may be invalid.
         _log.debug("could not connect to a peer", peer=peer, why=str(exc))
         return Dialed.FAILED
     peer_formats = formats.read_headers(conn.response.headers)
--- a/lovagepier/frames.py
+++ b/lovagepier/frames.py
@@ -16,6 +16,7 @@
     "MAX_FRAME_BYTES",
     "OLDEST_FORMAT",
     "CodecError",
+    "EncodeError",
     "Frame",
     "NotInFormat",
     "decode",
@@ -40,7 +41,11 @@
     """The received bytes are not a valid frame of this protocol."""
 
 
-class NotInFormat(ValueError):
+class EncodeError(ValueError):
+    """A message has values that can't be encoded."""
+
+
+class NotInFormat(EncodeError):
     """The peer's format has no such message, or can't say what it says."""
 
 
@@ -180,12 +185,24 @@
 def encode(body, correlation=0, is_reply=False, number=FORMAT):
     """Return the bytes of a frame that carries the message `body` in a format.
 
-    Raise `NotInFormat` if that format can't carry it.
+    Raise `NotInFormat` if that format can't carry it, `EncodeError` if none can.
     """
     layout = _BY_CLASS[type(body)]
-    return cbor2.dumps(
-        [layout.tag, correlation, is_reply, *layout.values(body, number)]
-    )
+    try:
+        values = layout.values(body, number)
+        return cbor2.dumps([layout.tag, correlation, is_reply, *values])
+    except NotInFormat:
+        raise
+    except (
+        cbor2.CBOREncodeError,
+        ArithmeticError,
+        AttributeError,
+        LookupError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ) as exc:
+        raise EncodeError(f"{layout.tag} can't be encoded: {type(exc).__name__}: {exc}")
 
 
 def decode(data):
--- a/test/test_link_formats.py
+++ b/test/test_link_formats.py
@@ -10,10 +10,12 @@
 from websockets.exceptions import ConnectionClosed, InvalidStatus
 
 from lovagepier.entry._build_gauges import build_gauges
-from lovagepier.entry._links import LinkCounts, LinkServer
+from lovagepier.entry._links import Dialed, Link, LinkCounts, LinkServer, dial
 from lovagepier.entry._messages import Heartbeat, TargetLeaving
 from lovagepier.entry._outgoing import OutgoingLinks
-from lovagepier.frames import FORMAT, OLDEST_FORMAT, encode
+from lovagepier.entry._tunnel_messages import TunnelClosed
+from lovagepier.formats import PeerFormats
+from lovagepier.frames import FORMAT, MAX_FRAME_BYTES, OLDEST_FORMAT, encode
 from test.entry_builders import wait_until
 from trials.ports import free_port
 
@@ -216,3 +218,35 @@
 def test_metrics_stand_any_row_of_a_peer():
     rows = [[None] * 7, [[], {}, 1.5, "x", b"", {"a": []}, ["b"]], []]
     assert build_gauges(rows, LinkCounts())
+
+
+class SilentConnection:
+    """A connection whose other end does nothing."""
+
+    transport = None
+
+
+@pytest.mark.parametrize(
+    "reason", ["\ud800", "x" * (MAX_FRAME_BYTES + 1)], ids=["surrogate", "too large"]
+)
+def test_a_message_that_cannot_be_encoded_leaves_the_link_open(reason):
+    async def run():
+        counts = LinkCounts()
+        link = Link(SilentConnection(), PeerFormats(f"1-{FORMAT}"), counts)
+        with capture_logs() as logs:
+            for _ in range(2):
+                assert not link.send(TunnelClosed(1, reason))
+        assert link.send(BEAT)
+        assert link.is_open and link.backlog == 1 and counts.unencodable == 2
+        assert [log["log_level"] for log in logs] == ["error"]
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("host", ["fe80::1", "a b", "[", "x" * 300])
+def test_an_address_that_is_no_uri_counts_as_unreachable(host):
+    async def run():
+        dialed = await dial((host, 9), None, None, None, LinkCounts())
+        assert dialed is Dialed.FAILED
+
+    asyncio.run(run())
