Search undelimited bodies for responses in linear time

A body without a length whose lines look like headers and hold status lines ('X: HTTP/1.1 200') was searched again from each of these places, up to the 64 KiB that a head may have. The text may be the caller's own.

Of the places that share one end, the first and the last four are tried.

--- a/lovagepier/entry/_undelimited_body.py
+++ b/lovagepier/entry/_undelimited_body.py
@@ -4,26 +4,18 @@
 can be. The head of such a response ends the body.
 """
 
-import re
-
 import h11
 import xxhash
 
+from lovagepier.entry._head_search import MAX_HEAD_BYTES, HeadSearch
 from lovagepier.logs import component_logger
 from lovagepier.platform import decode_response
 
 __all__ = ["SecondResponse", "UndelimitedBody", "is_undelimited"]
 
-# Limit on the head of a second response.
-MAX_HEAD_BYTES = 64 * 1024
 # Times that a response may be repeated.
 MAX_COPIES = 4
 
-_HEAD_START = b"HTTP/1."
-_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [0-9]{3}(?: [^\r\n]*)?\r?\n?")
-_STATUS_SAMPLE = b"HTTP/1.1 200"
-_HEADER_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+(?::.*)?|[ \t].*")
-
 _log = component_logger("targets")
 
 
@@ -49,13 +41,13 @@
     may well be a text about HTTP.
     """
 
-    __slots__ = ("_copies_left", "_copy", "_digest", "_held", "_response", "_size")
+    __slots__ = ("_copies_left", "_copy", "_digest", "_response", "_search", "_size")
 
     def __init__(self, response, copies_left=MAX_COPIES):
         self._response = response
         self._copies_left = copies_left
         self._size = 0
-        self._held = b""
+        self._search = HeadSearch(_is_marked_head)
         self._copy = None
         self._digest = xxhash.xxh3_128()
 
@@ -64,24 +56,12 @@
         if self._copy is not None:
             self._copy.feed(data)
             return b""
-        held = self._held + data
-        searched = 0
-        while (start := held.find(_HEAD_START, searched)) >= 0:
-            end = _find_head_end(held, start)
-            if end is None:
-                self._held = held[start:]
-                return self._pass(held[:start])
-            second = _parse_head(held[start:end])
-            if second is not None and second.is_marked:
-                passed = self._pass(held[:start])
-                self._held = b""
-                self._begin_copy(second)
-                self._copy.feed(held[start:])
-                return passed
-            searched = start + len(_HEAD_START)
-        kept = _partial_start(held)
-        self._held = held[len(held) - kept :]
-        return self._pass(held[: len(held) - kept])
+        data, second = self._search.feed(data)
+        passed = self._pass(data)
+        if second is not None:
+            self._begin_copy(_parse_head(second))
+            self._copy.feed(second)
+        return passed
 
     def end(self):
         """Return the last bytes of the body once its connection has ended cleanly."""
@@ -89,10 +69,9 @@
             if self._copy.end() != self._digest.digest():
                 raise SecondResponse("a body and its copy differ")
             return b""
-        if self._held.startswith(_HEAD_START):
+        if self._search.is_inside_head:
             raise SecondResponse("a body ends in the head of a response")
-        rest, self._held = self._held, b""
-        return self._pass(rest)
+        return self._pass(self._search.rest())
 
     def _begin_copy(self, second):
         first = self._response
@@ -185,30 +164,9 @@
     )
 
 
-def _find_head_end(data, start):
-    """Return where a head that begins at `start` ends, None if that is not known yet.
-
-    It ends where `data` shows that it is no head.
-    """
-    sample = data[start : start + len(_STATUS_SAMPLE)]
-    if len(sample) < len(_STATUS_SAMPLE):
-        padded = sample + _STATUS_SAMPLE[len(sample) :]
-        return None if _STATUS_LINE.match(padded) else start + len(_HEAD_START)
-    position = start
-    is_first = True
-    while position - start <= MAX_HEAD_BYTES:
-        newline = data.find(b"\n", position)
-        line = data[position : newline if newline >= 0 else None].removesuffix(b"\r")
-        pattern = _STATUS_LINE if is_first else _HEADER_LINE
-        if not line and not is_first and newline >= 0:
-            return newline + 1
-        if line and not pattern.fullmatch(line):
-            return position
-        if newline < 0:
-            return None if len(line) <= MAX_HEAD_BYTES else position
-        position = newline + 1
-        is_first = False
-    return position
+def _is_marked_head(data):
+    second = _parse_head(data)
+    return second is not None and second.is_marked
 
 
 def _parse_head(data):
@@ -231,11 +189,3 @@
 
 def _decode(event):
     return decode_response(event.status_code, list(event.headers), event.http_version)
-
-
-def _partial_start(data):
-    """Return how many bytes at the end of `data` may be the start of a head."""
-    for length in range(len(_HEAD_START) - 1, 0, -1):
-        if data.endswith(_HEAD_START[:length]):
-            return length
-    return 0
--- a/test/test_undelimited_bodies.py
+++ b/test/test_undelimited_bodies.py
@@ -1,6 +1,7 @@
 """Bodies that end with their connection pass unchanged, however they are cut."""
 
 import re
+import time
 
 import pytest
 from hypothesis import given
@@ -119,3 +120,27 @@
     with pytest.raises(SecondResponse):
         for _ in range(2000):
             body.feed(HEAD + b"\r\nthe body.")
+
+
+@pytest.mark.parametrize(
+    "text",
+    [b"X: HTTP/1.1 200\r\n", b" HTTP/1.1 200", b"HTTP/1.1 200 OK\r\nA: b\r\n\r\n"],
+    ids=["lines", "one line", "heads"],
+)
+def test_a_body_of_many_status_lines_does_not_stop_the_event_loop(text):
+    """A body may repeat what the caller sent."""
+    size = 128 * 1024
+    data = b"HTTP/1.1 200\r\n" + text * (size // len(text)) + b"\r\nthe end"
+    body = body_of()
+    began = time.process_time()
+    passed = [body.feed(data[at : at + 1460]) for at in range(0, len(data), 1460)]
+    assert b"".join([*passed, body.end()]) == data
+    assert time.process_time() - began < 2.0
+
+
+@pytest.mark.parametrize("lines", [1, 3, 5, 500])
+def test_a_response_is_found_behind_lines_that_look_like_heads(lines):
+    """The text's last line has no end, so the second head begins inside it."""
+    text = b"X: HTTP/1.1 200 OK\r\n" * lines + b"the end: "
+    answer = HEAD + b"\r\n" + text
+    assert play(text + answer, range(0, 20000, 50)) == text
