Adopt a coordinator's progress of a rollout only in the shape that it must have

A row of another shape, from a faulty peer or a later format, raised out of the handling of a roster: the follower took over none of the rollbacks, limits and leaving targets that come after it, each time. A row that was adopted in part raised later, at each outcome of the service, and so ended the judgement of its new version on the successor.

Found by reading, no run has shown it between hosts. Rows are now tried on a comparison of their own first; one that can't be used is logged and left out, the rest of the roster counts. The test failed before for seven of its eight rows; the eighth (a variance that is infinite) was adopted and judged nothing.

--- a/lovagepier/decisions/stratified.py
+++ b/lovagepier/decisions/stratified.py
@@ -75,7 +75,9 @@
         return list(_add(self._sums, self._open_terms()))
 
     def adopt(self, state):
-        """Continue from the `state` of another host."""
+        """Continue from the `state` of another host; raise ValueError if it is none."""
+        if len(state) != len(self._sums) or not all(map(math.isfinite, state)):
+            raise ValueError("not the sums of a comparison")
         self._new = self._old = (0, 0)
         self._recent.clear()
         self._sums = tuple(state)
--- a/lovagepier/entry/_older_formats.py
+++ b/lovagepier/entry/_older_formats.py
@@ -1,5 +1,7 @@
 """Fall-backs for older formats: rows inside fields, as those builds read them."""
 
+from lovagepier.logs import component_logger
+
 __all__ = ["host_rows", "readable_progress", "rollout_rows"]
 
 # Columns of a host's row in formats 1, 2 to 4, and later ones.
@@ -14,6 +16,8 @@
 _EPISODE_ITEMS = 5
 _EPISODE_COUNTS = 3
 
+_log = component_logger("peers")
+
 
 def host_rows(rows, number):
     """Return the `hosts` of a `Roster` for an older format."""
@@ -44,11 +48,16 @@
 
 
 def readable_progress(rows):
-    """Return the `rollouts` of a received `Roster`, without parts of another shape.
+    """Yield the `rollouts` of a received `Roster`, without parts of another shape.
 
-    Format 3 has another fifth part of a comparison.
+    Format 3 has another fifth part of a comparison. Rows that can't be read are left
+    out.
     """
-    return [_readable(row) for row in rows]
+    for row in rows:
+        try:
+            yield _readable(row)
+        except (AttributeError, TypeError, ValueError) as exc:
+            _log.warning("could not read the progress of a rollout", exc_info=exc)
 
 
 def _readable(row):
--- a/lovagepier/entry/_rollouts.py
+++ b/lovagepier/entry/_rollouts.py
@@ -21,6 +21,8 @@
 # A rollout that others began so long ago has had a canary stage. Clocks may differ by
 # less.
 EARLIER_BEGIN_S = 2.0
+# Numbers in the row of a rollout's progress, before the states of its comparison.
+_PROGRESS_COUNTS = 4
 _STATE_BY_STAGE = {
     Stage.CANARY: "running",
     Stage.SWITCHED: "running",
@@ -285,21 +287,28 @@
 
     def merge_progress(self, rows):
         """Adopt the coordinator's evidence, so that a successor continues from it."""
-        for service, revision, *counts in rows:
-            rollout = self._open(service)
-            if rollout is None or rollout.order.revision != revision:
-                continue
-            known = rollout.progress
-            known.sent = max(known.sent, counts[0])
-            known.sent_new = max(known.sent_new, counts[1])
-            known.outcomes_new = max(known.outcomes_new, counts[2])
-            known.failed_new = max(known.failed_new, counts[3])
-            if len(counts) > 4:
-                thresholds, comparisons = counts[4]
-                rollout.comparison.slowness.adopt(thresholds)
-                rollout.comparison.trigger.adopt(comparisons)
-            if len(counts) > 5:
-                rollout.comparison.left.adopt(counts[5])
+        for row in rows:
+            try:
+                self._merge_row(*row)
+            except (AttributeError, LookupError, TypeError, ValueError) as exc:
+                _log.warning("could not read the progress of a rollout", exc_info=exc)
+
+    def _merge_row(self, service, revision, *counts):
+        rollout = self._open(service)
+        if rollout is None or rollout.order.revision != revision:
+            return
+        known = rollout.progress
+        merged = [
+            max(own, int(other))
+            for own, other in zip(
+                (known.sent, known.sent_new, known.outcomes_new, known.failed_new),
+                counts[:_PROGRESS_COUNTS],
+                strict=True,
+            )
+        ]
+        if len(counts) > _PROGRESS_COUNTS:
+            rollout.comparison.adopt(*counts[_PROGRESS_COUNTS], *counts[5:6])
+        known.sent, known.sent_new, known.outcomes_new, known.failed_new = merged
 
     # Work of the coordinator in use
 
--- a/lovagepier/entry/_version_comparison.py
+++ b/lovagepier/entry/_version_comparison.py
@@ -1,5 +1,6 @@
 """What the outcomes of a service tell of its new version, or of the usual."""
 
+import math
 from collections import deque
 
 from lovagepier.decisions.evidence import Counts
@@ -58,6 +59,25 @@
         """
         return max(self.trigger.score(), self.left.score())
 
+    def adopt(self, thresholds, comparisons, left=None):
+        """Adopt the states of another host's comparison.
+
+        Raise TypeError, ValueError, LookupError or AttributeError and change nothing if
+        they have another shape.
+        """
+        trial = VersionComparison()
+        trial._replace(thresholds, comparisons, left)
+        for each in (trial.score(), trial.trigger.overall_suspicion()):
+            if not math.isfinite(each):
+                raise ValueError("a comparison is not finite")
+        self._replace(thresholds, comparisons, left)
+
+    def _replace(self, thresholds, comparisons, left):
+        self.slowness.adopt(thresholds)
+        self.trigger.adopt(comparisons)
+        if left is not None:
+            self.left.adopt(left)
+
     def _knows(self, work, outcome):
         return self.slowness.is_usual_known(work.route, work, outcome)
 
--- a/test/test_rollout_evidence.py
+++ b/test/test_rollout_evidence.py
@@ -3,6 +3,8 @@
 import time
 from types import SimpleNamespace
 
+import pytest
+
 from lovagepier import platform
 from lovagepier.decisions.rollout_plan import (
     CANARY_SHARE_FRACTION,
@@ -11,6 +13,7 @@
     Stage,
 )
 from lovagepier.entry._messages import Roster
+from lovagepier.entry._older_formats import readable_progress
 from lovagepier.entry._rollouts import Rollouts
 from lovagepier.entry.store_types import RolloutOrder
 from lovagepier.frames import decode, encode
@@ -383,3 +386,36 @@
             rollouts.observe("model", version, work, ended(work, status=status), 1.0)
     rollouts.step(lambda service: 0, DURATION_S * 0.9)
     assert rollouts._rollouts["model"].progress.suspicion < MAX_SWITCH_SUSPICION
+
+
+def odd_rows():
+    """Return rows of a rollout's progress as no build sends them."""
+    rollouts = make_rollouts()
+    observe(rollouts, "old", OLD_FIRST_S, 60)
+    observe(rollouts, "new", OLD_FIRST_S, 4)
+    (row,) = rollouts.progress_rows()
+    *counts, (thresholds, parts), left = row
+    more = {key: [*values, 1.0] for key, values in thresholds.items()}
+    texts = {"": [["x"] * 3] * 2}
+    return {
+        "short": row[:4],
+        "no states": [*counts, None, left],
+        "thresholds": [*counts, [more, parts], left],
+        "texts": [*counts, [thresholds, texts], left],
+        "not finite": [*counts, [thresholds, parts], [9, 1.0, float("inf")]],
+        "left": [*counts, [thresholds, parts], [1, 2, 3, 4]],
+        "counts": [*row[:2], "x", *row[3:]],
+        "no row": None,
+    }
+
+
+@pytest.mark.parametrize("kind", odd_rows())
+def test_progress_of_another_shape_is_not_adopted(kind):
+    """The rest of a roster counts, and later outcomes are judged as before."""
+    follower = make_rollouts()
+    follower.merge_progress(readable_progress([odd_rows()[kind]]))
+    assert follower._rollouts["model"].progress.sent_new == 0
+    observe(follower, "old", OLD_FIRST_S, 60)
+    observe(follower, "new", OLD_FIRST_S, 4)
+    follower.step(lambda service: 0, 1.0)
+    assert observe(follower, "new", SLOW_FIRST_S, ENOUGH_OUTCOMES) is not None
