Own runtime: report a message that can't be encoded and an address that is no URI

A text that CBOR can't hold raised out of tell, ask and reply into whatever called them; ask left its answer's handler behind for good. An address like fe80::1 ended the task of the link with an unlogged ValueError.

Both tests failed before. Messages that can't be encoded are logged, and whoever waits for an answer gets PeerUnreachable at once.

--- a/lovagepier/peers/_links.py
+++ b/lovagepier/peers/_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import logging
 import ssl
 import threading
 from concurrent.futures import Future
@@ -15,6 +16,7 @@
     FORMAT,
     MAX_FRAME_BYTES,
     CodecError,
+    EncodeError,
     NotInFormat,
     decode,
     encode,
@@ -29,12 +31,12 @@
 # A peer without a common format is not dialed again for this long.
 MISFIT_REDIAL_INTERVAL_S = 10.0
 
+_QUIET_LOG = logging.getLogger("lovagepier.websockets")
+_QUIET_LOG.setLevel(logging.CRITICAL)
 
-class PeerUnreachable(Exception):
-    """The message was not sent, or the link broke and it may have arrived.
 
-    It is not sent if the outbox is full, or if the peer's format lacks it.
-    """
+class PeerUnreachable(Exception):
+    """The message was not sent, or the link broke and it may have arrived."""
 
 
 class _Link:
@@ -108,7 +110,7 @@
             max_size=MAX_FRAME_BYTES,
             compression=None,
             ssl=self._server_tls(),
-            logger=_silent_logger(),
+            logger=_QUIET_LOG,
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
@@ -193,6 +195,9 @@
             except NotInFormat as exc:
                 self._omit(number, exc)
                 return
+            except EncodeError as exc:
+                self._log.error("could not encode an answer", why=str(exc))
+                return
             self._loop.call_soon_threadsafe(self._send_reply, connection, answer)
 
         self._on_message(frame.message, reply)
@@ -217,7 +222,7 @@
 
     def tell(self, address, body):
         """Send a message that gets no answer, without delivery guarantee."""
-        self._post(address, encode(body), 0, None)
+        self._post(address, body, 0, None)
 
     def ask(self, address, body):
         """Send a message; return a Future of its answer or `PeerUnreachable`.
@@ -237,9 +242,9 @@
     def ask_many(self, address, body, on_answer, on_error):
         """Send a message that may get several answers.
 
-        `on_answer(answer)` returns True after the last one. `on_error(exc)` is
-        called if the outbox is full or the link breaks before that. Returns the
-        correlation, which `forget` takes.
+        `on_answer(answer)` returns True after the last one. `on_error(exc)` is called
+        before that if the outbox is full, the link breaks or the message can't be
+        encoded for the peer. Returns the correlation, which `forget` takes.
         """
         correlation = next(self._correlations)
         self._reply_handlers[correlation] = on_answer
@@ -248,14 +253,21 @@
             if self._reply_handlers.pop(correlation, None) is not None:
                 on_error(exc)
 
-        self._post(address, encode(body, correlation), correlation, fail)
+        self._post(address, body, correlation, fail)
         return correlation
 
     def forget(self, correlation):
         """Ignore further answers to the message with this correlation."""
         self._reply_handlers.pop(correlation, None)
 
-    def _post(self, address, data, correlation, on_error):
+    def _post(self, address, body, correlation, on_error):
+        try:
+            data = encode(body, correlation)
+        except EncodeError as exc:
+            self._log.error("could not encode a message", why=str(exc))
+            if on_error is not None:
+                on_error(PeerUnreachable(str(exc)))
+            return
         self._loop.call_soon_threadsafe(
             self._enqueue, tuple(address), data, correlation, on_error
         )
@@ -304,7 +316,7 @@
                 compression=None,
                 proxy=None,
                 ssl=self._client_tls(),
-                logger=_silent_logger(),
+                logger=_QUIET_LOG,
             ) as connection:
                 peer_formats = formats.read_headers(connection.response.headers)
                 self._log_formats(peer_formats, link.address)
@@ -320,7 +332,7 @@
                 self._log_formats(stated, link.address)
             else:
                 self._log_lost(link, exc)
-        except (OSError, WebSocketException, TimeoutError, EOFError) as exc:
+        except (OSError, WebSocketException, EOFError, ValueError) as exc:
             self._log_lost(link, exc)
         finally:
             self._drop(link)
@@ -384,11 +396,3 @@
         await connection.send(data)
     except (ConnectionClosed, OSError):
         return
-
-
-def _silent_logger():
-    import logging
-
-    logger = logging.getLogger("lovagepier.websockets")
-    logger.setLevel(logging.CRITICAL)
-    return logger
--- a/test/test_peer_formats.py
+++ b/test/test_peer_formats.py
@@ -1,5 +1,6 @@
 """Nodes of other formats: what they are sent, and peers without a common one."""
 
+import gc
 import threading
 import time
 from types import SimpleNamespace
@@ -109,3 +110,21 @@
         assert peer.dials == 1
     finally:
         peer.close()
+
+
+def test_what_cannot_be_encoded_ends_no_link(links):
+    bad = messages.ConfigSnapshot(3, "\ud800")
+    own = ("127.0.0.1", links.port)
+    links.tell(own, bad)
+    with pytest.raises(PeerUnreachable):
+        links.ask(own, bad).result(5)
+    assert not links._reply_handlers
+    links._on_message = lambda body, reply: (reply(bad), reply(body))
+    assert links.ask(own, messages.ConfigPull(1)).result(5) == messages.ConfigPull(1)
+
+
+def test_an_address_that_is_no_uri_is_unreachable(links, caplog):
+    with pytest.raises(PeerUnreachable):
+        links.ask(("fe80::1", 9), messages.ConfigPull(1)).result(5)
+    gc.collect()
+    assert "never retrieved" not in caplog.text
