--- a/test/test_rollout_plan.py
+++ b/test/test_rollout_plan.py
@@ -223,3 +223,14 @@
         for seed in range(100)
     ]
     assert not sum(run.rolled_back_open or not run.completed for run in runs)
+
+
+def test_a_version_without_targets_is_not_completed():
+    """Once it is, the old version's targets get no more requests either."""
+    plan, progress, now = switched()
+    progress.new_ready = False
+    while now < 10.0:
+        now += 0.1
+        progress.sent = int(now * 10)
+        plan.step(progress, now)
+    assert plan.stage != Stage.DONE
