--- a/lovagepier/bench/rollout_traffic.py
+++ b/lovagepier/bench/rollout_traffic.py
@@ -25,6 +25,7 @@
     "slow-host",
     "slow-old-target",
     "slow-new-target",
+    "fewer-new-targets",
 )
 # (time per token as a multiple of the usual one, share of the version's requests).
 ALIKE_TARGETS = ((1.0, 0.25),) * 4
@@ -37,6 +38,10 @@
 # Each running request slows the others of its target; all of a version's traffic does
 # so by this fraction.
 LOAD_SLOWDOWN = 0.4
+# With fewer targets the new version has as many as this. All traffic takes so much of
+# the capacity of the old version's targets, and requests queue for the rest of it.
+FEWER_TARGETS = 2
+BUSY_FRACTION = 0.45
 
 
 @dataclass(slots=True, frozen=True)
@@ -147,10 +152,16 @@
         targets = ALIKE_TARGETS
         if self.is_unlike:
             targets = UNLIKE_NEW_TARGETS if is_new else UNLIKE_OLD_TARGETS
+        has_fewer = self.disturbance == "fewer-new-targets"
+        if has_fewer and is_new:
+            targets = ALIKE_TARGETS[:FEWER_TARGETS]
         number = self.rng.choices(range(len(targets)), [each[1] for each in targets])[0]
         pace = targets[number][0]
         if self.disturbance == "busier-new-targets":
             pace *= 1.0 + LOAD_SLOWDOWN * (share if is_new else 1.0 - share)
+        if has_fewer:
+            load = (share if is_new else 1.0 - share) * len(ALIKE_TARGETS)
+            pace /= 1.0 - BUSY_FRACTION * load / len(targets)
         if self._is_slowed(is_new, number, now):
             pace *= self.slowdown
         return f"{'new' if is_new else 'old'}-{number}", pace
--- a/lovagepier/bench/rollouts.py
+++ b/lovagepier/bench/rollouts.py
@@ -9,7 +9,7 @@
 import heapq
 import math
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from lovagepier.bench.rollout_traffic import (
     DISTURBANCES,
@@ -46,6 +46,8 @@
 # The old version runs alone so long before a rollout that moves all traffic at once.
 WARM_UP_S = 20.0
 EVIDENCE_DELAY_S = 0.25
+# A completed rollout is open until the hosts have the configuration that says so.
+RECORD_DELAY_S = 1.0
 # A bad version may get this share of the requests and so many more (`RolloutPlan`).
 EXPOSURE_SHARE = 0.1
 EXPOSURE_SLACK = 50
@@ -59,7 +61,7 @@
     requests that the fault acted on, `exposed_after_rollback` those among them
     that were sent after the rollback. `sent_new` is the number of all requests to the
     new version, and `first_fault_at` when the first outcome of the fault reached the
-    decision.
+    decision. `closed_at` is when all hosts know that it was completed.
     """
 
     fault: str
@@ -72,6 +74,7 @@
     rolled_back_at: float | None
     completed_at: float | None = None
     sent_new: int = 0
+    closed_at: float | None = None
 
     @property
     def exceeds_exposure(self):
@@ -80,20 +83,23 @@
 
     @property
     def rolled_back_open(self):
-        """Whether it was rolled back before it was completed."""
+        """Whether it was rolled back before it was closed."""
         if self.rolled_back_at is None:
             return False
-        return self.completed_at is None or self.rolled_back_at < self.completed_at
+        return self.closed_at is None or self.rolled_back_at < self.closed_at
 
 
 class _GradualSchedule:
     """Raises the share step by step on clean outcomes (`rollout_share`)."""
 
     slow_quantile = USUAL_QUANTILE
+    record_delay_s = RECORD_DELAY_S
 
-    def __init__(self, length):
+    def __init__(self, length, steps):
         self.trigger = RollbackTrigger(unchecked_outcomes=math.inf)
         self._rollout = Rollout("m", "drafter", "v1", "v2", 0.0, length)
+        if steps:
+            self._rollout = replace(self._rollout, steps=steps)
         self._clean = self._total = 0
 
     def observe_left(self, is_new, left, now):
@@ -116,8 +122,9 @@
     """Moves all requests at once after a canary stage (`RolloutPlan`)."""
 
     slow_quantile = SLOW_QUANTILE
+    record_delay_s = 0.0
 
-    def __init__(self, length):
+    def __init__(self, length, steps):
         self.trigger = RollbackTrigger()
         self._plan = RolloutPlan(length, EXPOSURE_SHARE, EXPOSURE_SLACK, 0.0)
         self._progress = RolloutProgress(new_ready=True)
@@ -152,6 +159,7 @@
     disturbance="",
     switches_at_once=False,
     service=None,
+    steps=None,
 ):
     """Simulate one rollout; return a `RolloutRun`.
 
@@ -159,13 +167,15 @@
     DISTURBANCES, or empty for none. `service` is a `Service`; without it, `rate` is in
     requests a second, `length` is the planned duration in seconds. With
     `switches_at_once` all requests move at once after a canary stage, otherwise
-    gradually.
+    gradually, in the `steps` of a `Rollout` if they are given.
     """
     rng = random.Random(f"{seed}/{fault}")
     service = service or Service(rate, length)
     length = service.length
     traffic = Traffic(fault, disturbance, rng, service)
-    schedule = (_SwitchSchedule if switches_at_once else _GradualSchedule)(length)
+    schedule = (_SwitchSchedule if switches_at_once else _GradualSchedule)(
+        length, steps
+    )
     trigger = schedule.trigger
     detector = SlownessDetector(schedule.slow_quantile)
     run = RolloutRun(fault, False, False, 0, 0, 0, None, None)
@@ -195,6 +205,7 @@
             run.completed = True
             if run.completed_at is None:
                 run.completed_at = now
+                run.closed_at = now + schedule.record_delay_s
         for _ in range(_poisson(rng, service.rate * STEP_S)):
             run.requests += now >= 0.0
             number += 1
--- a/test/test_moves.py
+++ b/test/test_moves.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagepier.bench.rollouts import run_rollout, run_rollouts, summarize
+from lovagepier.bench.rollouts import Service, run_rollout, run_rollouts, summarize
 from lovagepier.decisions.evidence import Counts, Evidence, EvidenceKey
 from lovagepier.decisions.rollback import RollbackTrigger
 from lovagepier.decisions.rollout_share import (
@@ -140,9 +140,28 @@
         "slow-new-target",
         "slow-together",
         "slow-host",
+        "fewer-new-targets",
     ],
 )
 def test_a_good_version_is_not_rolled_back_for_slowness_of_something_else(disturbance):
     for seed in range(25):
         run = run_rollout("", f"g{seed}", length=60.0, disturbance=disturbance)
         assert not run.rolled_back_open and run.completed, seed
+
+
+# A schedule that allows all traffic before the rollout can be done.
+_WATCHED_STEPS = ((0.0, 0.05), (0.2, 0.2), (0.4, 0.6), (0.6, 1.0))
+
+
+def test_a_good_version_is_not_rolled_back_for_the_load_of_all_traffic():
+    """Two targets take over from four; a false verdict in 1,000 is allowed."""
+    service = Service(rate=50.0, length=14.0)
+    for seed in range(160):
+        run = run_rollout(
+            "",
+            f"d{seed}",
+            disturbance="fewer-new-targets",
+            service=service,
+            steps=_WATCHED_STEPS,
+        )
+        assert not run.rolled_back_open and run.completed, seed
