--- a/lovagepier/entry/_callers/exchange.py
+++ b/lovagepier/entry/_callers/exchange.py
@@ -138,7 +138,7 @@
         return await self._run_attempt(grant, target, tconn)
 
     def _return_paused(self, grant, target, started_at):
-        """Return a grant for a target that wants nothing from this host now."""
+        """Return a grant for a target that wants a pause from this host."""
         self._progress.excluded.add(grant.target)
         self._frontend.cluster.statements.repeat_pause(target)
         self._grants.report(grant, "returned", started_at)
--- a/lovagepier/entry/_targets/head_search.py
+++ b/lovagepier/entry/_targets/head_search.py
@@ -41,7 +41,7 @@
 
     @property
     def is_inside_head(self):
-        """Whether the bytes held back have the start of a head."""
+        """Whether the delayed bytes have the start of a head."""
         return self._held.startswith(HEAD_START)
 
     def feed(self, data):
@@ -60,7 +60,7 @@
                 return self._take(start), self._take(self._base + len(self._held))
 
     def rest(self):
-        """Return the bytes that are still held back."""
+        """Return the bytes that are still delayed."""
         return self._take(self._base + len(self._held))
 
     def _skip(self):
@@ -122,7 +122,7 @@
             self._searched = self._base + position
 
     def _first_needed(self):
-        """Return from where on bytes must be held back."""
+        """Return from where on bytes must be delayed."""
         whole = self._base + len(self._held)
         if self._open and not _HEADER_LINE.match(self._slice(self._line, whole)):
             self._open.clear()
--- a/lovagepier/platform/_headers.py
+++ b/lovagepier/platform/_headers.py
@@ -89,7 +89,7 @@
     be read. `rejection_limit` is the number of rejections for want of room in a second
     that the target withstands, infinite or None likewise. `is_leaving` means that the
     target states that it leaves; a 421 speaks for another target. `pause_s` are the
-    seconds for which a target that turned the request away wants nothing from this
+    seconds for which a target that rejected the request wants a pause from this
     host, 0 if it does not say, None if what it says can't be read.
     """
 
