Roll a rollout back whose new version has no target at its end

It is now done only while a target of the new version takes requests, and rolled back at the last moment without one.

--- a/lovagepier/decisions/rollout_plan.py
+++ b/lovagepier/decisions/rollout_plan.py
@@ -260,8 +260,13 @@
             self._is_final = True
         is_late = elapsed >= self._duration * MIN_END_FRACTION
         is_ended = self._is_final and is_late and not progress.old_running
-        if elapsed >= end or (is_bound and is_ended):
+        if not (elapsed >= end or (is_bound and is_ended)):
+            return
+        if progress.new_ready:
             self.stage = Stage.DONE
+        elif elapsed >= end:
+            # Once it is done, the old version's targets are stopped.
+            self.roll_back("no target of the new version at the end")
 
     def _room(self, progress):
         """Return how many requests the new version may still get if it is bad."""
