--- a/test/store_passage.py
+++ b/test/store_passage.py
@@ -13,6 +13,7 @@
 from lovagepier.entry._cluster.candidates import Candidates
 from lovagepier.entry._cluster.capacity import CapacityShares
 from lovagepier.entry._cluster.followers import Followers
+from lovagepier.entry._cluster.links import LinkCounts
 from lovagepier.entry._cluster.messages import DispatchRequest, DispatchResult, Granted
 from lovagepier.entry._cluster.outgoing import OutgoingLinks
 from lovagepier.entry._cluster.replication import Replication
@@ -90,7 +91,7 @@
         )
         self.replication = Replication(self.view, lambda keys: None)
         self.followers = Followers(CFG, self.view, self.coordinator, "boot")
-        links = OutgoingLinks(None, None, None)
+        links = OutgoingLinks(None, None, None, LinkCounts())
         self.candidates = Candidates(CFG, self.view, links, self.followers, "boot")
         self.now = 100.0
 
