Keep stop signals pending until a starting process handles them

The own runtime set its handlers after its ports were open; SIGINT there left a process that did not end.

The signals are blocked from the first step on and unblocked once the event loop handles them; a stop then follows the usual course. The own runtime sets its handlers first.

The soak accepts exit code -15 from builds without this change only.

--- a/lovagepier/commands/_node.py
+++ b/lovagepier/commands/_node.py
@@ -36,14 +36,14 @@
         # Threads that stream answers compete for the interpreter lock; a short
         # switch interval keeps the gaps between chunks even.
         sys.setswitchinterval(SWITCH_INTERVAL_S)
+        stop = threading.Event()
+        for signum in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(signum, lambda *_: stop.set())
         node = Node(cfg)
         node.start()
         callers_app = CallersApp(node)
         callers_server = _bind(cfg, "callers", callers_app.handle)
         operators_server = _bind(cfg, "operators", OperatorsApp(node).handle)
-        stop = threading.Event()
-        for signum in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(signum, lambda *_: stop.set())
         for server in (callers_server, operators_server):
             threading.Thread(target=server.serve, daemon=True).start()
         while not stop.wait(0.5):
--- a/lovagepier/entry/__main__.py
+++ b/lovagepier/entry/__main__.py
@@ -11,13 +11,15 @@
 from lovagepier.errors import UserError
 
 SETTINGS_VARIABLE = "LOVAGEPIER_NODE_FILE"
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 def main():
     """Run until SIGTERM; return the exit code (1 for unusable settings)."""
     began_at = time.monotonic()
-    # The host reloads its settings on SIGHUP; until then one must not end the process.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Callers may connect before the host can handle signals, which stay pending until
+    # then instead of ending the process.
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
     path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
         cfg = load_entry_settings(path)
--- a/lovagepier/entry/_host.py
+++ b/lovagepier/entry/_host.py
@@ -32,6 +32,7 @@
 
 __all__ = ["EntryHost"]
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 # Interval of the coordinator's tick while requests wait.
 TICK_S = 0.05
 # Interval of the coordinator's tick while nothing waits.
@@ -124,9 +125,11 @@
 
     async def run(self):
         """Serve until told to stop; return after a graceful shutdown."""
-        for signum in (signal.SIGTERM, signal.SIGINT):
+        for signum in STOP_SIGNALS:
             self._loop.add_signal_handler(signum, self._stopping.set)
         self._loop.add_signal_handler(signal.SIGHUP, self._reload)
+        # They are blocked during the start of a process.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, (*STOP_SIGNALS, signal.SIGHUP))
         self._loop.set_exception_handler(_log_unhandled)
         self._start_actors()
         links = LinkServer(
--- a/trials/soak_faults.py
+++ b/trials/soak_faults.py
@@ -116,9 +116,9 @@
             self._fleet.book.find("no exit within the grace", host=host.name)
             await host.kill()
         else:
-            # A host that starts has served nothing yet, and SIGTERM may end it at once.
-            is_starting = not host.has_started()
-            if code != 0 and not (is_starting and code == -signal.SIGTERM):
+            # SIGTERM ends a host of an older build that has not started yet at once.
+            is_old_start = host.build_folder is not None and not host.has_started()
+            if code != 0 and not (is_old_start and code == -signal.SIGTERM):
                 seconds = round(time.monotonic() - began, 1)
                 self._fleet.book.find(
                     "exit code", code=code, host=host.name, seconds=seconds
