--- a/test/test_crashes.py
+++ b/test/test_crashes.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from lovagepier.decisions.poison import Run
 from lovagepier.entry._targets.pool import ConnectFailed
 from lovagepier.entry.call import Call, fingerprint
@@ -190,6 +192,46 @@
     run_scenario(scenario, hosts=3)
 
 
+async def lose_coordinator(fleet):
+    """End the first host, which coordinates; wait until the others follow another."""
+    first, *others = fleet.hosts
+    fleet.tasks[0].cancel()
+    for link in list(first.cluster.followers.links.values()):
+        link.close()
+    first._registrar.stop(block=False)
+    await fleet.store.remove(next(k for k in fleet.store.items if "/n1." in k))
+    await wait_until(lambda: {h.cluster.coordinator_name for h in others} == {"n2"})
+
+
+@pytest.mark.parametrize("lost_after", [1, 2, 3])
+def test_a_repeated_body_crashes_few_targets_while_its_coordinator_is_lost(lost_after):
+    """A caller sends the same body again and again, at any host."""
+
+    async def scenario(fleet):
+        for name in ("m2", "m3"):
+            await fleet.add_target(name, "model")
+        for target in fleet.targets.values():
+            target.crash_part = "bad:"
+        hosts = list(fleet.hosts)
+        crashes = 0
+        statuses = []
+        for number in range(9):
+            host = hosts[number % len(hosts)]
+            parts = ("X-Prompt-Prefix: a1:60,bad:10",)
+            response = await call(host, "/note/bad", f"bad{number}", headers=parts)
+            statuses.append(response.status)
+            sound = await call(host, f"/note/{number}", f"r{number}")
+            assert sound.status == 200
+            crashes += await replace_crashed(fleet)
+            if crashes == lost_after and len(hosts) == 3:
+                await lose_coordinator(fleet)
+                hosts.remove(fleet.hosts[0])
+        assert crashes <= 3
+        assert statuses[-1] == 422
+
+    run_scenario(scenario, hosts=3)
+
+
 def test_copies_that_wait_after_three_crashes_reach_no_new_target():
     """Replays BUDGET at 72.913 s over three hosts: four copies, four new targets."""
 
