Refuse heads that end with their connection in all HTTP clients

Callers of the own runtime saw a 200, or an error, with an empty body, framed as whole, where a target had closed inside the head of its answer. The caller library took the same for an answer, the store's client for one that can't be read, or, with the status of an error, for proof that a write had not been executed; a cut 404 to a resume meant that the engine did not know the id.

Cause: http.client, below urllib3, reads the lines of a head until one is blank or empty, and an empty one is what it gets at the end of the connection.

Ruled out: resets (errors already), the entry host's connections to targets (h11), and the ways of reading a body, which see the head's result only.

Fix: one module makes the pools of all clients. Its connections' response class raises RemoteDisconnected where a line of the head lacks its line feed or is missing, which urllib3 turns into the ProtocolError that each client handles as a lost answer that may have run.

--- a/lovagepier/backing/_etcd.py
+++ b/lovagepier/backing/_etcd.py
@@ -19,6 +19,7 @@
     TxnResult,
     register_store,
 )
+from lovagepier.http_pools import PoolManager
 
 __all__ = ["EtcdStore"]
 
@@ -80,7 +81,7 @@
         self._url = cfg.platform_store
         self._timeout = cfg.platform_timeout
         self._limiter = _CallRateLimiter(cfg.platform_calls_per_second)
-        self._http = urllib3.PoolManager(maxsize=8, retries=False)
+        self._http = PoolManager(maxsize=8, retries=False)
         self.calls = 0
 
     def _call(self, path, body, timeout=None):
--- a/lovagepier/backing/_hosts.py
+++ b/lovagepier/backing/_hosts.py
@@ -6,6 +6,7 @@
 import urllib3
 
 from lovagepier.backing._port import StoreError
+from lovagepier.http_pools import PoolManager
 
 __all__ = ["HostList", "HostRecord"]
 
@@ -32,7 +33,7 @@
     def __init__(self, cfg):
         self._url = cfg.platform_hosts
         self._timeout = cfg.platform_timeout
-        self._http = urllib3.PoolManager(maxsize=2, retries=False)
+        self._http = PoolManager(maxsize=2, retries=False)
 
     def read(self):
         """Return [`HostRecord`]; empty if no list is configured.
--- a/lovagepier/backing/_weights.py
+++ b/lovagepier/backing/_weights.py
@@ -5,6 +5,7 @@
 import urllib3
 
 from lovagepier.backing._port import StoreError
+from lovagepier.http_pools import PoolManager
 
 __all__ = ["WeightStore"]
 
@@ -17,7 +18,7 @@
     def __init__(self, cfg):
         self._url = cfg.platform_weights
         self._timeout = cfg.platform_timeout
-        self._http = urllib3.PoolManager(maxsize=2, retries=False)
+        self._http = PoolManager(maxsize=2, retries=False)
 
     def read(self):
         """Return ({(model, version): bytes}, bytes a second).
--- a/lovagepier/client/_caller.py
+++ b/lovagepier/client/_caller.py
@@ -9,6 +9,8 @@
 import urllib3
 from urllib3.exceptions import ConnectTimeoutError, NewConnectionError
 
+from lovagepier.http_pools import PoolManager
+
 __all__ = ["Caller", "CallerError", "Reply"]
 
 CONNECT_TIMEOUT_S = 1.0
@@ -66,9 +68,7 @@
         self._zone = zone
         self._entries = []
         self._entries_expire_at = 0.0
-        self._http = urllib3.PoolManager(
-            num_pools=32, maxsize=64, retries=False, block=False
-        )
+        self._http = PoolManager(num_pools=32, maxsize=64, retries=False, block=False)
 
     def entries(self):
         """Return the URLs of the entry hosts to use, preferred first.
--- a/lovagepier/commands/_client.py
+++ b/lovagepier/commands/_client.py
@@ -6,6 +6,7 @@
 import urllib3
 
 from lovagepier.errors import UserError
+from lovagepier.http_pools import PoolManager
 
 __all__ = ["OperatorClient", "add_client_options", "print_json"]
 
@@ -38,7 +39,7 @@
     def __init__(self, args):
         self._node = args.node.rstrip("/")
         self._key = args.key
-        self._http = urllib3.PoolManager(retries=False)
+        self._http = PoolManager(retries=False)
 
     def call(self, method, path, body=None, headers=None):
         """Return the JSON of the response.
--- /dev/null
+++ b/lovagepier/http_pools.py
@@ -0,0 +1,66 @@
+"""Connection pools of urllib3 for all HTTP clients of the program.
+
+`http.client`, on which urllib3 builds, takes the end of a connection for the blank line
+that ends the head of a response. The pools made here raise `ProtocolError` instead: a
+response whose head is cut is none, and the request may have run.
+"""
+
+import http.client
+import io
+
+import urllib3
+from urllib3.connection import HTTPConnection, HTTPSConnection
+from urllib3.connectionpool import HTTPConnectionPool, HTTPSConnectionPool
+
+__all__ = ["PoolManager"]
+
+
+class _LineReader(io.BufferedReader):
+    """Reads a response; raises `RemoteDisconnected` where a line of its head is cut."""
+
+    is_in_head = False
+
+    def readline(self, limit=-1):
+        line = super().readline(limit)
+        if self.is_in_head and not line.endswith(b"\n") and len(line) != limit:
+            raise http.client.RemoteDisconnected("the head of the response is cut")
+        return line
+
+
+class _Response(http.client.HTTPResponse):
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.fp = _LineReader(self.fp.detach())
+
+    def begin(self):
+        reader = self.fp
+        reader.is_in_head = True
+        super().begin()
+        reader.is_in_head = False
+
+
+class _Connection(HTTPConnection):
+    response_class = _Response
+
+
+class _SecureConnection(HTTPSConnection):
+    response_class = _Response
+
+
+class _Pool(HTTPConnectionPool):
+    ConnectionCls = _Connection
+
+
+class _SecurePool(HTTPSConnectionPool):
+    ConnectionCls = _SecureConnection
+
+
+_POOLS = {"http": _Pool, "https": _SecurePool}
+
+
+class PoolManager(urllib3.PoolManager):
+    """A `urllib3.PoolManager` whose pools refuse heads that are cut."""
+
+    def __init__(self, **options):
+        super().__init__(**options)
+        self.pool_classes_by_scheme = _POOLS
--- a/lovagepier/platform/_store.py
+++ b/lovagepier/platform/_store.py
@@ -9,6 +9,7 @@
 import urllib3
 from result import Err, Ok
 
+from lovagepier.http_pools import PoolManager
 from lovagepier.logs import component_logger
 from lovagepier.platform._malformed import MALFORMED
 from lovagepier.platform._revisions import era_of, make_revision, number_of
@@ -149,7 +150,7 @@
     def __init__(self, address):
         self.era = 0
         self._url = f"http://{address[0]}:{address[1]}"
-        self._http = urllib3.PoolManager(maxsize=1, retries=False)
+        self._http = PoolManager(maxsize=1, retries=False)
 
     def _call(self, method, path, body=None, read_s=CALL_TIMEOUT_S):
         headers = {"Content-Type": "application/json"} if body is not None else {}
--- a/lovagepier/standins/_engine.py
+++ b/lovagepier/standins/_engine.py
@@ -7,8 +7,7 @@
 import uuid
 from collections import OrderedDict, deque
 
-import urllib3
-
+from lovagepier.http_pools import PoolManager
 from lovagepier.standins._batch import Batch, Sequence
 from lovagepier.standins._faults import Faults
 from lovagepier.standins._registry import standin
@@ -168,7 +167,7 @@
         if order.get("order") == "load" and self.options.weights:
             model, version = order["model"], order["version"]
             url = f"{self.options.weights}/weights/{model}/{version}"
-            urllib3.request("GET", url, timeout=60)
+            PoolManager().request("GET", url, timeout=60)
             self._loaded.add(version)
         return json_response({"loaded": sorted(self._loaded)})
 
--- a/lovagepier/targets/_http.py
+++ b/lovagepier/targets/_http.py
@@ -8,6 +8,7 @@
     NewConnectionError,
 )
 
+from lovagepier.http_pools import PoolManager
 from lovagepier.targets._port import (
     NotDispatched,
     Stream,
@@ -34,12 +35,8 @@
 
     def __init__(self, target):
         super().__init__(target)
-        self._pool = urllib3.connectionpool.connection_from_url(
-            target.address,
-            maxsize=MAX_IDLE_CONNECTIONS,
-            block=False,
-            retries=False,
-        )
+        pools = PoolManager(maxsize=MAX_IDLE_CONNECTIONS, block=False, retries=False)
+        self._pool = pools.connection_from_url(target.address)
 
     def _open(self, method, path, body, headers, timeout):
         try:
--- a/test/test_cut_heads.py
+++ b/test/test_cut_heads.py
@@ -1,9 +1,12 @@
 """Responses that end too soon, as each HTTP client of the program reads them."""
 
+import re
 from collections import Counter
+from pathlib import Path
 
 import pytest
 
+import lovagepier
 from test.cut_responses import (
     CLIENTS,
     FRAMINGS,
@@ -117,3 +120,13 @@
     fields, body, _ = CLIENTS[name]
     response = b"".join(framed(body, "1.1 chunks", fields=fields))
     assert taken(server, name, response, "close") == expected
+
+
+def test_all_clients_share_one_kind_of_pool():
+    pools = re.compile(r"urllib3\.(PoolManager|request|connection)|http\.client\b")
+    found = {
+        path.name
+        for path in Path(lovagepier.__file__).parent.rglob("*.py")
+        if pools.search(path.read_text())
+    }
+    assert found == {"http_pools.py"}
