Refuse chunked bodies whose framing is cut inside a line

Clients took the beginning of a chunk's size for the size: of "00a" cut after "0" for the last chunk. An answer, a list or a stream ended there as whole, if its target writes sizes with leading zeros and closed at that place.

Cause: http.client's and urllib3's readers of chunks read a line and don't look whether it has its end.

Fix: the reader of the shared pools refuses any line that begins and doesn't end. The blank line after the last chunk may still be missing, as before.

--- a/lovagepier/http_pools.py
+++ b/lovagepier/http_pools.py
@@ -1,8 +1,9 @@
 """Connection pools of urllib3 for all HTTP clients of the program.
 
 `http.client`, on which urllib3 builds, takes the end of a connection for the blank line
-that ends the head of a response. The pools made here raise `ProtocolError` instead: a
-response whose head is cut is none, and the request may have run.
+that ends the head of a response, and a chunk's size that is cut for a smaller size. The
+pools made here raise `ProtocolError` instead: the response is lost, and the request may
+have run.
 """
 
 import http.client
@@ -16,14 +17,19 @@
 
 
 class _LineReader(io.BufferedReader):
-    """Reads a response; raises `RemoteDisconnected` where a line of its head is cut."""
+    """Reads a response; raises `RemoteDisconnected` where a line is cut.
+
+    That is one of its head or of the framing of its chunks. A head has to have all of
+    its lines; the lines after the last chunk may be missing.
+    """
 
     is_in_head = False
 
     def readline(self, limit=-1):
         line = super().readline(limit)
-        if self.is_in_head and not line.endswith(b"\n") and len(line) != limit:
-            raise http.client.RemoteDisconnected("the head of the response is cut")
+        is_cut = not line.endswith(b"\n") and len(line) != limit
+        if is_cut and (line or self.is_in_head):
+            raise http.client.RemoteDisconnected("a line of the response is cut")
         return line
 
 
@@ -59,7 +65,7 @@
 
 
 class PoolManager(urllib3.PoolManager):
-    """A `urllib3.PoolManager` whose pools refuse heads that are cut."""
+    """A `urllib3.PoolManager` whose pools refuse responses with lines that are cut."""
 
     def __init__(self, **options):
         super().__init__(**options)
