Caller library: say that a call may have run once a send was lost

Users of the caller library, and of "lovagepier send", read run "no" for a call whose answer was lost: with every way of losing it, cut heads among them. After a lost send, a refusal of the next one, which is certain of that one only, made it "no" too.

Cause: run starts as "no", a lost send left it, and each head replaced it.

Ruled out: connections that were never made, which leave it "no" (rightly).

Fix: a lost send makes it "maybe", and "no" of a later send doesn't replace what was said before.

--- a/lovagepier/client/_caller.py
+++ b/lovagepier/client/_caller.py
@@ -30,7 +30,8 @@
 class Reply:
     """The outcome of a request; times are in seconds from the call.
 
-    `run` is whether a target has run the request: "no", "maybe" or "yes".
+    `run` is whether a target has run the request: "no", "maybe" or "yes", by all
+    sends. "no" is certain: no send was lost.
     `is_complete` is false if the answer was cut short. `attempts` counts the
     sends that may have reached an entry host. `gaps` are the times between
     chunks of the answer.
@@ -47,6 +48,11 @@
     attempts: int = 0
     gaps: list = field(default_factory=list)
 
+    def note_run(self, stated):
+        """Record what one send tells of `run`; "no" tells nothing of earlier sends."""
+        if stated != "no" and self.run != "yes":
+            self.run = stated
+
     def error_kind(self):
         """Return the error kind of an error response, or an empty string."""
         with contextlib.suppress(ValueError, AttributeError, UnicodeDecodeError):
@@ -178,6 +184,7 @@
             return False
         except urllib3.exceptions.HTTPError:
             reply.attempts += 1
+            reply.note_run("maybe")
             return False
         reply.attempts += 1
         received = reply.body
@@ -185,7 +192,7 @@
             received = b""
         reply.status = resp.status
         reply.headers = dict(resp.headers)
-        reply.run = resp.headers.get("X-Run", "maybe")
+        reply.note_run(resp.headers.get("X-Run", "maybe"))
         reply.body = received
         try:
             self._read(reply, resp, started)
--- a/test/cut_responses.py
+++ b/test/cut_responses.py
@@ -33,10 +33,14 @@
 
 
 class CuttingServer:
-    """Answers each request with `response` and closes; `ends` is "close" or "reset"."""
+    """Answers each request with `response` and closes; `ends` is "close" or "reset".
+
+    The next request is answered with `once` instead, unless that is None.
+    """
 
     def __init__(self):
         self.response = b""
+        self.once = None
         self.ends = "close"
         self._server = socket.create_server(("127.0.0.1", 0), backlog=64)
         self.url = f"http://127.0.0.1:{self._server.getsockname()[1]}"
@@ -73,7 +77,8 @@
         # The rest of a stream that has begun is not known.
         if path.startswith(b"/v1/streams/") and not path.endswith(b"offset=0"):
             return _UNKNOWN_ID
-        return self.response
+        answer, self.once = self.once, None
+        return self.response if answer is None else answer
 
     def close(self):
         """Accept no more connections."""
--- a/test/test_cut_heads.py
+++ b/test/test_cut_heads.py
@@ -7,6 +7,7 @@
 import pytest
 
 import lovagepier
+from lovagepier.client import Caller
 from test.cut_responses import (
     CLIENTS,
     FRAMINGS,
@@ -105,6 +106,25 @@
     assert not found
 
 
+REFUSAL = b"HTTP/1.1 429 Too Many Requests\r\nX-Run: no\r\nContent-Length: 2\r\n\r\n{}"
+LOST_ANSWERS = {
+    "no byte": b"",
+    "a cut head": b"HTTP/1.1 200 OK\r\nX-Run: yes\r\n",
+    "a cut body": b"HTTP/1.1 200 OK\r\nX-Run: maybe\r\nContent-Length: 9\r\n\r\n{",
+    "a cut refusal": REFUSAL[:-1],
+}
+
+
+@pytest.mark.parametrize("lost", LOST_ANSWERS)
+def test_a_refusal_says_nothing_of_an_earlier_send(server, lost):
+    server.response = REFUSAL
+    server.once = LOST_ANSWERS[lost]
+    server.ends = "close"
+    reply = Caller([server.url], "key", pinned=True).record("POST", "/s", b"b", "k")
+    run = "no" if lost == "a cut refusal" else "maybe"
+    assert (reply.status, reply.run, reply.is_complete) == (429, run, True)
+
+
 @pytest.mark.parametrize("name", CLIENTS)
 def test_a_body_without_a_length_ends_with_its_connection(server, name):
     expected = whole(server, name)
