--- a/test/cut_responses.py
+++ b/test/cut_responses.py
@@ -136,10 +136,25 @@
     )
 
 
-def _relay_call(url, adapter, streamed):
+def _relay_to(url, adapter, streamed):
     work = SimpleNamespace(id="blue.r1", deadline=time.time() + 5)
     in_flight = SimpleNamespace(work=work, target="t1", version="v1")
-    made = Relay(_node(), in_flight, adapter(_target(url)), _request(streamed))
+    return Relay(_node(), in_flight, adapter(_target(url)), _request(streamed))
+
+
+def relayed_bytes(url):
+    """Return what a caller gets of a stream, whether it ends as complete or not."""
+    made = _relay_to(url, OpenAiAdapter, True)
+    data = b""
+    with contextlib.suppress(RequestError):
+        data = made.dispatch()
+        for chunk in made.remaining_chunks():
+            data += chunk
+    return data
+
+
+def _relay_call(url, adapter, streamed):
+    made = _relay_to(url, adapter, streamed)
     try:
         first = made.dispatch()
         if not streamed:
