Own runtime: a model answer that isn't JSON is lost

Callers got a 200, complete, with the beginning of their answer followed by the head and the beginning of another one: an engine had broken off inside a body with a length and written a second answer on the connection.

Cause: the bytes up to the length are the body, whoever they belong to, and the OpenAI API has no id that an engine must repeat.

Fix: an answer with status 200 that isn't streamed is read whole and has to be JSON; otherwise it is lost and read again from its start, as if it had broken off. A status line can't be inside JSON: its line end isn't allowed in a text.

--- a/lovagepier/targets/_openai.py
+++ b/lovagepier/targets/_openai.py
@@ -5,6 +5,7 @@
 from urllib.parse import quote
 
 from lovagepier.targets._http import HttpAdapter
+from lovagepier.targets._openai_bodies import checked_json
 from lovagepier.targets._port import (
     LoadReport,
     NotDispatched,
@@ -26,6 +27,17 @@
 
     resumes = True
 
+    def dispatch(self, request, timeout):
+        """Send `request` once; return a `Stream`, whose body is checked for its form.
+
+        Raise `NotDispatched` if no connection could be made, otherwise
+        `TargetBroken`.
+        """
+        stream = super().dispatch(request, timeout)
+        if stream.status == 200 and not request.streamed:
+            stream.chunks = checked_json(stream.chunks)
+        return stream
+
     def resume(self, request_id, offset, timeout):
         """Return a `Stream` of a known request id from a byte offset.
 
@@ -44,6 +56,8 @@
         if stream.status != 200:
             stream.close()
             raise TargetBroken(f"{self.target.name} answered {stream.status}")
+        if not _is_event_stream(stream):
+            stream.chunks = checked_json(stream.chunks)
         return stream
 
     def cancel(self, request_id):
@@ -99,3 +113,7 @@
     def is_complete(self, tail, streamed):
         """Return whether a streamed answer ends with the `[DONE]` event."""
         return not streamed or tail.rstrip().endswith(END_MARKER)
+
+
+def _is_event_stream(stream):
+    return stream.headers.get("Content-Type", "").startswith("text/event-stream")
