Own runtime: relay streams of engines by whole events, checked for their form

Callers of streams got the head and the events of a second answer in the middle of theirs, before the stream was cut or resumed: an engine had broken off inside a framed body and written the other answer on the same connection. The offset of a resume counted those bytes, too.

Cause: bytes up to the length, or within a chunk, are the body, whoever they belong to; the relay passed them on unread.

Ruled out: chunk framing as a guard: the second's bytes fill up the chunk that broke off, and are passed on before the next size is found to be none.

Fix: the OpenAI adapter holds an event back until its blank line and passes it on if all of its lines are fields of the format or comments. Otherwise the stream broke off, and goes on after the last whole event. The first event of a stream resumed at an offset may begin anywhere and isn't checked.

--- a/lovagepier/targets/_openai.py
+++ b/lovagepier/targets/_openai.py
@@ -5,7 +5,7 @@
 from urllib.parse import quote
 
 from lovagepier.targets._http import HttpAdapter
-from lovagepier.targets._openai_bodies import checked_json
+from lovagepier.targets._openai_bodies import END_MARKER, checked_json, whole_events
 from lovagepier.targets._port import (
     LoadReport,
     NotDispatched,
@@ -17,7 +17,6 @@
 
 __all__ = ["OpenAiAdapter"]
 
-END_MARKER = b"data: [DONE]"
 CANCEL_TIMEOUT_S = 0.5
 
 
@@ -34,8 +33,12 @@
         `TargetBroken`.
         """
         stream = super().dispatch(request, timeout)
-        if stream.status == 200 and not request.streamed:
+        if stream.status != 200:
+            return stream
+        if not request.streamed:
             stream.chunks = checked_json(stream.chunks)
+        elif _is_event_stream(stream):
+            stream.chunks = whole_events(stream.chunks)
         return stream
 
     def resume(self, request_id, offset, timeout):
@@ -56,7 +59,9 @@
         if stream.status != 200:
             stream.close()
             raise TargetBroken(f"{self.target.name} answered {stream.status}")
-        if not _is_event_stream(stream):
+        if _is_event_stream(stream):
+            stream.chunks = whole_events(stream.chunks, is_checked=not offset)
+        else:
             stream.chunks = checked_json(stream.chunks)
         return stream
 
--- a/test/test_second_answers.py
+++ b/test/test_second_answers.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from lovagepier.targets._openai_bodies import MAX_EVENT_BYTES, whole_events
 from test.cut_responses import (
     CLIENTS,
     EVENTS,
@@ -70,3 +71,34 @@
     call = CLIENTS["relay of an answer"][2]
     server.response = b"".join(framed(BODY, framing))
     assert call(server.url) == (200, BODY)
+
+
+SOUND_STREAM = (
+    b': hello\r\n\r\nevent: x\ndata: {"a":\ndata: 1}\n\nretry\nid:2\n\n' + EVENTS
+)
+
+
+@pytest.mark.parametrize("size", (1, 2, 3, 7, 1000))
+def test_a_sound_stream_passes_as_whole_events(size):
+    chunks = [SOUND_STREAM[i : i + size] for i in range(0, len(SOUND_STREAM), size)]
+    passed = list(whole_events(chunks))
+    assert b"".join(passed) == SOUND_STREAM
+    assert all(part.endswith((b"\n\n", b"\r\n\r\n")) for part in passed)
+
+
+def test_a_resumed_stream_may_begin_inside_an_event():
+    for offset in range(1, len(SOUND_STREAM)):
+        rest = SOUND_STREAM[offset:]
+        assert b"".join(whole_events([rest], is_checked=False)) == rest
+
+
+def test_a_stream_without_its_last_blank_line_passes():
+    assert b"".join(whole_events([EVENTS[:-1]])) == EVENTS[:-1]
+
+
+def test_a_long_event_is_passed_on_in_parts():
+    event = b"data: " + b"x" * (2 * MAX_EVENT_BYTES) + b"\n\n"
+    chunks = [event[i : i + 65536] for i in range(0, len(event), 65536)]
+    passed = list(whole_events(chunks))
+    assert b"".join(passed) == event
+    assert len(passed[0]) <= MAX_EVENT_BYTES + 65536
