--- a/test/test_second_answers.py
+++ b/test/test_second_answers.py
@@ -102,3 +102,37 @@
     passed = list(whole_events(chunks))
     assert b"".join(passed) == event
     assert len(passed[0]) <= MAX_EVENT_BYTES + 65536
+
+
+TWO_HEADS = b"HTTP/1.1 200 OK\r\nServer: a\r\nContent-Length: 2\r\n\r\n"
+
+
+@pytest.mark.parametrize("name", ("relay of a service", "http target"))
+@pytest.mark.parametrize("second", ("503 Unavailable", "200 OK"))
+def test_one_head_is_not_read_from_two(server, name, second):
+    found = []
+    for length in range(1, len(TWO_HEADS)):
+        begun = TWO_HEADS[:length]
+        line = begun.rpartition(b"\n")[2]
+        if b":" in line or line == b"\r":
+            # A status line within a field's value, or after a blank line.
+            continue
+        server.response = begun + b"".join(framed(b"{}", "1.1 length", second.encode()))
+        value = CLIENTS[name][2](server.url)
+        if value != LOST:
+            found.append((begun, value))
+    assert not found
+
+
+@pytest.mark.parametrize("name", ("relay of a service", "http target"))
+def test_a_legal_head_is_read(server, name):
+    heads = (
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n",
+        b"HTTP/1.1 100 Continue\r\nX: y\r\n\r\nHTTP/1.1 200\r\nContent-Length:2\n\n",
+        b"HTTP/1.1 200 \r\nX: a\r\n b HTTP/1.1 200\r\nContent-Length: 2\r\n\r\n",
+        b"HTTP/1.0 200 OK\nContent-Length: 2\n\n",
+        b"HTTP/1.1 200 OK\r\n\r\n",
+    )
+    for head in heads:
+        server.response = head + b"{}"
+        assert CLIENTS[name][2](server.url) == (200, b"{}")
