Refuse heads with lines that are no fields in all HTTP clients

Callers of the own runtime got the status of one answer with the body of another where a target had stopped inside a head and written a second answer behind it.

Cause: http.client's parser ends the fields at a line without a colon, and urllib3 logs that only; the rest, with the framing, was dropped, so that the body ended with the connection.

Ruled out: the blank line, which is there in all of these cases.

Fix: the reader of the shared pools refuses a line of a head that is neither a field, a folded one nor blank, and a status line that holds two protocol names. Heads of interim responses are read as before. A status line within a field's value is still taken: legal values may hold one.

--- a/lovagepier/http_pools.py
+++ b/lovagepier/http_pools.py
@@ -2,8 +2,8 @@
 
 `http.client`, on which urllib3 builds, takes the end of a connection for the blank line
 that ends the head of a response, and a chunk's size that is cut for a smaller size. The
-pools made here raise `ProtocolError` instead: the response is lost, and the request may
-have run.
+pools made here raise `ProtocolError` instead, and also for a line of a head that is no
+field. The response is lost, and the request may have run.
 """
 
 import http.client
@@ -15,23 +15,37 @@
 
 __all__ = ["PoolManager"]
 
+_PROTOCOL = b"HTTP/1."
+
 
 class _LineReader(io.BufferedReader):
     """Reads a response; raises `RemoteDisconnected` where a line is cut.
 
     That is one of its head or of the framing of its chunks. A head has to have all of
-    its lines; the lines after the last chunk may be missing.
+    its lines; the lines after the last chunk may be missing. Raises `BadStatusLine`
+    for a status line that has another one inside, or in place of a field.
     """
 
     is_in_head = False
+    _is_status_next = True
 
     def readline(self, limit=-1):
         line = super().readline(limit)
         is_cut = not line.endswith(b"\n") and len(line) != limit
         if is_cut and (line or self.is_in_head):
             raise http.client.RemoteDisconnected("a line of the response is cut")
+        if self.is_in_head and not self._may_follow(line):
+            raise http.client.BadStatusLine("a line that is no part of a head")
         return line
 
+    def _may_follow(self, line):
+        is_status, is_blank = self._is_status_next, not line.strip()
+        # The head of an interim response (1xx) is followed by another head.
+        self._is_status_next = is_blank
+        if is_status:
+            return line.count(_PROTOCOL) <= 1
+        return is_blank or b":" in line or line.startswith((b" ", b"\t"))
+
 
 class _Response(http.client.HTTPResponse):
     def __init__(self, *args, **kwargs):
