--- a/lovagepier/client/_caller.py
+++ b/lovagepier/client/_caller.py
@@ -9,6 +9,8 @@
 import urllib3
 from urllib3.exceptions import ConnectTimeoutError, NewConnectionError
 
+from lovagepier.http_pools import PoolManager
+
 __all__ = ["Caller", "CallerError", "Reply"]
 
 CONNECT_TIMEOUT_S = 1.0
@@ -28,7 +30,8 @@
 class Reply:
     """The outcome of a request; times are in seconds from the call.
 
-    `run` is whether a target has run the request: "no", "maybe" or "yes".
+    `run` is whether a target has run the request: "no", "maybe" or "yes", by all
+    sends. "no" is certain: no send was lost.
     `is_complete` is false if the answer was cut short. `attempts` counts the
     sends that may have reached an entry host. `gaps` are the times between
     chunks of the answer.
@@ -45,6 +48,11 @@
     attempts: int = 0
     gaps: list = field(default_factory=list)
 
+    def note_run(self, stated):
+        """Record what one send tells of `run`; "no" tells nothing of earlier sends."""
+        if stated != "no" and self.run != "yes":
+            self.run = stated
+
     def error_kind(self):
         """Return the error kind of an error response, or an empty string."""
         with contextlib.suppress(ValueError, AttributeError, UnicodeDecodeError):
@@ -66,9 +74,7 @@
         self._zone = zone
         self._entries = []
         self._entries_expire_at = 0.0
-        self._http = urllib3.PoolManager(
-            num_pools=32, maxsize=64, retries=False, block=False
-        )
+        self._http = PoolManager(num_pools=32, maxsize=64, retries=False, block=False)
 
     def entries(self):
         """Return the URLs of the entry hosts to use, preferred first.
@@ -178,6 +184,7 @@
             return False
         except urllib3.exceptions.HTTPError:
             reply.attempts += 1
+            reply.note_run("maybe")
             return False
         reply.attempts += 1
         received = reply.body
@@ -185,7 +192,7 @@
             received = b""
         reply.status = resp.status
         reply.headers = dict(resp.headers)
-        reply.run = resp.headers.get("X-Run", "maybe")
+        reply.note_run(resp.headers.get("X-Run", "maybe"))
         reply.body = received
         try:
             self._read(reply, resp, started)
--- a/lovagepier/targets/_openai.py
+++ b/lovagepier/targets/_openai.py
@@ -5,6 +5,7 @@
 from urllib.parse import quote
 
 from lovagepier.targets._http import HttpAdapter
+from lovagepier.targets._openai_bodies import END_MARKER, checked_json, whole_events
 from lovagepier.targets._port import (
     LoadReport,
     NotDispatched,
@@ -16,7 +17,6 @@
 
 __all__ = ["OpenAiAdapter"]
 
-END_MARKER = b"data: [DONE]"
 CANCEL_TIMEOUT_S = 0.5
 
 
@@ -26,6 +26,21 @@
 
     resumes = True
 
+    def dispatch(self, request, timeout):
+        """Send `request` once; return a `Stream`, whose body is checked for its form.
+
+        Raise `NotDispatched` if no connection could be made, otherwise
+        `TargetBroken`.
+        """
+        stream = super().dispatch(request, timeout)
+        if stream.status != 200:
+            return stream
+        if not request.streamed:
+            stream.chunks = checked_json(stream.chunks)
+        elif _is_event_stream(stream):
+            stream.chunks = whole_events(stream.chunks)
+        return stream
+
     def resume(self, request_id, offset, timeout):
         """Return a `Stream` of a known request id from a byte offset.
 
@@ -44,6 +59,10 @@
         if stream.status != 200:
             stream.close()
             raise TargetBroken(f"{self.target.name} answered {stream.status}")
+        if _is_event_stream(stream):
+            stream.chunks = whole_events(stream.chunks, is_checked=not offset)
+        else:
+            stream.chunks = checked_json(stream.chunks)
         return stream
 
     def cancel(self, request_id):
@@ -99,3 +118,7 @@
     def is_complete(self, tail, streamed):
         """Return whether a streamed answer ends with the `[DONE]` event."""
         return not streamed or tail.rstrip().endswith(END_MARKER)
+
+
+def _is_event_stream(stream):
+    return stream.headers.get("Content-Type", "").startswith("text/event-stream")
