A stopping host answers what still runs or waits at the end of its grace

Callers saw: a bare close at the end of a planned stop, for calls that ran, waited, or had just been read. Cause: the tasks of their connections were cancelled as the process ended; nothing answered for them, and the listening sockets were emptied at the very moment of the end. Ruled out: the deadline of the call (15 s); unread requests (all were read). Each call's timeout is now set to the end of the stop: 502 if it may have run, 503 with a Retry-After if not, a reset for a response that has begun. Connections are accepted until 0.2 s before that, and callers have 0.25 s to take responses; a request that was not read whole gets 503.

--- a/lovagepier/entry/_callers/caller_response.py
+++ b/lovagepier/entry/_callers/caller_response.py
@@ -1,5 +1,6 @@
 """The response that the caller of one call gets: a target's, or the host's own."""
 
+from lovagepier.entry._callers.running_calls import STOPPING_RETRY_AFTER_S
 from lovagepier.errors import ErrorKind, error_spec
 from lovagepier.logs import component_logger
 from lovagepier.platform import relayed_headers
@@ -94,6 +95,23 @@
         else:
             self._send_error(ErrorKind.DEADLINE_WAITING)
 
+    def end_at_stop(self, why):
+        """Send the final response of a stopping host; abort one that was started."""
+        if self._progress.response_started:
+            _log.info(
+                "response aborted in a stop",
+                request=self._progress.call.request_id,
+                why=why,
+            )
+            self._conn.abort()
+            self.is_reusable = False
+        elif self._fallback is not None:
+            self.send_whole(self._fallback.response, self._fallback.body)
+        elif self._progress.maybe_executed:
+            self._send_error(ErrorKind.ANSWER_LOST, why=why)
+        else:
+            self._send_error(ErrorKind.STOPPING, STOPPING_RETRY_AFTER_S, why)
+
     def _send_error(self, kind, retry_after=None, why=""):
         """Send an error response.
 
--- a/lovagepier/entry/_callers/exchange.py
+++ b/lovagepier/entry/_callers/exchange.py
@@ -56,7 +56,9 @@
         "_loop",
         "_notes",
         "_progress",
+        "_stop_why",
         "_stream",
+        "_timeout",
     )
 
     def __init__(self, frontend, conn, call):
@@ -69,18 +71,33 @@
         self._grants = Grants(frontend, self._progress)
         self._caller = CallerResponse(frontend, conn, self._progress)
         self._stream = StreamRelay(self._progress, self._grants, self._caller)
+        self._timeout = None
+        self._stop_why = ""
 
     async def run(self):
         """Serve the call; return whether the caller's connection can be reused."""
+        running_calls = self._frontend.running_calls
+        ends_at = self._progress.deadline - RESPONSE_MARGIN_S
         try:
-            async with asyncio.timeout_at(self._progress.deadline - RESPONSE_MARGIN_S):
+            async with asyncio.timeout_at(ends_at) as self._timeout:
+                running_calls.add(self)
                 await self._dispatch_until_done()
         except TimeoutError:
-            self._caller.end_at_deadline()
+            if self._stop_why:
+                self._caller.end_at_stop(self._stop_why)
+            else:
+                self._caller.end_at_deadline()
         finally:
+            running_calls.discard(self)
             self._grants.return_unused()
         return self._caller.is_reusable
 
+    def end_by(self, ends_at, why):
+        """End the call with a response at loop time `ends_at`, if not sooner."""
+        if not self._timeout.expired() and ends_at < self._timeout.when():
+            self._stop_why = why
+            self._timeout.reschedule(ends_at)
+
     async def _dispatch_until_done(self):
         while True:
             decision = await self._grants.next_decision()
--- a/lovagepier/entry/_callers/frontend.py
+++ b/lovagepier/entry/_callers/frontend.py
@@ -5,6 +5,10 @@
 from lovagepier.entry._build_gauges import build_gauges
 from lovagepier.entry._callers.caller_conn import BadRequest, CallerConnection
 from lovagepier.entry._callers.exchange import Exchange
+from lovagepier.entry._callers.running_calls import (
+    STOPPING_RETRY_AFTER_S,
+    RunningCalls,
+)
 from lovagepier.entry._targets.checks import TargetChecks
 from lovagepier.entry._targets.connector import TargetConnector
 from lovagepier.entry._targets.pool import TargetConnectionPool
@@ -38,8 +42,6 @@
 # Upper bound on the time per output token on current engines. A stopping host refuses
 # calls that would outlast the grace period, so that another host takes them.
 MAX_TOKEN_S = 0.012
-# Retry-After of a stopping host: callers go to another host at once.
-STOPPING_RETRY_AFTER_S = 0.05
 # Retry-After of a host without a configuration.
 NO_CONFIG_RETRY_AFTER_S = 0.3
 # How long calls wait for the first configuration: a host that has just started gets it
@@ -93,6 +95,7 @@
             cluster.requests.report_target_down,
         )
         self.metrics = Metrics()
+        self.running_calls = RunningCalls()
         self.stops_at = None
         self.has_catalog = asyncio.Event()
         self._loop = asyncio.get_running_loop()
@@ -139,8 +142,12 @@
         return any(conn.serving for conn in self._caller_conns)
 
     def stop_by(self, stops_at):
-        """Refuse calls from now on that could not be completed by `stops_at`."""
+        """Refuse calls from now on that could not be completed by `stops_at`.
+
+        Those that run then are ended with a response.
+        """
         self.stops_at = stops_at
+        self.running_calls.end_by(stops_at)
         self.tunnel_server.is_stopping = True
 
     def close_idle(self, min_idle_s):
@@ -158,6 +165,13 @@
                     lambda handler=handler: self._accept(handler), accepted
                 )
 
+    def reject_unread(self):
+        """Respond 503 to requests that have not been read whole."""
+        for conn in list(self._caller_conns):
+            if conn.serving:
+                conn.reject_unread(503)
+                conn.close()
+
     # Used by `Exchange`
 
     def tier_of(self, call):
--- a/lovagepier/entry/_host.py
+++ b/lovagepier/entry/_host.py
@@ -59,6 +59,10 @@
 IDLE_CLOSE_DELAY_S = 1.0
 # A stopping host closes a connection without a response once it was idle this long.
 MIN_IDLE_S = 0.3
+# A stopping host accepts no more connections this long before its work ends.
+LISTEN_MARGIN_S = 0.2
+# After its work has ended, a stopping host leaves callers this long to take responses.
+END_MARGIN_S = 0.25
 # How often a stopping host checks whether its work is complete.
 DRAIN_POLL_S = 0.05
 # Cores and link rate per point of a host's capacity score. The coordinator of 60 hosts
@@ -234,20 +238,21 @@
         self.cluster.choose_coordinator()
         if self._registrar is not None:
             self._registrar.proxy().leave()
-        await asyncio.sleep(IDLE_CLOSE_DELAY_S)
-        while self._loop.time() < stops_at:
-            self.frontend.close_idle(MIN_IDLE_S)
-            if (
-                not self.frontend.is_serving
-                and self._loop.time() - started_at >= MIN_DRAIN_S
-            ):
+        listens_until = stops_at - LISTEN_MARGIN_S
+        while (now := self._loop.time()) < listens_until:
+            if now - started_at >= IDLE_CLOSE_DELAY_S:
+                self.frontend.close_idle(MIN_IDLE_S)
+            if not self.frontend.is_serving and now - started_at >= MIN_DRAIN_S:
                 break
             await asyncio.sleep(DRAIN_POLL_S)
         await self.frontend.close()
         # Requests on connections that were accepted last are answered as well.
-        while self.frontend.open_connections and self._loop.time() < stops_at:
+        await asyncio.sleep(DRAIN_POLL_S)
+        ends_at = max(stops_at, self._loop.time()) + END_MARGIN_S
+        while self.frontend.open_connections and self._loop.time() < ends_at:
             self.frontend.close_idle(MIN_IDLE_S)
             await asyncio.sleep(DRAIN_POLL_S)
+        self.frontend.reject_unread()
 
     # Changes in the store
 
