A stopping host begins only calls that can end in its grace

Cause: no dispatch looked at the stop; new calls without tokens were taken for 2.5 s after the signal however short the grace and long the work. Ruled out: the coordinator's own feasibility check, which knows the call's deadline only. Each host learns how long complete calls of a service and route last, by their sizes; the 95th percentile of the last 64 decides whether a call can still end, when it arrives and when its grant comes (which goes back unused). Until three are known the route's objective counts, with 12 ms a token as before.

--- a/lovagepier/entry/_callers/caller_response.py
+++ b/lovagepier/entry/_callers/caller_response.py
@@ -96,7 +96,10 @@
             self._send_error(ErrorKind.DEADLINE_WAITING)
 
     def end_at_stop(self, why):
-        """Send the final response of a stopping host; abort one that was started."""
+        """Send the final response of a stopping host; abort one that was started.
+
+        Only a call that no target may have executed is reported as not executed.
+        """
         if self._progress.response_started:
             _log.info(
                 "response aborted in a stop",
--- a/lovagepier/entry/_callers/exchange.py
+++ b/lovagepier/entry/_callers/exchange.py
@@ -106,6 +106,10 @@
                     continue
                 self._caller.end_without_success(decision)
                 return
+            if not self._may_begin():
+                self._grants.report(decision, "returned", self._loop.time())
+                self._caller.end_at_stop("it would outlast the stop of the host")
+                return
             outcome = await self._dispatch(decision)
             if outcome is _Outcome.COMPLETED:
                 return
@@ -117,6 +121,15 @@
                 await asyncio.wait((self._checking,), timeout=CHECK_WAIT_S)
                 self._checking = None
 
+    def _may_begin(self):
+        """Return whether a dispatch can end before the stop of this host does.
+
+        A stream that has begun goes on as far as it can.
+        """
+        if self._progress.response_started:
+            return True
+        return self._frontend.can_complete(self._call)
+
     async def _may_ask_again(self, refusal):
         """Return whether targets may be granted that were excluded before."""
         if refusal is None or refusal.kind != ErrorKind.NO_TARGET:
--- a/lovagepier/entry/_callers/frontend.py
+++ b/lovagepier/entry/_callers/frontend.py
@@ -1,7 +1,9 @@
 """HTTP endpoints of an entry host: calls, directory, readiness and metrics."""
 
 import asyncio
+import math
 
+from lovagepier.decisions.durations import DurationEstimates
 from lovagepier.entry._build_gauges import build_gauges
 from lovagepier.entry._callers.caller_conn import BadRequest, CallerConnection
 from lovagepier.entry._callers.exchange import Exchange
@@ -34,13 +36,15 @@
 # Timeout for connecting to a target. The longest network path takes 16 ms; waiting
 # for the retransmission of a lost packet costs more than trying another target.
 CONNECT_TIMEOUT_S = 0.3
-# A stopping host refuses requests that arrive later than this after the stop signal:
-# they might not end within the platform's grace period.
+# A stopping host refuses all requests that arrive later than this after the signal:
+# callers know of other hosts by then.
 REFUSE_AFTER_S = 2.5
+# A dispatch in a stop has to end this long before the stop does.
+DISPATCH_MARGIN_S = 0.1
 # All work ends this long before the platform kills the process.
 GRACE_MARGIN_S = 0.5
-# Upper bound on the time per output token on current engines. A stopping host refuses
-# calls that would outlast the grace period, so that another host takes them.
+# Upper bound on the time per output token on current engines, for routes whose calls'
+# durations are not known yet.
 MAX_TOKEN_S = 0.012
 # Retry-After of a host without a configuration.
 NO_CONFIG_RETRY_AFTER_S = 0.3
@@ -96,6 +100,7 @@
         )
         self.metrics = Metrics()
         self.running_calls = RunningCalls()
+        self.durations = DurationEstimates()
         self.stops_at = None
         self.has_catalog = asyncio.Event()
         self._loop = asyncio.get_running_loop()
@@ -174,6 +179,30 @@
 
     # Used by `Exchange`
 
+    def can_complete(self, call):
+        """Return whether a call can be complete before a stop ends, if begun now."""
+        return self.latest_start(call) >= self._loop.time()
+
+    def latest_start(self, call):
+        """Return the last loop time at which to begin a call, infinite if no stop."""
+        if self.stops_at is None:
+            return math.inf
+        return self.stops_at - self._expected_seconds(call) - DISPATCH_MARGIN_S
+
+    def _expected_seconds(self, call):
+        """Return how long a call is expected to last, if it begins at once.
+
+        Without a learnt duration the route's latency objective counts; for a call
+        with tokens that is only the time to its first one.
+        """
+        seconds = self.durations.expect(call.kind, call.size)
+        if seconds is not None:
+            return seconds
+        seconds = call.route.latency_objective_s
+        if call.token_counts:
+            seconds += call.output_tokens * MAX_TOKEN_S
+        return seconds
+
     def tier_of(self, call):
         """Return the tier of a call, by its account's tier and then its route's."""
         account_tier = call.account.tier if call.account else None
@@ -263,18 +292,17 @@
         call.account = catalog.account_for_key(call.key)
         if call.account is None and catalog.requires_key and not call.route.public:
             return ErrorKind.UNAUTHENTICATED
-        if self.stops_at is not None and not self._can_complete(call):
+        if self._is_too_late(call):
             return ErrorKind.STOPPING
         return None
 
-    def _can_complete(self, call):
-        """Return whether a stopping host can still complete a new call."""
-        remaining_s = self.stops_at - self._loop.time()
-        elapsed_s = self.cfg.shutdown_grace - GRACE_MARGIN_S - remaining_s
-        return (
-            elapsed_s < REFUSE_AFTER_S
-            and call.output_tokens * MAX_TOKEN_S < remaining_s
-        )
+    def _is_too_late(self, call):
+        """Return whether a new call comes too late in the stop of this host."""
+        if self.stops_at is None:
+            return False
+        stopping_since = self.stops_at - self.cfg.shutdown_grace + GRACE_MARGIN_S
+        elapsed_s = self._loop.time() - stopping_since
+        return elapsed_s >= REFUSE_AFTER_S or not self.can_complete(call)
 
     async def _handle_lookup(self, conn, call):
         lookup = decode_lookup(call.target)
--- a/lovagepier/entry/_callers/grants.py
+++ b/lovagepier/entry/_callers/grants.py
@@ -125,6 +125,9 @@
         seconds = (ended_at or self._loop.time()) - started_at
         is_unanswered = status == "cancelled" and not progress.response_started
         total = seconds if status == "ok" or is_unanswered else None
+        if status == "ok":
+            call = progress.call
+            self._frontend.durations.learn(call.kind, call.size, seconds)
         metrics = self._frontend.metrics
         metrics.count(f"dispatch_{status.replace('-', '_')}", tier)
         metrics.time("dispatch", seconds, tier)
--- a/lovagepier/entry/call.py
+++ b/lovagepier/entry/call.py
@@ -4,6 +4,8 @@
 
 import xxhash
 
+from lovagepier.decisions.durations import call_size
+
 __all__ = ["Call", "fingerprint"]
 
 
@@ -53,6 +55,16 @@
         limit = max(self.token_counts[1], 1)
         return min(self.output_tokens_hint, limit) if self.output_tokens_hint else limit
 
+    @property
+    def size(self):
+        """The size of the call, see `decisions.durations`."""
+        return call_size(self.prompt_tokens, self.output_tokens)
+
+    @property
+    def kind(self):
+        """The service and the route: calls of one kind last alike, by their sizes."""
+        return self.route.service_for(self.request_id), self.route.name
+
 
 def fingerprint(call):
     """Return a hash that is the same for every retry of `call` by its caller.
