A stopping host gives waiting calls back that can't begin in time

Ruled out: the coordinator drops them too late (a withdrawal takes effect at once). While it stops, a host orders its waiting calls as they are served, and lets as many wait as can begin in time by the rate of the last 5 s; the others get 503 with a Retry-After of 0.05 s at once and are withdrawn from the queue. Without three recent starts only the latest start counts. A call queues elsewhere by its own deadline again, so it loses little there.

--- a/lovagepier/entry/_callers/exchange.py
+++ b/lovagepier/entry/_callers/exchange.py
@@ -44,11 +44,11 @@
 class Exchange:
     """Serves one call on its caller's connection.
 
-    `frontend` gives access to what all calls share.
+    `frontend` gives access to what all calls share. `is_waiting` tells whether the
+    `call` waits for a decision of the coordinator.
     """
 
     __slots__ = (
-        "_call",
         "_caller",
         "_checking",
         "_frontend",
@@ -59,11 +59,14 @@
         "_stop_why",
         "_stream",
         "_timeout",
+        "call",
+        "is_waiting",
     )
 
     def __init__(self, frontend, conn, call):
         self._frontend = frontend
-        self._call = call
+        self.call = call
+        self.is_waiting = False
         self._loop = asyncio.get_running_loop()
         self._checking = None
         self._notes = ResponseNotes(frontend, call.request_id)
@@ -100,7 +103,7 @@
 
     async def _dispatch_until_done(self):
         while True:
-            decision = await self._grants.next_decision()
+            decision = await self._next_decision()
             if not isinstance(decision, Granted):
                 if await self._may_ask_again(decision):
                     continue
@@ -121,6 +124,22 @@
                 await asyncio.wait((self._checking,), timeout=CHECK_WAIT_S)
                 self._checking = None
 
+    async def _next_decision(self):
+        self.is_waiting = not self._progress.response_started
+        try:
+            decision = await self._grants.next_decision()
+        finally:
+            self.is_waiting = False
+        if isinstance(decision, Granted):
+            starts = self._frontend.running_calls.starts
+            starts.add(self.call.kind[0], self._loop.time())
+        return decision
+
+    @property
+    def precedence(self):
+        """The order in which waiting calls are served, the next one first."""
+        return self._frontend.tier_of(self.call), self._progress.deadline
+
     def _may_begin(self):
         """Return whether a dispatch can end before the stop of this host does.
 
@@ -128,7 +147,7 @@
         """
         if self._progress.response_started:
             return True
-        return self._frontend.can_complete(self._call)
+        return self._frontend.can_complete(self.call)
 
     async def _may_ask_again(self, refusal):
         """Return whether targets may be granted that were excluded before."""
@@ -175,8 +194,8 @@
         return _Outcome.NOT_EXECUTED
 
     async def _connect(self, target):
-        if self._call.route.retryable:
-            tconn = self._frontend.connector.take_idle(target, self._call.request_id)
+        if self.call.route.retryable:
+            tconn = self._frontend.connector.take_idle(target, self.call.request_id)
             if tconn is not None:
                 return tconn
         # A call that must not run twice gets a new connection: an idle one may hold
@@ -228,10 +247,10 @@
             status = "vanished"
             _log.info(
                 "a target broke off",
-                request=self._call.request_id,
+                request=self.call.request_id,
                 target=grant.target,
                 why=str(exc),
-                fingerprint=fingerprint(self._call),
+                fingerprint=fingerprint(self.call),
                 reused=tconn.requests_served,
             )
             return _Outcome.FAILED
@@ -260,7 +279,7 @@
         """Log that a target does not go on with a stream that has begun."""
         _log.info(
             "a target did not continue a stream",
-            request=self._call.request_id,
+            request=self.call.request_id,
             target=grant.target,
             last=self._stream.last_id,
             why=why,
@@ -302,7 +321,7 @@
             self._frontend.target_checks.start(target, report)
 
     def _send(self, tconn, target):
-        call = self._call
+        call = self.call
         timeout_s = self._progress.deadline - self._loop.time()
         account = call.account.name if call.account else ""
         pairs = encode_call(call, timeout_s, target.id, account, len(call.body))
@@ -316,8 +335,8 @@
         If the target does not respond in time, another one is requested, but this
         target may still respond until the coordinator grants that.
         """
-        route = self._call.route
-        reading = self._loop.create_task(tconn.read_head(self._call.request_id))
+        route = self.call.route
+        reading = self._loop.create_task(tconn.read_head(self.call.request_id))
         try:
             if route.retryable and self._progress.may_execute_again:
                 await asyncio.wait((reading,), timeout=self._failover_delay())
@@ -328,7 +347,7 @@
             reading.cancel()
 
     def _failover_delay(self):
-        delay_s = self._call.route.latency_objective_s * FAILOVER_DELAY_OBJECTIVES
+        delay_s = self.call.route.latency_objective_s * FAILOVER_DELAY_OBJECTIVES
         return min(max(delay_s, MIN_FAILOVER_DELAY_S), MAX_FAILOVER_DELAY_S)
 
     def _release_connection(self, target, tconn, response):
@@ -339,7 +358,7 @@
         """Send a whole response to the caller, or keep an error and retry."""
         if response.status >= 500:
             self._caller.keep_fallback(response, body)
-            if self._call.route.retryable and self._progress.may_execute_again:
+            if self.call.route.retryable and self._progress.may_execute_again:
                 return _Outcome.FAILED
         self._caller.send_whole(response, body)
         return _Outcome.COMPLETED
--- a/lovagepier/entry/_callers/frontend.py
+++ b/lovagepier/entry/_callers/frontend.py
@@ -155,6 +155,10 @@
         self.running_calls.end_by(stops_at)
         self.tunnel_server.is_stopping = True
 
+    def give_back_late(self):
+        """Refuse calls that wait and can't begin in time in the stop of this host."""
+        self.running_calls.give_back_late(self.latest_start, self._loop.time())
+
     def close_idle(self, min_idle_s):
         """Close connections: those idle for `min_idle_s`, others after a response."""
         for conn in list(self._caller_conns):
--- a/lovagepier/entry/_host.py
+++ b/lovagepier/entry/_host.py
@@ -240,6 +240,7 @@
             self._registrar.proxy().leave()
         listens_until = stops_at - LISTEN_MARGIN_S
         while (now := self._loop.time()) < listens_until:
+            self.frontend.give_back_late()
             if now - started_at >= IDLE_CLOSE_DELAY_S:
                 self.frontend.close_idle(MIN_IDLE_S)
             if not self.frontend.is_serving and now - started_at >= MIN_DRAIN_S:
@@ -247,6 +248,7 @@
             await asyncio.sleep(DRAIN_POLL_S)
         await self.frontend.close()
         # Requests on connections that were accepted last are answered as well.
+        self.frontend.give_back_late()
         await asyncio.sleep(DRAIN_POLL_S)
         ends_at = max(stops_at, self._loop.time()) + END_MARGIN_S
         while self.frontend.open_connections and self._loop.time() < ends_at:
