Tunnels through a stopping host may end until its stop does

Callers of other hosts would have lost calls 0.2 s sooner than before: the drain returned as soon as the listening sockets were closed and no caller was connected. Also a test of a coordinator that stops.

--- a/lovagepier/entry/_host.py
+++ b/lovagepier/entry/_host.py
@@ -251,7 +251,11 @@
         self.frontend.give_back_late()
         await asyncio.sleep(DRAIN_POLL_S)
         ends_at = max(stops_at, self._loop.time()) + END_MARGIN_S
-        while self.frontend.open_connections and self._loop.time() < ends_at:
+        while (now := self._loop.time()) < ends_at:
+            # Tunnels of other hosts end with the process.
+            has_tunnels = self.frontend.tunnel_server.is_serving and now < stops_at
+            if not self.frontend.open_connections and not has_tunnels:
+                break
             self.frontend.close_idle(MIN_IDLE_S)
             await asyncio.sleep(DRAIN_POLL_S)
         self.frontend.reject_unread()
--- a/test/test_stop_answers.py
+++ b/test/test_stop_answers.py
@@ -275,3 +275,63 @@
     (stop,) = stops({"grace_s": 2.0, "callers": 16, "work_s": 0.4, "during": again})
     stop.check(2.0)
     assert len(stop.of(200)) >= 4
+
+
+def test_what_a_stopping_coordinator_gives_back_runs_at_another_host():
+    async def serve_one(hosts, conns, request_id):
+        """Send a call until it is served; return the statuses of its attempts."""
+        statuses = []
+        while not statuses or statuses[-1] == 503:
+            if conns[0] != hosts[0]:
+                conns[:] = [hosts[0], [None]]
+            attempt = f"{request_id}-{len(statuses)}"
+            status = await _send(hosts[0], conns[1], "/file/x", attempt)
+            if status is not None:
+                statuses.append(status)
+            if status != 200:
+                hosts.append(hosts.pop(0))
+                await asyncio.sleep(0.05)
+        return statuses
+
+    async def run():
+        async with entry_fleet(hosts=2, targets=False, shutdown={"grace": "2s"}) as f:
+            await f.store.write("op/config", config_of())
+            for name in ("w1", "w2"):
+                target = await f.add_target(name, "ledger", slots=1)
+                target.work_s = 0.3
+            first, second = f.hosts
+            await wait_until(
+                lambda: all(
+                    host.view.version == 2
+                    and len(host.view.targets) == 2
+                    and len(host.cluster.live_hosts()) == 2
+                    and host.cluster.coordinator_name == "n1"
+                    for host in f.hosts
+                )
+            )
+            seen = []
+
+            async def call_on(name):
+                hosts, conns = [first, second], [None, [None]]
+                for number in range(4):
+                    seen.append(await serve_one(hosts, conns, f"{name}-{number}"))
+
+            callers = [asyncio.create_task(call_on(f"c{n}")) for n in range(12)]
+            await asyncio.sleep(1.2)
+            first._stopping.set()
+            await f.tasks[0]
+            for conn in list(first.frontend._caller_conns):
+                conn._transport.abort()
+            for server, _, _ in first.frontend._servers:
+                server.close()
+            await asyncio.gather(*callers)
+            runs = [run[0] for target in f.targets.values() for run in target.runs]
+            return seen, runs
+
+    statuses, runs = asyncio.run(run())
+    assert len(statuses) == 48
+    assert {each[-1] for each in statuses} == {200}
+    assert {status for each in statuses for status in each} == {200, 503}
+    assert max(map(len, statuses)) <= 3
+    # Each call ran once, whatever was refused before.
+    assert len(runs) == len(set(runs)) == 48
--- a/test/test_tunnels.py
+++ b/test/test_tunnels.py
@@ -97,6 +97,36 @@
     run_scenario(scenario)
 
 
+def test_a_call_that_outlasts_the_stop_of_its_tunnels_host_is_answered():
+    async def scenario(fleet):
+        host, target = fleet.hosts[2], fleet.targets["w1"]
+        cut(host, "refused")
+        assert (await call(host, "/read/x", "r0")).status == 200
+        number, stopping = next(
+            (n, h)
+            for n, h in enumerate(fleet.hosts)
+            if h.cfg.host_name == relay_of(host)
+        )
+        stopping.cfg.shutdown_grace = 1.5
+        target.work_s = 2.0
+        running = [
+            asyncio.create_task(call(host, path, path, method="POST"))
+            for path in ("/file/x", "/read/x")
+        ]
+        await wait_until(lambda: len(target.runs) == 3)
+        told_at = asyncio.get_running_loop().time()
+        stopping._stopping.set()
+        await fleet.tasks[number]
+        assert 0.9 < asyncio.get_running_loop().time() - told_at < 1.5
+        # The process ends here, and its links with it.
+        target.work_s = 0.0
+        host.frontend.connector._tunnels._links[stopping.cfg.host_name].close()
+        assert [(await each).status for each in running] == [502, 200]
+        assert [run[0] for run in target.runs].count("/file/x") == 1
+
+    run_scenario(scenario)
+
+
 def test_tunnels_outlive_a_moment_without_their_host_in_the_rosters():
     """A stopping host was missing while the others changed their coordinator."""
 
