Own runtime: a stopping node ends also while callers keep their connections

Operators saw: a node that is told to stop goes on as long as one caller sends on a kept connection, until it is killed with everything it serves. Cause: the drain waits for a moment without requests; nothing refuses new ones or closes kept connections. Ruled out: running streams (the test has none); peers (the pools had been handed over). One second after the entries that callers keep have lapsed, requests get 503 (stopping, not run) and their connection is closed. What was accepted before is still served to its end. Before: test_node_stop.py: not ended 8 s after SIGTERM. After: passes; test_kills.py::test_a_rolling_replacement... passes with one attempt for each request, as before.

--- a/lovagepier/callers/_app.py
+++ b/lovagepier/callers/_app.py
@@ -74,6 +74,10 @@
         return problem_response(exc, request_id)
 
     def _route(self, request):
+        if self._node.refuses_callers and request.path != "/healthz":
+            # A caller that keeps its connection would keep the node from ending.
+            request.close_connection()
+            raise RequestError(ErrorKind.STOPPING, "this node is about to end")
         if request.path in _COMPLETIONS:
             if request.method != "POST":
                 raise RequestError(ErrorKind.UNKNOWN_PATH, "only POST is served here")
--- a/lovagepier/node/_node.py
+++ b/lovagepier/node/_node.py
@@ -48,6 +48,8 @@
 OUTCOME_FLUSH_S = 0.3
 MAX_SETTLEMENT_WAIT_S = 15.0
 DRAIN_POLL_S = 0.1
+# Other nodes may name a stopping node as an entry host for this long.
+ENTRY_LIST_LAG_S = 1.0
 MAX_POISON_FINGERPRINTS = 1000
 MAX_ADOPT_WAIT_S = 1.0
 LATE_ANSWER_TIMEOUT_S = 60.0
@@ -80,6 +82,7 @@
         self.store_ok = True
         self.ledger_pending = threading.Event()
         self.stopping = threading.Event()
+        self._refuses_from = None
         self.stopped = threading.Event()
         self.started_at = time.time()
         self.permits = PermitClient(self)
@@ -151,11 +154,18 @@
         """
         if self.stopping.is_set():
             return
+        lapsed_after = self.cfg.callers_entry_ttl + ENTRY_LIST_LAG_S
+        self._refuses_from = self.clock() + lapsed_after
         self.stopping.set()
         self.timeline.add("node", "stopping", why="asked to stop")
         self._log.info("node stopping")
         post(self._refs["members"], Leave())
 
+    @property
+    def refuses_callers(self):
+        """Whether this node stops and callers no longer have it in their lists."""
+        return self._refuses_from is not None and self.clock() >= self._refuses_from
+
     def drain(self, idle_seconds, busy):
         """Wait until callers no longer use this host and no request runs.
 
--- a/lovagepier/web.py
+++ b/lovagepier/web.py
@@ -117,6 +117,12 @@
             return self.environ.get(key, default)
         return self.environ.get(f"HTTP_{key}", default)
 
+    def close_connection(self):
+        """Close the caller's connection after the response."""
+        req = self.environ.get(_SERVER_REQUEST)
+        if req is not None:
+            req.close_connection = True
+
     def path_segments(self):
         """Return the non-empty segments of the path, percent-decoded."""
         return [unquote(segment) for segment in self.path.split("/") if segment]
