--- a/lovagepier/decisions/rollback.py
+++ b/lovagepier/decisions/rollback.py
@@ -3,6 +3,7 @@
 import math
 
 from lovagepier.decisions.base_rates import BaseRate, upper_rate
+from lovagepier.decisions.cusum import Cusum, gains
 from lovagepier.decisions.evidence import Counts
 from lovagepier.decisions.stratified import StratifiedTest
 
@@ -11,8 +12,6 @@
 # Log-likelihood ratio that triggers a rollback. One test of a good version raises a
 # false alarm once in e**ROLLBACK_LOG_RATIO outcomes or less often.
 ROLLBACK_LOG_RATIO = 13.8
-# The worse rates tested for, as fractions of the way from the base rate to 1.
-ALTERNATIVE_GAPS = (0.15, 0.3, 0.7)
 FLOOR_FAILURE_RATE = 0.02
 FLOOR_SLOW_RATE = 0.06
 # A machine or network under load slows both versions at once. So slowness of the new
@@ -31,45 +30,6 @@
 UNCHECKED_SUSPICION = 0.7
 
 
-def _gains(base):
-    """Yield (gain of a bad outcome, loss of a good one) for each worse rate."""
-    for gap in ALTERNATIVE_GAPS:
-        worse = min(base + gap * (1.0 - base), 0.99)
-        yield math.log(worse / base), math.log((1.0 - worse) / (1.0 - base))
-
-
-class _Cusum:
-    """CUSUM tests for several worse rates: log-likelihood ratios floored at zero.
-
-    Because of the floor good outcomes in the past earn no credit, so a fault that
-    starts late is detected as fast as one that exists from the start.
-    """
-
-    __slots__ = ("_values",)
-
-    def __init__(self):
-        self._values = [0.0] * len(ALTERNATIVE_GAPS)
-
-    @property
-    def value(self):
-        return max(self._values)
-
-    def state(self):
-        return list(self._values)
-
-    def adopt(self, state):
-        for i, value in enumerate(state[: len(self._values)]):
-            self._values[i] = value
-
-    def add(self, seen, bad, base):
-        good = seen - bad
-        for i, (gain, loss) in enumerate(_gains(base)):
-            # Outcomes of one batch have no order. The bad ones are added last, so
-            # that good ones of the same batch can't cancel them.
-            level = max(0.0, self._values[i] + good * loss)
-            self._values[i] = level + bad * gain
-
-
 class _Episode:
     """The outcomes of both versions since the new version's slowness began.
 
@@ -158,8 +118,7 @@
             )
             base = max(base, control)
         return max(
-            new.slow * gain + (new.seen - new.slow) * loss
-            for gain, loss in _gains(base)
+            new.slow * gain + (new.seen - new.slow) * loss for gain, loss in gains(base)
         )
 
     def state(self):
@@ -203,8 +162,8 @@
 
     def __init__(self, unchecked_outcomes=UNCHECKED_OUTCOMES):
         self._episode = _Episode(unchecked_outcomes)
-        self._failed = _Cusum()
-        self._slow = _Cusum()
+        self._failed = Cusum()
+        self._slow = Cusum()
         self._old_failed = BaseRate(FLOOR_FAILURE_RATE)
         self._old_slow = BaseRate(FLOOR_SLOW_RATE)
         self._failed_alike = StratifiedTest()
--- a/lovagepier/decisions/rollout_plan.py
+++ b/lovagepier/decisions/rollout_plan.py
@@ -7,9 +7,10 @@
 version's requests to end in time.
 """
 
-from collections import deque
 from dataclasses import dataclass
 
+from lovagepier.decisions.request_rate import MIN_RATE_SPAN_S, RequestRate
+
 __all__ = ["SLOW_QUANTILE", "RolloutPlan", "RolloutProgress", "Stage"]
 
 # The bar of the `SlownessDetector`. There is no way back once all traffic has moved, so
@@ -46,10 +47,8 @@
 MAX_OLD_FRACTION = 0.04
 # Traffic may rise by this factor without reaching the exposure bound early.
 RATE_MARGIN = 1.25
-# Span of the samples that the current rate of requests is taken from, and the shortest
-# that it is known by, in seconds.
+# Span of the samples that the current rate of requests is taken from.
 RATE_SPAN_S = 3.0
-MIN_RATE_SPAN_S = 0.5
 # Requests sent before the next step count as sent, in seconds of traffic.
 STEP_AHEAD_S = 0.25
 # At the latest moment the rollout switches with fewer outcomes, or is rolled back:
@@ -135,31 +134,6 @@
     return progress.failed_new < progress.outcomes_new * MAX_FAILED_FRACTION
 
 
-class _RequestRate:
-    """The rate of a service's requests, from how many were sent until when."""
-
-    __slots__ = ("_samples",)
-
-    def __init__(self):
-        self._samples = deque()
-
-    def add(self, sent, now):
-        samples = self._samples
-        samples.append((now, sent))
-        while len(samples) > 2 and now - samples[1][0] >= RATE_SPAN_S:
-            samples.popleft()
-
-    def current(self):
-        """Return the requests per second, None if it is not known yet."""
-        if not self._samples:
-            return None
-        began, sent_before = self._samples[0]
-        now, sent = self._samples[-1]
-        if now - began < MIN_RATE_SPAN_S:
-            return None
-        return (sent - sent_before) / (now - began)
-
-
 class RolloutPlan:
     """One rollout: `step` advances its stage, `share` bounds its exposure.
 
@@ -183,7 +157,7 @@
         self._duration = duration
         self._share = exposure_share
         self._slack = exposure_slack
-        self._requests = _RequestRate()
+        self._requests = RequestRate(RATE_SPAN_S)
         self._rate = None
         self._is_final = False
         self.began = began
