Rollouts: hold the advance for slowness past the load that was compared

Ruled out: too thin evidence (the new version had 112 clean outcomes or the catch-up share), and the order of outcomes.

The old version's times now carry the load per target that they were seen at, in granted requests a second; its times at the highest load are kept as that load falls. A slow outcome at more than 1.15 times the compared load is strained: no evidence against the version, but enough of them hold the rollout at its step, until outcomes are usual again. At its last step it is done only as the time is up. Strained outcomes count as slow if the version was suspected before its load grew. In-flight requests were not taken for the load: a slow version has more of them at the same rate.

Where operators wrote no steps, half stays with the old version until 0.95 of the time.

--- a/lovagepier/bench/rollout_traffic.py
+++ b/lovagepier/bench/rollout_traffic.py
@@ -122,6 +122,14 @@
         seconds, status = self._end(tokens * pace, failed)
         return seconds, status, tokens, faulty, target
 
+    def target_counts(self):
+        """Return the numbers of targets of the new version and of the old one."""
+        if self.is_unlike:
+            return len(UNLIKE_NEW_TARGETS), len(UNLIKE_OLD_TARGETS)
+        has_fewer = self.disturbance == "fewer-new-targets"
+        new = FEWER_TARGETS if has_fewer else len(ALIKE_TARGETS)
+        return new, len(ALIKE_TARGETS)
+
     def as_outcome(self, target, seconds, tokens, status):
         """Return the `Outcome` of a request that ended after `seconds`."""
         if not self.service.streams:
--- a/lovagepier/bench/rollouts.py
+++ b/lovagepier/bench/rollouts.py
@@ -18,6 +18,7 @@
     Service,
     Traffic,
 )
+from lovagepier.decisions.capacity_hold import CapacityHold
 from lovagepier.decisions.evidence import Counts
 from lovagepier.decisions.rollback import RollbackTrigger
 from lovagepier.decisions.rollout_plan import (
@@ -26,9 +27,16 @@
     RolloutProgress,
     Stage,
 )
-from lovagepier.decisions.rollout_share import Rollout, RolloutState, share_at, state_at
-from lovagepier.decisions.slowness import USUAL_QUANTILE, SlownessDetector
+from lovagepier.decisions.rollout_share import (
+    Rollout,
+    RolloutState,
+    share_at,
+    state_at,
+    step_at,
+)
+from lovagepier.decisions.slowness import USUAL_QUANTILE, Pace, SlownessDetector
 from lovagepier.decisions.stratified import StratifiedTest
+from lovagepier.decisions.target_load import TargetLoads
 from lovagepier.decisions.work import Work
 
 __all__ = [
@@ -61,7 +69,8 @@
     requests that the fault acted on, `exposed_after_rollback` those among them
     that were sent after the rollback. `sent_new` is the number of all requests to the
     new version, and `first_fault_at` when the first outcome of the fault reached the
-    decision. `closed_at` is when all hosts know that it was completed.
+    decision. `closed_at` is when all hosts know that it was completed, `held_at` when
+    its advance first stopped for want of capacity.
     """
 
     fault: str
@@ -75,6 +84,7 @@
     completed_at: float | None = None
     sent_new: int = 0
     closed_at: float | None = None
+    held_at: float | None = None
 
     @property
     def exceeds_exposure(self):
@@ -101,21 +111,45 @@
         if steps:
             self._rollout = replace(self._rollout, steps=steps)
         self._clean = self._total = 0
+        self._hold = CapacityHold()
+        self._loads = TargetLoads()
+        self._reached = 0.0
+
+    def load(self, is_new, now):
+        """Return the load of a target of one version, None if it is not known."""
+        return self._loads.highest("v2" if is_new else "v1", now)
 
     def observe_left(self, is_new, left, now):
         """Ignore callers that left: this schedule has no use for them."""
 
-    def observe(self, is_new, failed, slow):
+    def observe(self, is_new, failed, pace):
         self._total += 1
-        self._clean += is_new and not failed and not slow
+        self._clean += is_new and not failed and pace is Pace.USUAL
+        if is_new:
+            self._hold.add(1, int(pace is Pace.STRAINED and not failed))
 
-    def step(self, run, now):
-        """Return (share of the new version, whether the rollout is done)."""
+    def step(self, run, now, targets):
+        """Return (share of the new version, whether the rollout is done).
+
+        `targets` are the numbers of targets of the new version and of the old one.
+        """
         state = RolloutState(
-            self._clean, self._total, self.trigger.is_set, self.trigger.suspicion()
+            self._clean,
+            self._total,
+            self.trigger.is_set,
+            self.trigger.suspicion(),
+            self._hold.is_held,
+            self._reached,
         )
+        if self._hold.is_held and run.held_at is None:
+            run.held_at = now
         is_done = state_at(self._rollout, state, now) == "done"
-        return share_at(self._rollout, state, now), is_done
+        self._reached = max(self._reached, step_at(self._rollout, state, now))
+        share = share_at(self._rollout, state, now)
+        shares = {"v2": share, "v1": 1.0 - share}
+        new, old = targets
+        self._loads.update(run.requests, shares, {"v2": new, "v1": old}, now)
+        return share, is_done
 
 
 class _SwitchSchedule:
@@ -130,14 +164,18 @@
         self._progress = RolloutProgress(new_ready=True)
         self._left = StratifiedTest()
 
+    def load(self, is_new, now):
+        """Return None: this schedule compares at every load."""
+        return None
+
     def observe_left(self, is_new, left, now):
         self._left.add(is_new, 1, int(left), now)
 
-    def observe(self, is_new, failed, slow):
+    def observe(self, is_new, failed, pace):
         self._progress.outcomes_new += is_new
         self._progress.failed_new += is_new and failed
 
-    def step(self, run, now):
+    def step(self, run, now, targets):
         """Return (share of the new version, whether the rollout is done)."""
         self._progress.sent = run.requests
         self._progress.sent_new = run.sent_new
@@ -187,18 +225,23 @@
     for step in range(first, int(end / STEP_S)):
         now = step * STEP_S
         while pending and pending[0][0] <= now:
-            _, _, is_new, route, failed, slow, faulty, left = heapq.heappop(pending)
+            _, _, is_new, route, failed, pace, faulty, left = heapq.heappop(pending)
             schedule.observe_left(is_new, left, now)
             if left:
                 continue
-            if failed or slow is not None:
-                counts = Counts(1, int(failed), int(bool(slow) and not failed))
+            if pace is Pace.STRAINED and trigger.is_slow(route):
+                pace = Pace.SLOW
+            if failed or pace in (Pace.USUAL, Pace.SLOW):
+                counts = Counts(1, int(failed), int(pace is Pace.SLOW and not failed))
                 trigger.observe(route, is_new, counts, now)
             if now >= 0.0:
-                schedule.observe(is_new, failed, slow)
-            if faulty and (failed or slow) and run.first_fault_at is None:
+                schedule.observe(is_new, failed, pace)
+            is_slow = pace in (Pace.SLOW, Pace.STRAINED)
+            if faulty and (failed or is_slow) and run.first_fault_at is None:
                 run.first_fault_at = now
-        share, is_done = schedule.step(run, now) if now >= 0.0 else (0.0, False)
+        share, is_done = 0.0, False
+        if now >= 0.0:
+            share, is_done = schedule.step(run, now, traffic.target_counts())
         if trigger.is_set and run.rolled_back_at is None:
             run.rolled_back_at = now
         if is_done and now <= length:
@@ -220,15 +263,14 @@
                 run.exposed_after_rollback += 1
             failed = status in ("failed", "late")
             outcome = traffic.as_outcome(target, seconds, tokens, status)
-            slow = (
-                False
-                if status == "late"
-                else _is_slow(detector, is_new, route, outcome)
-            )
-            left = status == "cancelled" and slow is None
+            pace = Pace.USUAL
+            if status != "late":
+                load = schedule.load(is_new, now)
+                pace = _pace(detector, is_new, route, outcome, load)
+            left = status == "cancelled" and pace is None
             at = now + seconds + EVIDENCE_DELAY_S
             heapq.heappush(
-                pending, (at, number, is_new, route, failed, slow, faulty, left)
+                pending, (at, number, is_new, route, failed, pace, faulty, left)
             )
     run.rolled_back = trigger.is_set
     return run
@@ -244,9 +286,9 @@
     return count
 
 
-def _is_slow(detector, is_new, route, outcome):
+def _pace(detector, is_new, route, outcome, load):
     work = Work("x", "", "", 0, 0.0, prefill_tokens=100)
-    return detector.judge(route, not is_new, work, outcome)
+    return detector.classify(route, not is_new, work, outcome, load=load)
 
 
 def run_rollouts(runs, seed=1, rate=20.0, length=120.0):
--- a/lovagepier/decisions/evidence.py
+++ b/lovagepier/decisions/evidence.py
@@ -1,6 +1,6 @@
 """Outcome counters of versions, replicated between nodes (grow-only counters)."""
 
-__all__ = ["Counts", "Evidence", "EvidenceKey"]
+__all__ = ["Counts", "Evidence", "EvidenceKey", "LoadCounts"]
 
 from typing import NamedTuple
 
@@ -30,6 +30,25 @@
         return Counts(*(a - b for a, b in zip(self, other, strict=True)))
 
 
+class LoadCounts(NamedTuple):
+    """What one row tells of loads that were not compared.
+
+    `strained` is the number of outcomes that were slow at such a load; they are in no
+    `Counts`. `load` is the highest load of them and `compared` the highest one that the
+    old version's times were known for, both in thousandths of a request per second and
+    target. `step` is the share of the highest step that has begun, in thousandths.
+    """
+
+    strained: int = 0
+    load: int = 0
+    compared: int = 0
+    step: int = 0
+
+
+def _highest(row, other):
+    return type(row)(*(max(a, b) for a, b in zip(row, other, strict=True)))
+
+
 class Evidence:
     """Grow-only counters per key.
 
@@ -37,10 +56,11 @@
     number, so it gives the same result in any order and with duplicates.
     """
 
-    __slots__ = ("_rows",)
+    __slots__ = ("_loads", "_rows")
 
     def __init__(self):
         self._rows = {}
+        self._loads = {}
 
     def count(self, key, failed, slow):
         """Add one outcome to a row of this process."""
@@ -50,10 +70,38 @@
     def merge(self, key, counts):
         """Merge a peer's row; return the counts that were new."""
         row = self._rows.get(key, Counts())
-        merged = Counts(*(max(a, b) for a, b in zip(row, counts, strict=True)))
+        merged = _highest(row, counts)
         self._rows[key] = merged
         return merged.minus(row)
 
+    def note_load(self, key, is_strained, load, compared, step):
+        """Add what an outcome tells of the loads to a row of this process.
+
+        Loads are in requests per second and target.
+        """
+        row = self._loads.get(key, LoadCounts())
+        thousandths = [round(value * 1000) for value in (load, compared, step)]
+        seen = LoadCounts(row.strained + int(is_strained), *thousandths)
+        self._loads[key] = _highest(row, seen)
+
+    def merge_loads(self, key, loads):
+        """Merge a peer's `LoadCounts`; return how many strained ones were new."""
+        row = self._loads.get(key, LoadCounts())
+        self._loads[key] = _highest(row, loads)
+        return self._loads[key].strained - row.strained
+
+    def loads(self):
+        """Return {key: `LoadCounts`}."""
+        return dict(self._loads)
+
+    def highest_loads(self, rollout):
+        """Return the highest values of a rollout's `LoadCounts`."""
+        highest = LoadCounts()
+        for key, loads in self._loads.items():
+            if key.rollout == rollout:
+                highest = _highest(highest, loads)
+        return highest
+
     def rows(self, rollout=None):
         """Return {key: counts} of one rollout, or of all."""
         return {
@@ -72,5 +120,6 @@
 
     def forget(self, rollout):
         """Drop the rows of a rollout that has ended."""
-        for key in [key for key in self._rows if key.rollout == rollout]:
-            del self._rows[key]
+        for table in (self._rows, self._loads):
+            for key in [key for key in table if key.rollout == rollout]:
+                del table[key]
--- a/lovagepier/decisions/rollback.py
+++ b/lovagepier/decisions/rollback.py
@@ -26,6 +26,8 @@
 CONTROL_SETTLE_S = 1.5
 # Weight of the floor in the old version's rate at that time.
 CONTROL_PRIOR_OUTCOMES = 8.0
+# From this part of the ratio on the new version was slow before its load grew.
+MIN_SLOW_BEFORE = 0.3
 # Suspicion while it is not known whether the old version is slow, too.
 UNCHECKED_SUSPICION = 0.7
 
@@ -219,6 +221,10 @@
             return failed, "failures"
         return slow, "slowness"
 
+    def is_slow(self):
+        """Return whether the new version is suspected to be slow."""
+        return self._slow_level() >= MIN_SLOW_BEFORE * ROLLBACK_LOG_RATIO
+
     def _slow_level(self):
         level = self._slow.value
         if self._episode.began_at is None:
@@ -270,6 +276,15 @@
             return self.cause
         return None
 
+    def is_slow(self, route):
+        """Return whether the new version is suspected to be slow on a route, or on all.
+
+        If so, outcomes that are slow at a load that was not compared count: their
+        slowness did not begin with the load.
+        """
+        test = self._routes.get(route)
+        return self._all.is_slow() or (test is not None and test.is_slow())
+
     def _route(self, route):
         test = self._routes.get(route)
         if test is None:
--- a/lovagepier/decisions/rollout_share.py
+++ b/lovagepier/decisions/rollout_share.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["Rollout", "RolloutState", "share_at", "state_at"]
+__all__ = ["Rollout", "RolloutState", "share_at", "state_at", "step_at"]
 
 # The share doubles from this value with every `OUTCOMES_PER_DOUBLING` clean outcomes.
 FIRST_SHARE = 0.01
@@ -26,7 +26,9 @@
     """One rollout of a model from an old version to a new one.
 
     `steps` is ((fraction of the time in [0, 1], share), ...) in time order;
-    `start` and `finish_by` are seconds of wall-clock time.
+    `start` and `finish_by` are seconds of wall-clock time. Where operators wrote no
+    steps, half of the traffic stays with the old version, to compare with, until near
+    the end.
     """
 
     id: str
@@ -35,7 +37,7 @@
     new: str
     start: float
     finish_by: float
-    steps: tuple = ((0.0, 0.01), (0.25, 0.1), (0.5, 0.5), (0.8, 1.0))
+    steps: tuple = ((0.0, 0.01), (0.25, 0.1), (0.5, 0.5), (0.95, 1.0))
 
 
 @dataclass(slots=True, frozen=True)
@@ -44,13 +46,17 @@
 
     `clean_outcomes` counts outcomes of the new version that were neither failed nor
     slow, `total_outcomes` all outcomes of both versions. `suspicion` is that of the
-    `RollbackTrigger`, and `rolled_back` tells whether it is set.
+    `RollbackTrigger`, and `rolled_back` tells whether it is set. `is_strained` tells
+    whether there is a `CapacityHold`, and `reached_step` is the share of the highest
+    step that has begun.
     """
 
     clean_outcomes: int = 0
     total_outcomes: int = 0
     rolled_back: bool = False
     suspicion: float = 0.0
+    is_strained: bool = False
+    reached_step: float = 1.0
 
 
 def planned_share(rollout, now):
@@ -66,6 +72,12 @@
     return 1.0 if fraction >= 1.0 else share
 
 
+def step_at(rollout, state, now):
+    """Return the share of the step in force: no further one begins during a hold."""
+    planned = planned_share(rollout, now)
+    return min(planned, state.reached_step) if state.is_strained else planned
+
+
 def evidence_cap(clean_outcomes):
     """Return the greatest share that this number of clean outcomes justifies."""
     if clean_outcomes >= MIN_FULL_SHARE_OUTCOMES:
@@ -98,15 +110,16 @@
     A pure function, so nodes with the same evidence agree without coordination. A
     version that is rolled back gets nothing. Otherwise the share is bounded by the
     schedule and by the clean outcomes so far; a rollout that falls behind may take
-    the share that it needs to finish in time.
+    the share that it needs to finish in time. A version that is strained stays at
+    its step.
     """
     if state.rolled_back or now < rollout.start:
         return 0.0
-    planned = planned_share(rollout, now)
+    step = step_at(rollout, state, now)
     earned = max(
         evidence_cap(state.clean_outcomes), catch_up_share(rollout, state, now)
     )
-    share = min(planned, earned)
+    share = min(step, earned)
     if state.suspicion >= MIN_HOLD_SUSPICION:
         share = min(share, max(FIRST_SHARE, share * (1.0 - state.suspicion)))
     return share
@@ -115,14 +128,18 @@
 def state_at(rollout, state, now):
     """Return one of waiting, moving, held, watching, done, taken-back.
 
-    "moving" is a share as scheduled, "held" one below the schedule, "watching" a
-    share of 1 before the last part of the time, and "taken-back" a rollback.
+    "moving" is a share as scheduled, "held" one below the schedule or a version that is
+    strained, "watching" a share of 1 before the last part of the time, and "taken-back"
+    a rollback. A strained version that has all traffic is "done" once the time is up:
+    there is nothing left to hold.
     """
     if state.rolled_back:
         return "taken-back"
     if now < rollout.start:
         return "waiting"
     share = share_at(rollout, state, now)
+    if state.is_strained and not (share >= 1.0 and now >= rollout.finish_by):
+        return "held"
     if share >= 1.0:
         watch = (rollout.finish_by - rollout.start) * WATCH_FRACTION
         enough = now >= rollout.finish_by or now >= rollout.finish_by - watch
--- a/lovagepier/decisions/slowness.py
+++ b/lovagepier/decisions/slowness.py
@@ -1,18 +1,14 @@
 """Detection of outcomes that are slow compared with the old version."""
 
-from collections import deque
 from dataclasses import replace
+from enum import StrEnum
 
-from sortedcontainers import SortedList
+from lovagepier.decisions.old_times import Baseline, Window
 
-__all__ = ["USUAL_QUANTILE", "SlownessDetector"]
+__all__ = ["USUAL_QUANTILE", "Pace", "SlownessDetector"]
 
-# An outcome is slow above `_THRESHOLD_FACTOR` times a quantile of the old version's
-# last `_MAX_SAMPLES` times.
+# The quantile of the old version's times that an outcome is compared with.
 USUAL_QUANTILE = 0.95
-_MAX_SAMPLES = 200
-_THRESHOLD_FACTOR = 1.3
-_MIN_SAMPLES = 20
 # Targets are unlike, and the fastest of them get most requests. The usual time of a
 # target of the old version, as a multiple of the median of all, is this quantile of its
 # last values.
@@ -41,54 +37,15 @@
 _PREFILL_UNIT_TOKENS = 1000.0
 
 
-class _Window:
-    """The last values of a series, with their quantiles."""
+class Pace(StrEnum):
+    """How an outcome compares with the old version's.
 
-    __slots__ = ("_order", "_size", "_sorted")
-
-    def __init__(self, size):
-        self._size = size
-        self._order = deque()
-        self._sorted = SortedList()
-
-    def __len__(self):
-        return len(self._order)
-
-    def add(self, value):
-        self._order.append(value)
-        self._sorted.add(value)
-        if len(self._order) > self._size:
-            self._sorted.remove(self._order.popleft())
-
-    def quantile(self, fraction):
-        return self._sorted[int(len(self._sorted) * fraction)]
-
-
-class _Baseline:
-    """The old version's times for one key."""
-
-    __slots__ = ("_adopted", "_window")
-
-    def __init__(self, adopted=None):
-        self._adopted = adopted
-        self._window = _Window(_MAX_SAMPLES)
-
-    def add(self, value):
-        self._window.add(value)
-
-    def median(self):
-        return self._window.quantile(0.5) if len(self._window) >= _MIN_SAMPLES else None
-
-    def threshold(self, quantile, allowance):
-        """Return the threshold, None if it is not known.
+    A strained one is slow at a higher load than the old version's times are known for.
+    """
 
-        `allowance` is how much slower than the median a target may usually be.
-        """
-        median = self.median()
-        if median is None:
-            return self._adopted
-        usual = max(self._window.quantile(quantile), median * allowance)
-        return usual * _THRESHOLD_FACTOR
+    USUAL = "usual"
+    SLOW = "slow"
+    STRAINED = "strained"
 
 
 class _Spread:
@@ -102,7 +59,7 @@
 
     def add(self, target, is_old, ratio):
         # The targets that were used last are kept.
-        window = self._windows.pop(target, None) or _Window(_MAX_TARGET_SAMPLES)
+        window = self._windows.pop(target, None) or Window(_MAX_TARGET_SAMPLES)
         self._windows[target] = window
         window.add(ratio)
         if is_old and len(window) >= _MIN_TARGET_SAMPLES:
@@ -167,25 +124,66 @@
     def judge(self, key, is_old, work, outcome, group=""):
         """Return whether an outcome is slow; learn from it if `is_old`.
 
-        Nothing is slow until there are `_MIN_SAMPLES` of the old version. Returns None
+        Nothing is slow until there are enough of the old version. Returns None
         for an outcome that says nothing: a slow one if only one target of the new
         version shows any, and a request that was cancelled before it took too long.
         """
+        pace = self.classify(key, is_old, work, outcome, group)
+        return None if pace is None else pace is not Pace.USUAL
+
+    def classify(self, key, is_old, work, outcome, group="", load=None):
+        """Return the `Pace` of an outcome, None where `judge` does.
+
+        `load` is that of its target, see `TargetLoads`. Without it no outcome is
+        strained.
+        """
         if outcome.status == "cancelled":
             values = self._least_values(key, group, work, outcome)
             if not values:
                 return None
         else:
             values = _normalize(work, outcome)
-        slow = False
+        slow = []
         for measure, value in values:
-            threshold = self._threshold(measure, key, group, outcome.target)
-            slow = slow or (threshold is not None and value > threshold)
-            self._learn(measure, key, group, is_old, outcome.target, value)
-        if is_old:
-            return slow
-        targets = self._new_targets.setdefault(group, _NewTargets())
-        return None if targets.add(outcome.target, slow) else slow
+            threshold = self._threshold(measure, key, group, outcome.target, load)
+            if threshold is not None and value > threshold:
+                slow.append(measure)
+            self._learn(measure, key, group, is_old, outcome.target, value, load)
+        if not is_old:
+            targets = self._new_targets.setdefault(group, _NewTargets())
+            if targets.add(outcome.target, bool(slow)):
+                return None
+        if not slow:
+            return Pace.USUAL
+        past = all(self._baselines[each][key].is_past(load) for each in slow)
+        return Pace.STRAINED if past and not is_old else Pace.SLOW
+
+    def compared_load(self, key):
+        """Return the highest load that times of a key are known for, or None."""
+        loads = [each.compared_load() for each in self._of(key)]
+        return max((load for load in loads if load is not None), default=None)
+
+    def is_past_compared(self, key, load):
+        """Return whether a load is higher than those that times are known for.
+
+        False if either is not known.
+        """
+        known = [each for each in self._of(key) if each.compared_load() is not None]
+        return bool(known) and all(each.is_past(load) for each in known)
+
+    def _of(self, key):
+        tables = (self._baselines[measure] for measure in MEASURES)
+        return [table[key] for table in tables if key in table]
+
+    def begin(self, group):
+        """Begin a comparison: only loads from now on are compared with.
+
+        The keys of a group are (group, route).
+        """
+        for baselines in self._baselines.values():
+            for key, baseline in baselines.items():
+                if key[0] == group:
+                    baseline.forget_busiest()
 
     def is_usual_known(self, key, work, outcome, group=""):
         """Return whether `judge` can compare an outcome with the old version's."""
@@ -213,32 +211,32 @@
                     return values if value > threshold else []
         return []
 
-    def _threshold(self, measure, key, group, target):
+    def _threshold(self, measure, key, group, target, load=None):
         baseline = self._baselines[measure].get(key)
         if baseline is None:
             return None
         spread = self._spreads.get((measure, group))
         allowance = 1.0 if spread is None else spread.allowance(target)
-        return baseline.threshold(self._quantile, allowance)
+        return baseline.threshold(allowance, load)
 
-    def _learn(self, measure, key, group, is_old, target, value):
+    def _learn(self, measure, key, group, is_old, target, value, load):
         baselines = self._baselines[measure]
-        baseline = baselines.pop(key, None) or _Baseline()
+        baseline = baselines.pop(key, None) or Baseline(self._quantile)
         baselines[key] = baseline
         if len(baselines) > _MAX_KEYS:
             del baselines[next(iter(baselines))]
         if is_old:
-            baseline.add(value)
+            baseline.add(value, load)
         median = baseline.median()
         if median:
             spread = self._spreads.setdefault((measure, group), _Spread())
             spread.add(target, is_old, value / median)
 
-    def excess(self, key, work, outcome, group=""):
+    def excess(self, key, work, outcome, group="", load=None):
         """Return {measure: [value, threshold]} of what is slow about an outcome."""
         rows = {}
         for measure, value in _normalize(work, outcome):
-            threshold = self._threshold(measure, key, group, outcome.target)
+            threshold = self._threshold(measure, key, group, outcome.target, load)
             if threshold is not None and value > threshold:
                 rows[measure] = [round(value, 5), round(threshold, 5)]
         return rows
@@ -256,7 +254,7 @@
         for key, values in thresholds.items():
             for measure, value in zip(MEASURES, values, strict=True):
                 if value is not None:
-                    self._baselines[measure][key] = _Baseline(value)
+                    self._baselines[measure][key] = Baseline(self._quantile, value)
 
 
 def _as_first(outcome):
