Format 6: evidence carries the loads of strained outcomes

A second field of the evidence update, left out for older builds; a frame without it is read as before.

--- a/lovagepier/entry/_cluster/older_formats.py
+++ b/lovagepier/entry/_cluster/older_formats.py
@@ -4,8 +4,10 @@
 
 __all__ = ["host_rows", "readable_progress", "rollout_rows"]
 
-# Columns of a host's row in formats 1, 2 to 4, and later ones.
+# Columns of a host's row in formats 1 and 2 to 4; later ones have all.
 _HOST_COLUMNS = {1: 4, 2: 5, 3: 5, 4: 5}
+# Since this format comparisons have the same parts.
+_SAME_PARTS_SINCE = 5
 # Columns of a rollout's row before its [thresholds, comparisons], which older builds
 # take for the last one.
 _PROGRESS_COUNTS = 6
@@ -23,7 +25,7 @@
     """Return the `hosts` of a `Roster` for an older format."""
     if rows is None:
         return None
-    count = _HOST_COLUMNS[number]
+    count = _HOST_COLUMNS.get(number)
     return [row[:count] for row in rows]
 
 
@@ -33,6 +35,8 @@
     The fifth part of a comparison differs in formats 1, 3 and 4, and 4 can't be told
     from 3.
     """
+    if number >= _SAME_PARTS_SINCE:
+        return rows
     return [_with_common_parts(row) for row in rows]
 
 
--- a/lovagepier/frames.py
+++ b/lovagepier/frames.py
@@ -30,7 +30,7 @@
 ]
 
 # The format of this build, and the oldest one that it can talk to.
-FORMAT = 5
+FORMAT = 6
 OLDEST_FORMAT = 1
 MAX_FRAME_BYTES = 4 << 20
 _BY_TAG = {}
--- a/lovagepier/peers/messages.py
+++ b/lovagepier/peers/messages.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass, field
 
-from lovagepier.frames import message
+from lovagepier.frames import message, since
 
 __all__ = [
     "ClaimRelease",
@@ -292,14 +292,17 @@
     """Outcome counts of open rollouts.
 
     Rows are [rollout id "#" clear count, version, route, source, seen, failed,
-    slow].
+    slow], those of `loads` have the numbers of `LoadCounts` after the source. Builds
+    without them count outcomes as slow at any load.
     """
 
     rows: list
+    loads: list = since(6, default_factory=list)
 
     def check(self):
         """Raise TypeError or ValueError if a field has the wrong type."""
         _check_rows(self.rows, (str, str, str, str, int, int, int))
+        _check_rows(self.loads, (str, str, str, str, int, int, int, int))
 
 
 @message("brk")
--- a/test/test_formats.py
+++ b/test/test_formats.py
@@ -35,7 +35,7 @@
 
 NUMBERS = range(OLDEST_FORMAT, FORMAT + 1)
 # Columns of a host's row and parts of a comparison that builds of a format take.
-HOST_COLUMNS = {1: 4, 2: 5, 3: 5, 4: 5, 5: 7}
+HOST_COLUMNS = {1: 4, 2: 5, 3: 5, 4: 5, 5: 7, 6: 7}
 MAX_PARTS = {1: 4, 2: 4, 3: 5, 4: 5}
 NOT_LANDED = (
     "the messages differ from test/formats/{}.json: give a new field or tag the next "
@@ -127,6 +127,8 @@
     assert thresholds == {"read": [0.1, None, 0.2]}
     for parts in comparisons.values():
         assert len(parts) <= MAX_PARTS.get(number, len(parts))
+    if number not in MAX_PARTS:
+        assert comparisons == full_roster().rollouts[0][6][1]
     report = own_samples()["e.register"]
     (row,) = cbor2.loads(encode(report, number=number))[3]
     assert len(row[0]) == raw["e.ask"]["fields"]
--- a/test/test_link_formats.py
+++ b/test/test_link_formats.py
@@ -55,14 +55,14 @@
     ("stated", "number"),
     [
         ((), OLDEST_FORMAT),
-        (("1-5",), FORMAT),
+        ((f"1-{FORMAT}",), FORMAT),
         (("1-3",), 3),
         (("4-7",), FORMAT),
         (("1-999999",), FORMAT),
         (("five",), OLDEST_FORMAT),
         (("0-5",), OLDEST_FORMAT),
         (("5-2",), OLDEST_FORMAT),
-        (("1-5", "1-3"), OLDEST_FORMAT),
+        ((f"1-{FORMAT}", "1-3"), OLDEST_FORMAT),
         (("1-" + "9" * 400,), OLDEST_FORMAT),
         (("\u0661-5".encode().decode("latin-1"),), OLDEST_FORMAT),
     ],
@@ -76,7 +76,7 @@
                 await conn.send(encode(BEAT, number=1))
                 await wait_until(lambda: server.messages)
         assert server.links[0].format == number
-        is_odd = stated not in ((), ("1-5",), ("1-3",), ("4-7",))
+        is_odd = stated not in ((), (f"1-{FORMAT}",), ("1-3",), ("4-7",))
         assert len([log for log in logs if "own_formats" in log]) == is_odd
 
     asyncio.run(run())
