Own runtime: hold rollouts for want of capacity, and show it

The rollouts actor takes the load of a target from the grants of the pools here, judges outcomes by it, merges strained outcomes over nodes and publishes the hold as state held with its figures as cause, in the time line, one log line and a counter. A rollout that is done while held has the figures as its recorded cause. test_held_rollouts plays a node, its successor and frames of an older build.

--- a/lovagepier/node/_rollouts.py
+++ b/lovagepier/node/_rollouts.py
@@ -1,16 +1,21 @@
 """The rollouts actor: merges evidence, triggers rollbacks and publishes shares."""
 
-import math
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 
-from lovagepier.decisions.evidence import Counts, Evidence, EvidenceKey
-from lovagepier.decisions.rollback import RollbackTrigger
-from lovagepier.decisions.rollout_share import RolloutState, share_at, state_at
-from lovagepier.decisions.slowness import SlownessDetector
+from lovagepier.decisions.evidence import Counts, Evidence, EvidenceKey, LoadCounts
+from lovagepier.decisions.rollout_share import (
+    RolloutState,
+    share_at,
+    state_at,
+    step_at,
+)
+from lovagepier.decisions.slowness import Pace
 from lovagepier.errors import RequestError
 from lovagepier.node._actors import NodeActor, Tick
 from lovagepier.node._members import PeerMessage
+from lovagepier.node._open_rollout import OpenRollout
+from lovagepier.node._outcome_judge import OutcomeJudge
 from lovagepier.peers import messages
 
 __all__ = ["OutcomeObserved", "RolloutsActor"]
@@ -20,6 +25,8 @@
 RECORD_RETRY_S = 1.0
 # The time line gets an event whenever the share, rounded to tenths, changes.
 SHARE_EVENT_STEPS = 10
+# The bound of the configuration's schema.
+MAX_CAUSE_CHARS = 300
 FAILED_STATUSES = ("failed", "died", "vanished")
 
 
@@ -33,23 +40,6 @@
     outcome: object
 
 
-class _OpenRollout:
-    """One open rollout with its rollback trigger.
-
-    `clear_count` is how often operators have cleared the trigger;
-    `last_event` the stage and share last written to the time line.
-    """
-
-    __slots__ = ("announced", "clear_count", "last_event", "rollout", "trigger")
-
-    def __init__(self, rollout, clear_count):
-        self.rollout = rollout
-        self.clear_count = clear_count
-        self.trigger = RollbackTrigger(unchecked_outcomes=math.inf)
-        self.last_event = None
-        self.announced = False
-
-
 class RolloutsActor(NodeActor):
     """Computes the new version's share of each open rollout.
 
@@ -69,7 +59,7 @@
     def __init__(self, node):
         super().__init__(node)
         self._evidence = Evidence()
-        self._slowness = SlownessDetector()
+        self._judge = OutcomeJudge(node)
         self._open_rollouts = {}
         self._config_version = -1
         self._source_id = f"{node.cfg.node_name}/{node.boot}"
@@ -92,41 +82,76 @@
         outcome = message.outcome
         if outcome.status not in ("ok", "late", *FAILED_STATUSES):
             return
-        key = (message.model, message.work.route)
-        is_old_version = message.version == old
-        slow = outcome.status == "late" or self._slowness.judge(
-            key, is_old_version, message.work, outcome, message.model
-        )
+        judged = self._judge.judge(message, message.version == old)
         if entry is None or message.version not in (old, entry.rollout.new):
             return
-        if slow is None:
+        if judged.pace is None:
             return
         failed = outcome.status in FAILED_STATUSES
-        if slow and not failed:
-            self.log.info(
-                "slower than the old version",
-                move=entry.rollout.id,
-                version=message.version,
-                route=message.work.route,
-                request=message.work.id,
-                target=outcome.target,
-                status=outcome.status,
-                excess=self._slowness.excess(key, message.work, outcome, message.model),
-            )
+        if judged.pace is not Pace.USUAL and not failed:
+            self._log_slow(entry, message, judged)
         row = EvidenceKey(
-            self._evidence_id(entry),
+            entry.evidence_id,
             message.version,
             message.work.route,
             self._source_id,
         )
-        self._evidence.count(row, failed, slow and not failed)
         self._changed_rows.add(row)
-        self._observe(entry, row, Counts(1, int(failed), int(slow and not failed)))
+        is_strained = judged.pace is Pace.STRAINED and not failed
+        is_strained = is_strained and not entry.trigger.is_slow(row.route)
+        if message.version == entry.rollout.new:
+            loads = (judged.load, judged.load_compared, entry.step)
+            self._evidence.note_load(row, is_strained, *loads)
+        if is_strained:
+            entry.excess = judged.excess
+            self._add_strained(entry, 1)
+            return
+        slow = judged.pace is not Pace.USUAL and not failed
+        self._evidence.count(row, failed, slow)
+        self._observe(entry, row, Counts(1, int(failed), int(slow)))
+
+    def _log_slow(self, entry, message, judged):
+        loads = {}
+        if judged.pace is Pace.STRAINED:
+            loads["load"] = round(judged.load, 2)
+            loads["load_compared"] = round(judged.load_compared, 2)
+        self.log.info(
+            "slower than the old version",
+            move=entry.rollout.id,
+            version=message.version,
+            route=message.work.route,
+            request=message.work.id,
+            target=message.outcome.target,
+            status=message.outcome.status,
+            excess=judged.excess,
+            **loads,
+        )
+
+    def _add_strained(self, entry, count):
+        if entry.hold.add(count, count):
+            self._on_hold_changed(entry)
 
-    def _evidence_id(self, entry):
-        # A new id for each clearing makes the evidence start from zero after an
-        # operator has cleared the rollback trigger.
-        return f"{entry.rollout.id}#{entry.clear_count}"
+    def _on_hold_changed(self, entry):
+        """Tell operators that the advance stopped for want of capacity, or goes on."""
+        rollout = entry.rollout
+        loads = self._evidence.highest_loads(entry.evidence_id)
+        event = "held for capacity" if entry.hold.is_held else "no longer held"
+        figures = entry.figures(loads)
+        self.node.timeline.add(
+            "moves", event, why=figures, move=rollout.id, version=rollout.new
+        )
+        self.log.warning(
+            f"rollout {event}",
+            move=rollout.id,
+            version=rollout.new,
+            load=loads.load / 1000,
+            load_compared=loads.compared / 1000,
+            strained=loads.strained,
+            excess=entry.excess,
+        )
+        if entry.hold.is_held:
+            self.node.metrics.count("rollout_capacity_holds")
+        self._publish()
 
     def _rollout_of_model(self, model):
         for entry in self._open_rollouts.values():
@@ -135,18 +160,15 @@
         return None
 
     def _observe(self, entry, row, counts):
-        if not counts.seen:
-            return
-        is_new_version = row.version == entry.rollout.new
-        cause = entry.trigger.observe(
-            row.route, is_new_version, counts, self.node.clock()
-        )
+        cause, hold_changed = entry.observe(row, counts, self.node.clock())
         if cause is not None:
             self._on_trigger(entry, cause)
+        if hold_changed:
+            self._on_hold_changed(entry)
 
     def _on_trigger(self, entry, cause):
         rollout = entry.rollout
-        total = self._evidence.total(self._evidence_id(entry), rollout.new)
+        total = self._evidence.total(entry.evidence_id, rollout.new)
         self.node.timeline.add(
             "moves",
             "brake set",
@@ -176,8 +198,14 @@
             row = EvidenceKey(evidence_id, version, route, source)
             added = self._evidence.merge(row, Counts(*numbers))
             entry = self._open_rollouts.get(evidence_id.partition("#")[0])
-            if entry is not None and self._evidence_id(entry) == evidence_id:
+            if entry is not None and entry.evidence_id == evidence_id:
                 self._observe(entry, row, added)
+        for evidence_id, version, route, source, *numbers in body.loads:
+            row = EvidenceKey(evidence_id, version, route, source)
+            strained = self._evidence.merge_loads(row, LoadCounts(*numbers))
+            entry = self._open_rollouts.get(evidence_id.partition("#")[0])
+            if entry is not None and entry.evidence_id == evidence_id:
+                self._add_strained(entry, strained)
 
     def _apply_notice(self, notice):
         entry = self._open_rollouts.get(notice.rollout)
@@ -214,14 +242,15 @@
         }
         for name in list(self._open_rollouts):
             if name not in open_now:
-                self._evidence.forget(self._evidence_id(self._open_rollouts[name]))
+                self._evidence.forget(self._open_rollouts[name].evidence_id)
                 self._add_end_event(view, name)
                 del self._open_rollouts[name]
         for name, rollout in open_now.items():
             clear_count = view.clear_count(name)
             entry = self._open_rollouts.get(name)
             if entry is None or entry.clear_count != clear_count:
-                self._open_rollouts[name] = _OpenRollout(rollout, clear_count)
+                self._open_rollouts[name] = OpenRollout(rollout, clear_count)
+                self._judge.begin(rollout.model)
             else:
                 entry.rollout = rollout
 
@@ -233,7 +262,7 @@
         self.node.timeline.add("moves", f"move {state}", why=cause, move=name)
 
     def _state(self, entry):
-        evidence_id = self._evidence_id(entry)
+        evidence_id = entry.evidence_id
         new = self._evidence.total(evidence_id, entry.rollout.new)
         old = self._evidence.total(evidence_id, entry.rollout.old)
         return RolloutState(
@@ -241,6 +270,8 @@
             total_outcomes=new.seen + old.seen,
             rolled_back=entry.trigger.is_set,
             suspicion=entry.trigger.suspicion(),
+            is_strained=entry.hold.is_held,
+            reached_step=self._evidence.highest_loads(evidence_id).step / 1000,
         )
 
     def _publish(self):
@@ -249,11 +280,13 @@
         for entry in self._open_rollouts.values():
             state = self._state(entry)
             share = share_at(entry.rollout, state, now)
+            entry.step = step_at(entry.rollout, state, now)
             shares[entry.rollout.model] = (
                 entry.rollout.old,
                 {entry.rollout.new: share},
             )
             self._publish_state(entry, state, share, now)
+        self._judge.update(shares)
         if shares != self._shares:
             self._shares = shares
             self.node.set_shares(shares)
@@ -270,10 +303,17 @@
             self.node.timeline.add(
                 "moves", f"{stage} at {share:.0%}", why=why, move=entry.rollout.id
             )
-        self.node.set_rollout_state(entry.rollout.id, stage, share, entry.trigger.cause)
+        cause = entry.trigger.cause
+        if cause is None and entry.hold.is_held:
+            cause = self._hold_cause(entry)
+        self.node.set_rollout_state(entry.rollout.id, stage, share, cause)
         if stage in ("done", "taken-back"):
             self._record(entry, stage)
 
+    def _hold_cause(self, entry):
+        loads = self._evidence.highest_loads(entry.evidence_id)
+        return f"held for capacity: {entry.figures(loads)}"
+
     def _record(self, entry, stage):
         """Write the outcome to the configuration if this node owns the rollout.
 
@@ -292,10 +332,16 @@
         if stage == "done":
             path = f"/models/{rollout.model}/serving"
             operations.append({"op": "replace", "path": path, "value": rollout.new})
-        else:
-            cause = (entry.trigger.cause or "")[:300]
+        cause = entry.trigger.cause
+        if stage == "done":
+            cause = self._hold_cause(entry) if entry.hold.is_held else None
+        if cause:
             operations.append(
-                {"op": "add", "path": f"/moves/{rollout.id}/cause", "value": cause}
+                {
+                    "op": "add",
+                    "path": f"/moves/{rollout.id}/cause",
+                    "value": cause[:MAX_CAUSE_CHARS],
+                }
             )
         patch_id = f"move-{rollout.id}-{stage}-{entry.clear_count}"
         self._recorder.submit(self._write, operations, patch_id)
@@ -319,16 +365,17 @@
         rows = self._changed_rows
         if now - self._last_full_push_at >= FULL_PUSH_PERIOD_S:
             self._last_full_push_at = now
-            rows = set(self._evidence.rows())
+            rows = {*self._evidence.rows(), *self._evidence.loads()}
             for entry in self._open_rollouts.values():
                 if entry.trigger.is_set:
                     self._send_notice(entry)
         self._changed_rows = set()
         if not rows:
             return
-        table = self._evidence.rows()
+        counts, loads = self._evidence.rows(), self._evidence.loads()
         update = messages.EvidenceUpdate(
-            [[*key, *table[key]] for key in rows if key in table]
+            [[*key, *counts[key]] for key in rows if key in counts],
+            [[*key, *loads[key]] for key in rows if key in loads],
         )
         for name in self._receivers():
             self.node.tell(name, update)
--- a/lovagepier/operators/_app.py
+++ b/lovagepier/operators/_app.py
@@ -21,6 +21,16 @@
 _FINAL_SHARES = {"done": 1.0, "taken-back": 0.0}
 
 
+def _outweighs(state, known):
+    """Return whether what a node reports of a rollout is to be shown instead.
+
+    A rollback that any node reports outweighs the rest, then a state with a cause.
+    """
+    if "taken-back" in (state["state"], known["state"]):
+        return state["state"] == "taken-back"
+    return bool(state["cause"]) and not known["cause"]
+
+
 class OperatorsApp:
     """HTTP application that serves operators."""
 
@@ -181,9 +191,8 @@
         states = {}
         for status in self._statuses():
             for name, state in status["moves"].items():
-                # A rollback that any node reports outweighs the other states.
                 known = states.get(name)
-                if known is None or state["state"] == "taken-back":
+                if known is None or _outweighs(state, known):
                     states[name] = state
         moves = []
         for name, raw in view.document["moves"].items():
