Rollouts held for capacity: the figures of when the hold began, pools without the new version

What operators read changed with each strained outcome. In a pool without targets of the new version the old ones serve its share, too, so their load was taken too low and a slow version could have been held instead of rolled back. Tests: what the operators' API shows where nodes report different states; the load in such a pool.

--- a/lovagepier/node/_open_rollout.py
+++ b/lovagepier/node/_open_rollout.py
@@ -20,7 +20,8 @@
 
     `clear_count` is how often operators have cleared the trigger; `last_event` the
     stage and share last written to the time line. `step` is the share of the step in
-    force, `excess` that of the last strained outcome observed here.
+    force, `excess` that of the last strained outcome observed here. `hold_cause` has
+    the figures as a hold began, None if there is none.
     """
 
     __slots__ = (
@@ -28,6 +29,7 @@
         "clear_count",
         "excess",
         "hold",
+        "hold_cause",
         "last_event",
         "rollout",
         "step",
@@ -39,6 +41,7 @@
         self.clear_count = clear_count
         self.trigger = RollbackTrigger(unchecked_outcomes=math.inf)
         self.hold = CapacityHold()
+        self.hold_cause = None
         self.excess = {}
         self.step = 0.0
         self.last_event = None
--- a/lovagepier/node/_rollout_loads.py
+++ b/lovagepier/node/_rollout_loads.py
@@ -22,11 +22,10 @@
             key = (status["subject"], status["region"])
             if key[0] not in shares or "counts" not in status:
                 continue
-            old, new_shares = shares[key[0]]
-            rest = {old: 1.0 - sum(new_shares.values())}
+            serving = _serving(status)
             loads = self._loads.setdefault(key, TargetLoads())
             granted = status["counts"]["granted"]
-            loads.update(granted, rest | new_shares, _serving(status), now)
+            loads.update(granted, _served(serving, *shares[key[0]]), serving, now)
         for key in [key for key in self._loads if key[0] not in shares]:
             del self._loads[key]
 
@@ -37,6 +36,12 @@
         return None if loads is None else loads.highest(version, since)
 
 
+def _served(serving, old, new_shares):
+    """Return {version: share}; the old one serves what a pool has no new target for."""
+    served = {each: part for each, part in new_shares.items() if serving[each]}
+    return {old: 1.0 - sum(served.values()), **served}
+
+
 def _serving(status):
     """Return {version: number of its targets that take requests}."""
     return Counter(
--- a/lovagepier/node/_rollouts.py
+++ b/lovagepier/node/_rollouts.py
@@ -137,6 +137,7 @@
         loads = self._evidence.highest_loads(entry.evidence_id)
         event = "held for capacity" if entry.hold.is_held else "no longer held"
         figures = entry.figures(loads)
+        entry.hold_cause = f"{event}: {figures}" if entry.hold.is_held else None
         self.node.timeline.add(
             "moves", event, why=figures, move=rollout.id, version=rollout.new
         )
@@ -303,17 +304,11 @@
             self.node.timeline.add(
                 "moves", f"{stage} at {share:.0%}", why=why, move=entry.rollout.id
             )
-        cause = entry.trigger.cause
-        if cause is None and entry.hold.is_held:
-            cause = self._hold_cause(entry)
+        cause = entry.trigger.cause or entry.hold_cause
         self.node.set_rollout_state(entry.rollout.id, stage, share, cause)
         if stage in ("done", "taken-back"):
             self._record(entry, stage)
 
-    def _hold_cause(self, entry):
-        loads = self._evidence.highest_loads(entry.evidence_id)
-        return f"held for capacity: {entry.figures(loads)}"
-
     def _record(self, entry, stage):
         """Write the outcome to the configuration if this node owns the rollout.
 
@@ -332,9 +327,7 @@
         if stage == "done":
             path = f"/models/{rollout.model}/serving"
             operations.append({"op": "replace", "path": path, "value": rollout.new})
-        cause = entry.trigger.cause
-        if stage == "done":
-            cause = self._hold_cause(entry) if entry.hold.is_held else None
+        cause = entry.hold_cause if stage == "done" else entry.trigger.cause
         if cause:
             operations.append(
                 {
--- a/test/test_held_rollouts.py
+++ b/test/test_held_rollouts.py
@@ -1,5 +1,6 @@
 """A node's rollouts whose advance stops for want of capacity."""
 
+import json
 from types import SimpleNamespace
 
 import cbor2
@@ -9,7 +10,9 @@
 from lovagepier.config._schema import empty_document
 from lovagepier.frames import CodecError, decode, encode
 from lovagepier.node._members import PeerMessage
+from lovagepier.node._rollout_loads import RolloutLoads
 from lovagepier.node._rollouts import OutcomeObserved, RolloutsActor
+from lovagepier.operators import OperatorsApp
 from lovagepier.peers import messages
 from test.builders import ended, make_work
 
@@ -296,3 +299,36 @@
 def test_loads_of_another_shape_are_refused(row):
     with pytest.raises(CodecError):
         decode(encode(messages.EvidenceUpdate([], [row])))
+
+
+@pytest.mark.parametrize("reports", [("moving", "held"), ("held", "moving")])
+def test_operators_are_shown_the_hold_that_any_node_reports(reports):
+    states = {
+        "moving": {"state": "moving", "share": 0.6, "cause": None},
+        "held": {"state": "held", "share": 0.6, "cause": "held for capacity: x"},
+        "back": {"state": "taken-back", "share": 0.0, "cause": "failures"},
+    }
+    app = OperatorsApp(SimpleNamespace(view=make_view()))
+
+    def shown(names):
+        app._statuses = lambda: [{"moves": {"m": states[name]}} for name in names]
+        (move,) = json.loads(app._rollouts().body)["moves"]
+        return move["state"], move["cause"]
+
+    assert shown(reports) == ("held", "held for capacity: x")
+    assert shown((*reports, "back")) == ("taken-back", "failures")
+    assert shown(("back", *reports)) == ("taken-back", "failures")
+
+
+def test_the_old_versions_load_has_what_a_pool_without_the_new_one_serves():
+    host = Host()
+    status = host.pools.statuses()[0]
+    status["targets"] = status["targets"][:4]
+    host.pools.statuses = lambda: [
+        {**status, "counts": {"granted": host.pools.granted}}
+    ]
+    loads = RolloutLoads(host.node)
+    for tenth in range(100):
+        host.pools.granted += 4
+        loads.update({"drafter": ("v1", {"v2": 0.5})}, tenth / 10)
+    assert loads.highest("drafter", "old0", "v1", 9.9) == pytest.approx(RATE / 4)
