--- a/lovagepier/decisions/evidence.py
+++ b/lovagepier/decisions/evidence.py
@@ -37,12 +37,16 @@
     `Counts`. `load` is the highest load of them and `compared` the highest one that the
     old version's times were known for, both in thousandths of a request per second and
     target. `step` is the share of the highest step that has begun, in thousandths.
+    `took` is the longest time of them and `bar` the highest one that is not slow, in
+    microseconds.
     """
 
     strained: int = 0
     load: int = 0
     compared: int = 0
     step: int = 0
+    took: int = 0
+    bar: int = 0
 
 
 def _highest(row, other):
@@ -74,14 +78,16 @@
         self._rows[key] = merged
         return merged.minus(row)
 
-    def note_load(self, key, is_strained, load, compared, step):
+    def note_load(self, key, is_strained, load, compared, step, times=(0.0, 0.0)):
         """Add what an outcome tells of the loads to a row of this process.
 
-        Loads are in requests per second and target.
+        Loads are in requests per second and target, `times` are its time and the bar in
+        seconds.
         """
         row = self._loads.get(key, LoadCounts())
         thousandths = [round(value * 1000) for value in (load, compared, step)]
-        seen = LoadCounts(row.strained + int(is_strained), *thousandths)
+        micros = [round(seconds * 1e6) for seconds in times]
+        seen = LoadCounts(row.strained + int(is_strained), *thousandths, *micros)
         self._loads[key] = _highest(row, seen)
 
     def merge_loads(self, key, loads):
--- a/lovagepier/node/_open_rollout.py
+++ b/lovagepier/node/_open_rollout.py
@@ -69,6 +69,8 @@
             f"slow at {loads.load / 1000:.1f} requests/s a target, "
             f"compared up to {loads.compared / 1000:.1f}"
         )
+        if loads.took and not self.excess:
+            return f"{text}; {loads.took / 1e6:.4f} s, bar {loads.bar / 1e6:.4f} s"
         for measure, (value, bar) in self.excess.items():
             name = _MEASURES.get(measure, measure)
             text += f"; {name} in {value:.4f} s, bar {bar:.4f} s"
--- a/lovagepier/node/_outcome_judge.py
+++ b/lovagepier/node/_outcome_judge.py
@@ -7,6 +7,8 @@
 
 __all__ = ["JudgedOutcome", "OutcomeJudge"]
 
+MIN_BAR_S = 1e-6
+
 
 @dataclass(slots=True, frozen=True)
 class JudgedOutcome:
@@ -22,6 +24,14 @@
     load_compared: float = 0.0
     excess: dict = field(default_factory=dict)
 
+    def times(self):
+        """Return its (time, bar) in seconds, those that are furthest apart."""
+        # Bars are rounded, so that one of a microsecond is 0.
+        rows = self.excess.values()
+        ratios = [(value / max(bar, MIN_BAR_S), value, bar) for value, bar in rows]
+        _, *times = max(ratios, default=(0.0, 0.0, 0.0))
+        return times
+
 
 class OutcomeJudge:
     """Judges outcomes by the times and loads that this node knows."""
--- a/lovagepier/node/_rollouts.py
+++ b/lovagepier/node/_rollouts.py
@@ -100,10 +100,11 @@
         is_strained = judged.pace is Pace.STRAINED and not failed
         is_strained = is_strained and not entry.trigger.is_slow(row.route)
         if message.version == entry.rollout.new:
-            loads = (judged.load, judged.load_compared, entry.step)
-            self._evidence.note_load(row, is_strained, *loads)
+            figures = (judged.load, judged.load_compared, entry.step)
+            times = judged.times() if is_strained else (0.0, 0.0)
+            self._evidence.note_load(row, is_strained, *figures, times)
         if is_strained:
-            entry.excess = judged.excess
+            entry.excess = judged.excess or entry.excess
             self._add_strained(entry, 1)
             return
         slow = judged.pace is not Pace.USUAL and not failed
@@ -135,11 +136,13 @@
         """Tell operators that the advance stopped for want of capacity, or goes on."""
         rollout = entry.rollout
         loads = self._evidence.highest_loads(entry.evidence_id)
-        event = "held for capacity" if entry.hold.is_held else "no longer held"
-        figures = entry.figures(loads)
-        entry.hold_cause = f"{event}: {figures}" if entry.hold.is_held else None
+        event, why = "no longer held", "outcomes are usual again"
+        entry.hold_cause = None
+        if entry.hold.is_held:
+            event, why = "held for capacity", entry.figures(loads)
+            entry.hold_cause = f"{event}: {why}"
         self.node.timeline.add(
-            "moves", event, why=figures, move=rollout.id, version=rollout.new
+            "moves", event, why=why, move=rollout.id, version=rollout.new
         )
         self.log.warning(
             f"rollout {event}",
--- a/lovagepier/peers/messages.py
+++ b/lovagepier/peers/messages.py
@@ -302,7 +302,7 @@
     def check(self):
         """Raise TypeError or ValueError if a field has the wrong type."""
         _check_rows(self.rows, (str, str, str, str, int, int, int))
-        _check_rows(self.loads, (str, str, str, str, int, int, int, int))
+        _check_rows(self.loads, (str, str, str, str, int, int, int, int, int, int))
 
 
 @message("brk")
--- a/test/test_capacity_hold.py
+++ b/test/test_capacity_hold.py
@@ -141,7 +141,10 @@
 
 
 def test_loads_merge_in_any_order():
-    rows = [LoadCounts(3, 20_000, 10_000, 600), LoadCounts(5, 18_000, 10_000, 1000)]
+    rows = [
+        LoadCounts(3, 20_000, 10_000, 600, 400, 130),
+        LoadCounts(5, 18_000, 10_000, 1000, 300, 130),
+    ]
     key = EvidenceKey("m#0", "v2", "note", "n1/x")
     merged = []
     for order in (rows, rows[::-1], rows * 2):
@@ -149,7 +152,7 @@
         added = sum(evidence.merge_loads(key, row) for row in order)
         assert added == 5
         merged.append(evidence.highest_loads("m#0"))
-    assert set(merged) == {LoadCounts(5, 20_000, 10_000, 1000)}
+    assert set(merged) == {LoadCounts(5, 20_000, 10_000, 1000, 400, 130)}
     evidence.forget("m#0")
     assert evidence.highest_loads("m#0") == LoadCounts()
 
--- a/test/test_held_rollouts.py
+++ b/test/test_held_rollouts.py
@@ -8,8 +8,10 @@
 
 from lovagepier.config import ConfigView
 from lovagepier.config._schema import empty_document
+from lovagepier.decisions.slowness import Pace
 from lovagepier.frames import CodecError, decode, encode
 from lovagepier.node._members import PeerMessage
+from lovagepier.node._outcome_judge import JudgedOutcome
 from lovagepier.node._rollout_loads import RolloutLoads
 from lovagepier.node._rollouts import OutcomeObserved, RolloutsActor
 from lovagepier.operators import OperatorsApp
@@ -180,7 +182,7 @@
     assert host.state[0] == "held"
     host.observe("v2", USUAL_S, 100)
     assert host.state == ("watching", 1.0, None)
-    assert host.event_names().count("no longer held") == 1
+    assert host.events.count(("no longer held", "outcomes are usual again")) == 1
     host.tick_until(180.0)
     assert host.state[0] == "done"
 
@@ -241,6 +243,7 @@
     successor.tick_until(successor.now + 1.0)
     assert successor.state[:2] == ("held", 1.0)
     assert "slow at 20.0 requests/s a target" in successor.state[2]
+    assert "0.4000 s, bar 0.1300 s" in successor.state[2]
     successor.observe("v2", USUAL_S, 100)
     assert successor.state[0] == "watching"
 
@@ -249,7 +252,7 @@
     host = Host()
     host.actor.on_tick(None)
     rows = [["m#0", "v2", "note", "n1/x", 300, 0, 0]]
-    loads = [["m#0", "v2", "note", "n1/x", 9, 20_000, 10_000, 600]]
+    loads = [["m#0", "v2", "note", "n1/x", 9, 20_000, 10_000, 600, 400_000, 130_000]]
     host.actor.on_peer_message(PeerMessage(messages.EvidenceUpdate(rows, loads), None))
     host.tick_until(180.0)
     assert host.state[:2] == ("held", 0.6)
@@ -292,8 +295,8 @@
     "row",
     [
         ["m#0", "v2", "note", "n1/x", 9, 1, 1],
-        ["m#0", "v2", "note", "n1/x", 9, 1, 1, "x"],
-        ["m#0", "v2", "note", "n1/x", 9, 1, 1, 0.5],
+        ["m#0", "v2", "note", "n1/x", 9, 1, 1, 1, 1, "x"],
+        ["m#0", "v2", "note", "n1/x", 9, 1, 1, 1, 1, 0.5],
     ],
 )
 def test_loads_of_another_shape_are_refused(row):
@@ -332,3 +335,9 @@
         host.pools.granted += 4
         loads.update({"drafter": ("v1", {"v2": 0.5})}, tenth / 10)
     assert loads.highest("drafter", "old0", "v1", 9.9) == pytest.approx(RATE / 4)
+
+
+def test_the_times_of_an_outcome_are_those_furthest_above_their_bar():
+    excess = {"first": [0.5, 0.4], "pace": [0.00002, 0.0]}
+    assert JudgedOutcome(Pace.STRAINED, excess=excess).times() == [0.00002, 0.0]
+    assert JudgedOutcome(Pace.STRAINED).times() == [0.0, 0.0]
