End a target's stream at an event whose id does not follow

Callers got events twice, in the wrong order or with gaps, and a stream that ended as complete, where one target's own stream had them (ORDER). Cause: the order of ids was checked only at the place where another target resumes a stream.

The events before the misplaced one are passed on, then the target counts as broken off: the stream goes on at another one where the route allows it, else it is cut.

Ruled out: the relay and the resumption (the same with one chunk, and routes that may not resume).

--- a/lovagepier/entry/_callers/events.py
+++ b/lovagepier/entry/_callers/events.py
@@ -27,6 +27,10 @@
     """A stream ended inside an event."""
 
 
+class _Misplaced(Exception):
+    """An event has no place in the stream of its target."""
+
+
 class NotContinued(Exception):
     """A resumed stream does not go on where the one before it broke off."""
 
@@ -38,17 +42,20 @@
     up to that one are dropped, and the first new event must be the next one: its id is
     higher by `step` at most, the largest step between two events of the broken stream.
     `count` is the number of events returned, `can_resume` tells whether a stream could
-    be resumed after the last one.
+    be resumed after the last one. `fault` tells why an event, and all after it, is not
+    returned: its id does not follow. It is empty while there is none.
     """
 
     __slots__ = (
         "_buffer",
         "_has_joined",
         "_inherits_step",
+        "_last_number",
         "_resumes",
         "_searched",
         "can_resume",
         "count",
+        "fault",
         "last_id",
         "step",
     )
@@ -64,6 +71,9 @@
         self.step = step if self._inherits_step else 1
         self.can_resume = not last_id or _number(last_id) is not None
         self.count = 0
+        self.fault = ""
+        # The last number among the ids of this target's events.
+        self._last_number = None
 
     @property
     def incomplete(self):
@@ -77,6 +87,8 @@
         `MAX_EVENT_BYTES`, and `NotContinued` if the stream resumes another one and its
         first new event is not the next one.
         """
+        if self.fault:
+            return b""
         self._buffer += data
         complete = []
         start = 0
@@ -84,8 +96,12 @@
         for match in _END.finditer(self._buffer, self._searched):
             event = self._buffer[start : match.end()]
             start = match.end()
-            if self._accept(event):
-                complete.append(event)
+            try:
+                if self._accept(event):
+                    complete.append(event)
+            except _Misplaced as exc:
+                self.fault = str(exc)
+                return b"".join(complete)
         self._buffer = self._buffer[start:]
         self._searched = max(len(self._buffer) - _MAX_SEPARATOR + 1, 0)
         if not complete and len(self._buffer) > MAX_EVENT_BYTES:
@@ -103,7 +119,11 @@
             raise EventTruncated(
                 f"the stream ended after {len(rest)} bytes of an event"
             )
-        return rest if self._accept(rest) else b""
+        try:
+            return rest if self._accept(rest) else b""
+        except _Misplaced as exc:
+            self.fault = str(exc)
+            return b""
 
     def check_joined(self):
         """Raise `NotContinued` if a resumed stream ends without proof of its place.
@@ -121,6 +141,7 @@
         number = _number(event_id)
         if self._resumes and not self._joins(number):
             return False
+        self._check_order(number)
         self._follow(event_id, number)
         self.count += 1
         return True
@@ -139,6 +160,19 @@
         self._has_joined = True
         return True
 
+    def _check_order(self, number):
+        """Raise `_Misplaced` unless an event may follow the last one of its target.
+
+        Ids ascend, by no more than before: by the distance of the first one to the
+        event that the stream begins after.
+        """
+        last = self._last_number
+        if number is None or last is None:
+            return
+        is_next_known = self.can_resume
+        if number <= last or (is_next_known and number > last + self.step):
+            raise _Misplaced(f"event {number} after event {last}")
+
     def _follow(self, event_id, number):
         self.can_resume = number is not None
         if number is not None:
@@ -146,6 +180,7 @@
             # The first event of a stream shows a step only until there is a second.
             is_first_step = self.count <= 1 and not self._inherits_step
             self.step = step if is_first_step else max(self.step, step)
+            self._last_number = number
         self.last_id = event_id
 
 
--- a/lovagepier/entry/_callers/stream_relay.py
+++ b/lovagepier/entry/_callers/stream_relay.py
@@ -58,15 +58,16 @@
             has_ended = data is None
             passed = self._splitter.count
             events = self._split(data)
-            if not events:
-                continue
             if self._splitter.count > passed:
                 progress.progress_at = self._loop.time()
                 if first is None:
                     first = self._loop.time() - started_at
                     self._grants.report_first_event(grant, first)
-            self._caller.start_stream(response)
-            await self._caller.send_events(events)
+            if events:
+                self._caller.start_stream(response)
+                await self._caller.send_events(events)
+            if self._splitter.fault:
+                raise TargetConnectionLost(self._splitter.fault)
         self._splitter.check_joined()
         self._caller.start_stream(response)
         self._caller.end_stream()
--- a/test/test_broken_streams.py
+++ b/test/test_broken_streams.py
@@ -325,6 +325,24 @@
     runner.run(scenario())
 
 
+@pytest.mark.parametrize("joined", [True, False], ids=["one chunk", "chunks"])
+@pytest.mark.parametrize("numbers", [(1, 2, 2, 3, 4), (1, 2, 1), (1, 2, 4)], ids=repr)
+def test_a_stream_out_of_order_goes_on_at_another_target(
+    runner, calls, numbers, joined
+):
+    async def scenario():
+        await calls.renew()
+        first = stream(*numbers)
+        if joined:
+            data = b"".join(map(piece, numbers))
+            first = Answer(head(), chunk(data), LAST_CHUNK)
+        seen, asked = await calls.play(first, stream(3, 4))
+        assert (seen.status, seen.body, seen.is_complete) == (200, WHOLE, True)
+        assert asked == [None, "2"]
+
+    runner.run(scenario())
+
+
 def test_a_stream_of_which_only_comments_were_seen_begins_anew(runner, calls):
     async def scenario():
         await calls.renew()
