Lose an answer whose framed body holds a second one

Cause: the framing counts bytes, and was taken for proof of whose they are; only bodies without a length were searched.

- Whole bodies are searched, once and in linear time, for a status line that is followed by headers only, one of which bears an id that the connection has carried, a seal or a refusal.
A status line that begins in a body with a length and goes on behind it counts without them; where a body ends in the start of one, the bytes behind it are awaited for 50 ms.
- An event that has a status line and, from there on, a line that is neither a known field nor a comment ends its stream before it.
Other unknown fields pass.
- A refusal with another answer in its body is not believed: the call may have run.

--- a/lovagepier/entry/_callers/events.py
+++ b/lovagepier/entry/_callers/events.py
@@ -2,6 +2,8 @@
 
 import re
 
+from lovagepier.entry._targets.second_response import holds_head
+
 __all__ = ["EventSplitter", "EventTooLong", "EventTruncated", "NotContinued"]
 
 # Bytes without the end of an event that still count as one; more are no stream.
@@ -43,7 +45,8 @@
     higher by `step` at most, the largest step between two events of the broken stream.
     `count` is the number of events returned, `can_resume` tells whether a stream could
     be resumed after the last one. `fault` tells why an event, and all after it, is not
-    returned: its id does not follow. It is empty while there is none.
+    returned: its id does not follow, or it holds the head of another response. It is
+    empty while there is none.
     """
 
     __slots__ = (
@@ -137,6 +140,8 @@
         if not _FIELD.search(event):
             # Comments and blank lines have no place in the order of events.
             return not self._resumes
+        if holds_head(event):
+            raise _Misplaced("a second response inside an event")
         event_id = _event_id(event)
         number = _number(event_id)
         if self._resumes and not self._joins(number):
--- a/lovagepier/entry/_callers/exchange.py
+++ b/lovagepier/entry/_callers/exchange.py
@@ -161,6 +161,7 @@
         self._progress.attempts += 1
         self._progress.excluded.add(grant.target)
         executed_before = self._progress.maybe_executed
+        executions_before = self._progress.executions
         self._progress.maybe_executed = True
         self._progress.executions += 1
         try:
@@ -172,7 +173,7 @@
             if response.not_executed:
                 status = "paused" if is_paused else "not-run"
                 self._progress.maybe_executed = executed_before
-                self._progress.executions -= 1
+                self._progress.executions = executions_before
                 if await tconn.discard_body():
                     self._release_connection(target, tconn, response)
                 return _Outcome.NOT_EXECUTED
@@ -196,6 +197,9 @@
             return self._handle_response(response, body)
         except TargetConnectionLost as exc:
             status = "vanished"
+            # Also if it had stated before that it did not.
+            self._progress.maybe_executed = True
+            self._progress.executions = executions_before + 1
             _log.info(
                 "a target broke off",
                 request=self._call.request_id,
--- a/lovagepier/entry/_targets/conn.py
+++ b/lovagepier/entry/_targets/conn.py
@@ -1,23 +1,26 @@
 """HTTP/1.1 connections to targets: h11 on an asyncio transport."""
 
 import asyncio
+import contextlib
 
 import h11
 
+from lovagepier.entry._targets.errors import SecondResponseFound, TargetConnectionLost
+from lovagepier.entry._targets.parsers import MAX_HEAD_BYTES, make_parser
+from lovagepier.entry._targets.second_response import find_second_response
 from lovagepier.entry._targets.undelimited_body import (
     SecondResponse,
     UndelimitedBody,
+    is_chunked,
     is_undelimited,
 )
 from lovagepier.logs import component_logger
-from lovagepier.platform import decode_response
+from lovagepier.platform import decode_response, is_response_mark
 
 __all__ = ["TargetConnection", "TargetConnectionLost"]
 
 # Reading pauses while a slow caller leaves more than this unread.
 MAX_UNPARSED_BYTES = 256 * 1024
-# Limit on the head of a target's response.
-MAX_HEAD_BYTES = 64 * 1024
 # Idle connections are closed after this, before most targets close theirs.
 MAX_IDLE_S = 10.0
 # Subtracted from the idle timeout that a target announces, to close first.
@@ -36,17 +39,12 @@
 # this long.
 MAX_DISCARDED_BYTES = 64 * 1024
 DISCARD_TIMEOUT_S = 0.1
+# How long a body that ends in what may be a head waits for the bytes behind it.
+SETTLE_TIMEOUT_S = 0.05
 
 _log = component_logger("targets")
 
 
-class TargetConnectionLost(Exception):
-    """The connection ended or broke HTTP after the request was sent.
-
-    The target may have run the request.
-    """
-
-
 class TargetConnection(asyncio.Protocol):
     """One connection, which carries one request at a time.
 
@@ -62,6 +60,7 @@
         "_carried_ids",
         "_failure",
         "_http",
+        "_is_chunked",
         "_loop",
         "_paused",
         "_readable",
@@ -87,6 +86,7 @@
         self._unparsed_bytes = 0
         self._request = None
         self._undelimited = None
+        self._is_chunked = False
         self._body_ended = False
         self._carried_ids = set()
         self.idle_since = 0.0
@@ -183,11 +183,14 @@
             if self._failure is not None:
                 raise TargetConnectionLost(self._failure)
             self._resume()
-            self._readable = self._loop.create_future()
-            try:
-                await self._readable
-            finally:
-                self._readable = None
+            await self._wait_readable()
+
+    async def _wait_readable(self):
+        self._readable = self._loop.create_future()
+        try:
+            await self._readable
+        finally:
+            self._readable = None
 
     def _resume(self):
         self._unparsed_bytes = 0
@@ -214,6 +217,7 @@
             undelimited = is_undelimited(event)
             if response.request_id == request_id:
                 self._body_ended = False
+                self._is_chunked = is_chunked(event)
                 self._undelimited = UndelimitedBody(response) if undelimited else None
                 return response
             _log.info(
@@ -251,17 +255,7 @@
         rest, has_ended = self._http.trailing_data
         # h11 expects one response per request. The request was sent and is still
         # unanswered, so a new parser is told of a request that is not sent again.
-        self._http = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
-        )
-        self._http.send(
-            h11.Request(
-                method=self._request.method,
-                target=self._request.target,
-                headers=[(b"host", b"-")],
-            )
-        )
-        self._http.send(h11.EndOfMessage())
+        self._http = make_parser(self._request.method, self._request.target)
         if rest:
             self._http.receive_data(rest)
         if has_ended:
@@ -278,7 +272,7 @@
             try:
                 data = self._read_event(event)
             except SecondResponse as exc:
-                raise TargetConnectionLost(str(exc))
+                raise SecondResponseFound(str(exc))
             if data:
                 return data
         return None
@@ -309,23 +303,57 @@
             size += len(data)
             if size > MAX_BODY_BYTES:
                 raise TargetConnectionLost("the body does not end")
-        return b"".join(parts)
+        body = b"".join(parts)
+        await self._check_body(body)
+        return body
+
+    async def _check_body(self, body):
+        """Raise `SecondResponseFound` if a framed body holds a second response."""
+        if self._undelimited is not None or self._request.method == b"HEAD":
+            return
+        is_found = find_second_response(body, self._rest(), self._is_mark)
+        if is_found is None and await self._wait_for_rest():
+            is_found = find_second_response(body, self._rest(), self._is_mark)
+        if is_found:
+            raise SecondResponseFound("a second response inside a framed body")
+
+    def _rest(self):
+        # What follows a last chunk is no part of the body.
+        is_counted = self._body_ended and not self._is_chunked
+        return self._http.trailing_data[0] if is_counted else b""
+
+    def _is_mark(self, name, value):
+        return is_response_mark(name, value, self._carried_ids)
+
+    async def _wait_for_rest(self):
+        """Return whether bytes are there behind the body, now or soon."""
+        _, has_ended = self._http.trailing_data
+        is_open = self._body_ended and not has_ended and self._failure is None
+        if is_open and not self._is_chunked and not self._rest():
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(SETTLE_TIMEOUT_S):
+                    await self._wait_readable()
+        return bool(self._rest())
 
     async def discard_body(self):
         """Read the rest of a body that nobody needs; return whether it has ended.
 
-        False means that it is too long, too slow or truncated.
+        False means that it is too long, too slow or truncated. Raise
+        `SecondResponseFound` if it holds a second response.
         """
-        size = 0
+        body = b""
         try:
             async with asyncio.timeout(DISCARD_TIMEOUT_S):
                 while (data := await self.read_data()) is not None:
-                    size += len(data)
-                    if size > MAX_DISCARDED_BYTES:
-                        return False
+                    body += data
+                    if len(body) > MAX_DISCARDED_BYTES:
+                        break
+        except SecondResponseFound:
+            raise
         except (TimeoutError, TargetConnectionLost):
-            return False
-        return True
+            pass
+        await self._check_body(body)
+        return self._body_ended
 
     def finish(self, response):
         """End the current request; return whether the connection can be reused.
--- /dev/null
+++ b/lovagepier/entry/_targets/second_response.py
@@ -0,0 +1,95 @@
+"""Finds a second response where the rest of a first one is due.
+
+A target that breaks off and answers again writes its second response inside the head
+of the first one, or inside its body: the framing of a body counts its bytes, whatever
+they are.
+"""
+
+import re
+
+from lovagepier.entry._targets.head_search import HEAD_START, MAX_HEAD_BYTES
+
+__all__ = ["find_second_response", "holds_head"]
+
+_STATUS = re.compile(rb"HTTP/1\.[01] [0-9]{3}(?=[ \r\n]|\Z)")
+# The start of a status line at the end of what was read.
+_PARTIAL_STATUS = re.compile(
+    rb"H(?:T(?:T(?:P(?:/(?:1(?:\.(?:[01](?: [0-9]{0,3})?)?)?)?)?)?)?)?\Z"
+)
+_MAX_PARTIAL = len(b"HTTP/1.1 200")
+_HEADER_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:")
+_LINE_END = re.compile(rb"\r\n|\r|\n")
+# A line of a server-sent event with a known field, or a comment.
+_EVENT_LINE = re.compile(rb"(?:data|event|id|retry)?:|(?:data|event|id|retry)\Z")
+
+
+def holds_head(event):
+    """Return whether a server-sent event holds the head of a response.
+
+    That is a status line which is followed by lines that no event has. Texts about
+    HTTP have the name of a field before each of their lines.
+    """
+    if HEAD_START not in event:
+        return False
+    found = _STATUS.search(event)
+    if found is None:
+        return False
+    before = max(
+        event.rfind(b"\n", 0, found.start()), event.rfind(b"\r", 0, found.start())
+    )
+    lines = _LINE_END.split(event[before + 1 :])
+    return any(line and not _EVENT_LINE.match(line) for line in lines)
+
+
+def find_second_response(body, rest, is_mark):
+    """Return whether a framed body holds another response, None if that is not certain.
+
+    `rest` are the bytes that follow the body on its connection. `is_mark(name, value)`
+    tells whether a header proves a target's response. Without one a head is text,
+    unless it goes on behind the body's end. It is not certain where the body ends in
+    what may be a head, and nothing follows yet.
+    """
+    if HEAD_START not in body and not _PARTIAL_STATUS.search(body[-_MAX_PARTIAL:]):
+        return False
+    data = body + rest[:MAX_HEAD_BYTES]
+    position = 0
+    while found := _STATUS.search(data, position):
+        if found.start() >= len(body):
+            return False
+        position = _end_of_line(data, found.end())
+        position, is_found = _read_lines(data, position, len(body), is_mark)
+        if is_found is not False:
+            return is_found
+    tail = max(len(data) - _MAX_PARTIAL, position)
+    found = _PARTIAL_STATUS.search(data[tail:])
+    if found is None or tail + found.start() >= len(body):
+        return False
+    return True if rest else None
+
+
+def _read_lines(data, position, size, is_mark):
+    """Read the headers behind a status line; return (position, whether it is found).
+
+    `size` is the length of the body that `data` begins with.
+    """
+    while position <= size:
+        if position == len(data):
+            return position, None
+        end = _end_of_line(data, position)
+        line = data[position:end]
+        if not line.strip():
+            # Behind the body's end it ends a head, too.
+            return end, position == size
+        is_partial = not line.endswith(b"\n")
+        if not (is_partial or line[:1] in b" \t" or _HEADER_LINE.match(line)):
+            return position, False
+        name, _, value = line.partition(b":")
+        if is_mark(name.lower(), value.strip()):
+            return end, True
+        position = end
+    return position, True
+
+
+def _end_of_line(data, position):
+    end = data.find(b"\n", position)
+    return len(data) if end < 0 else end + 1
--- a/lovagepier/entry/_targets/undelimited_body.py
+++ b/lovagepier/entry/_targets/undelimited_body.py
@@ -7,11 +7,12 @@
 import h11
 import xxhash
 
-from lovagepier.entry._targets.head_search import MAX_HEAD_BYTES, HeadSearch
+from lovagepier.entry._targets.head_search import HeadSearch
+from lovagepier.entry._targets.parsers import make_parser
 from lovagepier.logs import component_logger
 from lovagepier.platform import decode_response
 
-__all__ = ["SecondResponse", "UndelimitedBody", "is_undelimited"]
+__all__ = ["SecondResponse", "UndelimitedBody", "is_chunked", "is_undelimited"]
 
 # Times that a response may be repeated.
 MAX_COPIES = 4
@@ -33,6 +34,11 @@
     return not is_delimited and event.status_code not in (204, 304)
 
 
+def is_chunked(event):
+    """Return whether the body of an `h11.Response` comes in chunks."""
+    return any(name == b"transfer-encoding" for name, _ in event.headers)
+
+
 class UndelimitedBody:
     """Passes on the body of `response`, a `TargetResponse`, up to a second response.
 
@@ -108,7 +114,7 @@
     def __init__(self, size, copies_left):
         self._bytes_left = size
         self._copies_left = copies_left
-        self._http = _parser()
+        self._http = make_parser()
         self._body = None
         self._digest = xxhash.xxh3_128()
         self._is_complete = False
@@ -171,7 +177,7 @@
 
 def _parse_head(data):
     """Return the `TargetResponse` of a head, None if it is none."""
-    http = _parser()
+    http = make_parser()
     try:
         http.receive_data(data)
         event = http.next_event()
@@ -180,12 +186,5 @@
     return _decode(event) if isinstance(event, h11.Response) else None
 
 
-def _parser():
-    http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-    http.send(h11.Request(method=b"GET", target=b"/", headers=[(b"host", b"-")]))
-    http.send(h11.EndOfMessage())
-    return http
-
-
 def _decode(event):
     return decode_response(event.status_code, list(event.headers), event.http_version)
--- a/lovagepier/platform/__init__.py
+++ b/lovagepier/platform/__init__.py
@@ -28,6 +28,7 @@
     decode_call,
     decode_response,
     encode_call,
+    is_response_mark,
     relayed_headers,
     with_last_event_id,
 )
@@ -56,6 +57,7 @@
     "encode_call",
     "encode_rollout_state",
     "era_of",
+    "is_response_mark",
     "is_key",
     "is_rollout_state",
     "load_document",
--- a/lovagepier/platform/_headers.py
+++ b/lovagepier/platform/_headers.py
@@ -10,6 +10,7 @@
     "decode_response",
     "decode_call",
     "encode_call",
+    "is_response_mark",
     "relayed_headers",
     "with_last_event_id",
 ]
@@ -268,6 +269,17 @@
     )
 
 
+def is_response_mark(name, value, request_ids):
+    """Return whether a header proves the response of a target.
+
+    `name` is in lower case. An id proves it if it is one of `request_ids`; texts about
+    HTTP may have others.
+    """
+    if name == _REQUEST_ID:
+        return _text(value) in request_ids
+    return name in _TARGET_MARKS
+
+
 def _idle_timeout(value):
     for part in _text(value).split(","):
         name, _, number = part.strip().partition("=")
