Lose an answer whose head holds a second one

Callers got the first answer's status with the body and the seal of a failure, or 503 'not run' with it, where a target broke off inside the value of a header, or inside the reason, and answered again (MIXED, REFUSED). Cause: the parser reads a status line there as a value like any other, so one head was made of two.

A status line in the reason or a value means two heads, interim ones included: the attempt is lost, and the call may have run. Cuts at any other byte of a head are no HTTP to the parser.

Ruled out: names of headers, ends of lines and lengths (each cut of the matrix), and the framing (the same with a length, chunks, none and HTTP/1.0).

--- a/lovagepier/entry/_targets/conn.py
+++ b/lovagepier/entry/_targets/conn.py
@@ -7,7 +7,10 @@
 
 from lovagepier.entry._targets.errors import SecondResponseFound, TargetConnectionLost
 from lovagepier.entry._targets.parsers import MAX_HEAD_BYTES, make_parser
-from lovagepier.entry._targets.second_response import find_second_response
+from lovagepier.entry._targets.second_response import (
+    find_second_response,
+    is_head_of_two,
+)
 from lovagepier.entry._targets.undelimited_body import (
     SecondResponse,
     UndelimitedBody,
@@ -42,6 +45,8 @@
 # How long a body that ends in what may be a head waits for the bytes behind it.
 SETTLE_TIMEOUT_S = 0.05
 
+_HEADS = (h11.Response, h11.InformationalResponse)
+
 _log = component_logger("targets")
 
 
@@ -239,6 +244,8 @@
         """Return the next event that is not an interim response."""
         for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
+            if isinstance(event, _HEADS) and is_head_of_two(event):
+                raise TargetConnectionLost("a second response inside a head")
             if not isinstance(event, h11.InformationalResponse):
                 return event
         raise TargetConnectionLost("too many interim responses")
@@ -253,8 +260,6 @@
             if skipped > MAX_STALE_BYTES:
                 raise TargetConnectionLost("an endless response to another request")
         rest, has_ended = self._http.trailing_data
-        # h11 expects one response per request. The request was sent and is still
-        # unanswered, so a new parser is told of a request that is not sent again.
         self._http = make_parser(self._request.method, self._request.target)
         if rest:
             self._http.receive_data(rest)
--- a/lovagepier/entry/_targets/second_response.py
+++ b/lovagepier/entry/_targets/second_response.py
@@ -9,7 +9,7 @@
 
 from lovagepier.entry._targets.head_search import HEAD_START, MAX_HEAD_BYTES
 
-__all__ = ["find_second_response", "holds_head"]
+__all__ = ["find_second_response", "holds_head", "is_head_of_two"]
 
 _STATUS = re.compile(rb"HTTP/1\.[01] [0-9]{3}(?=[ \r\n]|\Z)")
 # The start of a status line at the end of what was read.
@@ -23,6 +23,17 @@
 _EVENT_LINE = re.compile(rb"(?:data|event|id|retry)?:|(?:data|event|id|retry)\Z")
 
 
+def is_head_of_two(event):
+    """Return whether the head that h11 has read is one of two responses.
+
+    The first one was cut inside its reason or a header's value, where a status line
+    is valid.
+    """
+    if _STATUS.search(event.reason):
+        return True
+    return any(_STATUS.search(value) for _, value in event.headers)
+
+
 def holds_head(event):
     """Return whether a server-sent event holds the head of a response.
 
