--- a/lovagepier/entry/_callers/events.py
+++ b/lovagepier/entry/_callers/events.py
@@ -2,6 +2,7 @@
 
 import re
 
+from lovagepier.entry._targets.head_search import HEAD_START
 from lovagepier.entry._targets.second_response import holds_head
 
 __all__ = ["EventSplitter", "EventTooLong", "EventTruncated", "NotContinued"]
@@ -140,13 +141,12 @@
         if not _FIELD.search(event):
             # Comments and blank lines have no place in the order of events.
             return not self._resumes
-        if holds_head(event):
+        if HEAD_START in event and holds_head(event):
             raise _Misplaced("a second response inside an event")
         event_id = _event_id(event)
         number = _number(event_id)
         if self._resumes and not self._joins(number):
             return False
-        self._check_order(number)
         self._follow(event_id, number)
         self.count += 1
         return True
@@ -165,27 +165,27 @@
         self._has_joined = True
         return True
 
-    def _check_order(self, number):
-        """Raise `_Misplaced` unless an event may follow the last one of its target.
+    def _follow(self, event_id, number):
+        """Note an event as the last one; raise `_Misplaced` unless it may follow.
 
         Ids ascend, by no more than before: by the distance of the first one to the
         event that the stream begins after.
         """
         last = self._last_number
-        if number is None or last is None:
-            return
-        is_next_known = self.can_resume
-        if number <= last or (is_next_known and number > last + self.step):
-            raise _Misplaced(f"event {number} after event {last}")
-
-    def _follow(self, event_id, number):
-        self.can_resume = number is not None
         if number is not None:
-            step = max(number - (_number(self.last_id) or 0), 1)
+            if last is None or not self.can_resume:
+                step = number - (_number(self.last_id) or 0)
+            else:
+                step = number - last
+            is_beyond = self.can_resume and step > self.step
+            if last is not None and (number <= last or is_beyond):
+                raise _Misplaced(f"event {number} after event {last}")
+            step = max(step, 1)
             # The first event of a stream shows a step only until there is a second.
             is_first_step = self.count <= 1 and not self._inherits_step
             self.step = step if is_first_step else max(self.step, step)
             self._last_number = number
+        self.can_resume = number is not None
         self.last_id = event_id
 
 
--- a/lovagepier/entry/_targets/conn.py
+++ b/lovagepier/entry/_targets/conn.py
@@ -46,7 +46,6 @@
 SETTLE_TIMEOUT_S = 0.05
 
 _HEADS = (h11.Response, h11.InformationalResponse)
-
 _log = component_logger("targets")
 
 
@@ -332,9 +331,9 @@
 
     async def _wait_for_rest(self):
         """Return whether bytes are there behind the body, now or soon."""
-        _, has_ended = self._http.trailing_data
-        is_open = self._body_ended and not has_ended and self._failure is None
-        if is_open and not self._is_chunked and not self._rest():
+        rest, has_ended = self._http.trailing_data
+        is_final = rest or has_ended or self._is_chunked or self._failure is not None
+        if self._body_ended and not is_final:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(SETTLE_TIMEOUT_S):
                     await self._wait_readable()
--- a/lovagepier/entry/_targets/second_response.py
+++ b/lovagepier/entry/_targets/second_response.py
@@ -40,8 +40,6 @@
     That is a status line which is followed by lines that no event has. Texts about
     HTTP have the name of a field before each of their lines.
     """
-    if HEAD_START not in event:
-        return False
     found = _STATUS.search(event)
     if found is None:
         return False
--- a/test/test_broken_streams.py
+++ b/test/test_broken_streams.py
@@ -343,6 +343,29 @@
     runner.run(scenario())
 
 
+def test_a_stream_that_is_cut_by_a_second_answer_goes_on_at_another_target(
+    runner, calls
+):
+    async def scenario():
+        await calls.renew(24)
+        wrong = {}
+        for cut in range(1, len(START[1])):
+
+            def second(request_id):
+                return head()(request_id) + b"".join(ALL) + LAST_CHUNK
+
+            first = Answer(head(), START[0], START[1][:cut], second)
+            seen, asked = await calls.play(first, stream(2, 3, 4))
+            got = (seen.status, seen.body, seen.is_complete, asked)
+            # A chunk that lacks only its end has brought its event.
+            is_whole = START[1][:cut].endswith((b"\n\n", b"\n\n\r"))
+            if got != (200, WHOLE, True, [None, "2" if is_whole else "1"]):
+                wrong[cut] = got
+        assert wrong == {}
+
+    runner.run(scenario())
+
+
 def test_a_stream_of_which_only_comments_were_seen_begins_anew(runner, calls):
     async def scenario():
         await calls.renew()
