--- a/test/test_succession.py
+++ b/test/test_succession.py
@@ -116,7 +116,7 @@
         )
         assert (await call(first, "/read/x", "r1")).status == 200
         assert "n1" in {row[0] for row in second.cluster.live_hosts()}
-        assert second.coordinator._share == 1.0
+        assert second.coordinator._pools.share == 1.0
 
     run_scenario(scenario, hosts=3)
 
