--- a/lovagepier/entry/_cluster/cluster.py
+++ b/lovagepier/entry/_cluster/cluster.py
@@ -8,12 +8,11 @@
 
 from lovagepier.entry._cluster.candidates import Candidates
 from lovagepier.entry._cluster.capacity import CapacityShares
+from lovagepier.entry._cluster.deferral import RefusalDeferral
 from lovagepier.entry._cluster.followers import Followers
+from lovagepier.entry._cluster.host_messages import HostMessages
 from lovagepier.entry._cluster.links import LinkCounts
 from lovagepier.entry._cluster.messages import (
-    DispatchRequest,
-    DispatchResult,
-    FirstEvent,
     Granted,
     Heartbeat,
     LimitStated,
@@ -23,17 +22,14 @@
     SnapshotRequest,
     StoreDelta,
     StoreSnapshot,
-    TargetDown,
     TargetLeaving,
     TargetPaused,
-    Withdraw,
 )
 from lovagepier.entry._cluster.older_formats import readable_progress
 from lovagepier.entry._cluster.outgoing import STANDBY_HEARTBEAT_ROUNDS, OutgoingLinks
 from lovagepier.entry._cluster.replication import Replication
 from lovagepier.entry._cluster.requests import Requests
 from lovagepier.entry._targets.statements import TargetStatements
-from lovagepier.errors import ErrorKind
 from lovagepier.logs import component_logger
 
 __all__ = ["Cluster"]
@@ -49,8 +45,6 @@
 # links open one by one.
 STARTUP_SWITCH_S = 0.15
 STARTUP_REDIAL_INTERVAL_S = 0.05
-# How long a host that starts alone puts off refusals for lack of quota.
-MAX_DEFER_S = 0.4
 REDIAL_INTERVAL_S = 0.3
 # Only this many of the most senior hosts watch the store. The others learn from their
 # coordinator; otherwise the store's load would grow with the number of hosts.
@@ -90,6 +84,7 @@
         )
         self.candidates = Candidates(cfg, view, self._outgoing, self.followers, boot)
         self.requests = Requests(self._send_to_coordinator)
+        self._host_messages = HostMessages(coordinator, self.followers, self.statements)
         self._capacity = CapacityShares(view)
         self._roster = []
         self._coordinator_store_age = 0.0
@@ -98,6 +93,9 @@
         self._retry_levels = {}
         self._switched_at = 0.0
         self._started_at = self._loop.time()
+        self._deferral = RefusalDeferral(
+            cfg, self.followers, self.requests, self._started_at
+        )
         self.coordinator_name = None
 
     # Used by the host's other parts
@@ -131,7 +129,7 @@
             # Waiting requests are sent once a coordinator is chosen.
             return
         if self._is_coordinator():
-            self._handle_as_coordinator(self._cfg.host_name, message)
+            self._host_messages.handle(self._cfg.host_name, message, self._loop.time())
             return
         link = self._outgoing.links.get(self.coordinator_name)
         if link is not None:
@@ -146,28 +144,13 @@
     def send_to_host(self, entry, message):
         """Send an answer of this host's coordinator to an entry host."""
         if entry == self._cfg.host_name:
-            if not self._defers(message):
+            if not self._deferral.defers(message, self._loop.time()):
                 self.requests.on_answer(message)
             return
         link = self.followers.links.get(entry)
         if link is not None:
             link.send(message)
 
-    def _defers(self, message):
-        """Return whether a refusal is put off until more of the quota is handed out.
-
-        A host that starts alone has a small part of each quota. Refusals for lack of
-        more wait for the hosts that it is about to join, for `MAX_DEFER_S`.
-        """
-        if not isinstance(message, Refused) or message.kind != ErrorKind.OVER_QUOTA:
-            return False
-        ends_at = self._started_at + MAX_DEFER_S
-        if self._cfg.host_first_start == "true" or self._loop.time() >= ends_at:
-            return False
-        if self.followers.count():
-            return False
-        return self.requests.defer(message.id, ends_at)
-
     def on_message(self, link, message):
         """Handle a message from any link."""
         if isinstance(message, Heartbeat):
@@ -185,29 +168,7 @@
         elif isinstance(message, (TargetLeaving, TargetPaused)):
             self.statements.on_message(message)
         elif link.peer:
-            self._handle_as_coordinator(link.peer, message)
-
-    def _handle_as_coordinator(self, entry, message):
-        """Pass a message of an entry host to this host's coordinator."""
-        now = self._loop.time()
-        coordinator = self._coordinator
-        if isinstance(message, DispatchRequest):
-            coordinator.on_dispatch_request(entry, message, now)
-        elif isinstance(message, FirstEvent):
-            coordinator.on_first_event(entry, message, now)
-        elif isinstance(message, DispatchResult):
-            coordinator.on_result(entry, message, now)
-        elif isinstance(message, TargetDown):
-            coordinator.on_target_down(message, now)
-        elif isinstance(message, LimitStated):
-            coordinator.on_limit_stated(entry, message, now)
-        elif isinstance(message, Withdraw):
-            coordinator.on_withdraw(entry, message.id, now)
-        elif isinstance(message, RunningReport):
-            report = message.with_requests()
-            self.followers.on_joined(entry)
-            self.statements.mark_leaving(report.leaving)
-            coordinator.on_running_report(entry, report, now)
+            self._host_messages.handle(link.peer, message, self._loop.time())
 
     def _on_heartbeat(self, link, heartbeat):
         if self.followers.on_heartbeat(link, heartbeat):
@@ -303,23 +264,24 @@
         self.update_shares()
         rows = self.requests.running_rows()
         if not self._is_coordinator() or rows:
-            self._send_to_coordinator(
-                RunningReport(
-                    rows,
-                    self._coordinator.poison_detector.poisoned(),
-                    self._coordinator.rollouts.rollbacks(),
-                    {}
-                    if self._is_coordinator()
-                    else self._coordinator.quotas.take_spent(now),
-                    self._coordinator.poison_detector.suspect_rows(),
-                    self._coordinator.rate_limits.rows,
-                    self._view.leaving,
-                    self.statements.pause_rows(),
-                    self._coordinator.rejection_limits.rows,
-                )
-            )
+            self._send_to_coordinator(self._running_report(rows, now))
         self.requests.resend_all()
 
+    def _running_report(self, rows, now):
+        coordinator = self._coordinator
+        spent = {} if self._is_coordinator() else coordinator.quotas.take_spent(now)
+        return RunningReport(
+            rows,
+            coordinator.poison_detector.poisoned(),
+            coordinator.rollouts.rollbacks(),
+            spent,
+            coordinator.poison_detector.suspect_rows(),
+            coordinator.rate_limits.rows,
+            self._view.leaving,
+            self.statements.pause_rows(),
+            coordinator.rejection_limits.rows,
+        )
+
     # Periodic work
 
     async def run(self):
