--- a/lovagepier/node/_node.py
+++ b/lovagepier/node/_node.py
@@ -19,19 +19,16 @@
 from lovagepier.metrics import Metrics
 from lovagepier.node._actors import Tick, post
 from lovagepier.node._config import AdoptConfig, ConfigActor, ConfigWatcher
-from lovagepier.node._ledger import (
-    ClaimReleased,
-    ClaimRequested,
-    ClaimSettled,
-    LedgerActor,
-)
-from lovagepier.node._members import Leave, MembersActor, PeerMessage
+from lovagepier.node._ledger import LedgerActor
+from lovagepier.node._members import Leave, MembersActor
 from lovagepier.node._orders import Orders
+from lovagepier.node._peer_routes import PeerRoutes
 from lovagepier.node._permits import PermitClient
 from lovagepier.node._pools import Pools
 from lovagepier.node._rollouts import OutcomeObserved, RolloutsActor
 from lovagepier.node._roster import Roster
 from lovagepier.node._settlements import Settlements
+from lovagepier.node._status import node_status
 from lovagepier.node._targets import TargetReader
 from lovagepier.node._timeline import Timeline
 from lovagepier.peers import Links, messages
@@ -83,7 +80,9 @@
         self.stopped = threading.Event()
         self.started_at = time.time()
         self.permits = PermitClient(self)
-        self.links = Links(cfg, self._on_peer_message)
+        self._refs = {}
+        self._peer_routes = PeerRoutes(self, self._refs)
+        self.links = Links(cfg, self._peer_routes.handle)
         self.targets = TargetReader(self)
         self.settlements = Settlements(self)
         self.orders = Orders(self)
@@ -95,7 +94,6 @@
         self._host_seeds = []
         self._expiring_handles = deque()
         self._has_open_rollouts = False
-        self._refs = {}
 
     # Start and stop
 
@@ -269,7 +267,7 @@
 
     def announce_poison(self, fingerprint):
         """Mark a fingerprint as poison on this node and on all live peers."""
-        self._add_poison([fingerprint])
+        self.add_poison([fingerprint])
         body = messages.PoisonNotice([fingerprint])
         for name in self.roster.live:
             self.tell(name, body)
@@ -314,7 +312,7 @@
     def tell(self, name, body):
         """Send a message to a node or to this one, without delivery guarantee."""
         if name == self.cfg.node_name:
-            self._on_peer_message(body, lambda _: None)
+            self._peer_routes.handle(body, lambda _: None)
             return
         address = self.roster.address(name)
         if address is not None:
@@ -327,7 +325,7 @@
         error given to `on_error` is None if the node's address is unknown.
         """
         if name == self.cfg.node_name:
-            self._on_peer_message(body, on_answer)
+            self._peer_routes.handle(body, on_answer)
             return 0
         address = self.roster.address(name)
         if address is None:
@@ -366,40 +364,6 @@
             _, handle = self._expiring_handles.popleft()
             self.links.forget(handle)
 
-    def _on_peer_message(self, body, reply):
-        route = _ROUTES.get(type(body))
-        if route is not None:
-            route(self, body, reply)
-
-    def _to_members(self, body, reply):
-        post(self._refs["members"], PeerMessage(body, reply))
-
-    def _to_config(self, body, reply):
-        post(self._refs["config"], PeerMessage(body, reply))
-
-    def _to_rollouts(self, body, reply):
-        post(self._refs["moves"], PeerMessage(body, reply))
-
-    def _to_poison(self, body, reply):
-        self._add_poison(body.fingerprints)
-
-    def _to_ledger(self, body, reply):
-        wrap = {
-            messages.ClaimRequest: lambda: ClaimRequested(body, reply),
-            messages.ClaimSettle: lambda: ClaimSettled(body, reply),
-            messages.ClaimRelease: lambda: ClaimReleased(body, reply),
-        }[type(body)]
-        is_posted = post(self._refs["ledger"], wrap())
-        if not is_posted and isinstance(body, messages.ClaimRequest):
-            reply(messages.ClaimResponse("unavailable"))
-
-    def _to_events(self, body, reply):
-        found = self.timeline.find(body.request, body.move, body.since, body.limit)
-        reply(messages.EventsResponse(found))
-
-    def _to_status(self, body, reply):
-        reply(messages.StatusResponse(self.status()))
-
     # Targets
 
     def fetch_known_ids(self, ref, target):
@@ -410,54 +374,4 @@
 
     def status(self):
         """Return this node's status in types that JSON and CBOR can carry."""
-        return {
-            "node": self.cfg.node_name,
-            "zone": self.cfg.node_zone,
-            "region": self.cfg.node_region,
-            "boot": self.boot,
-            "build": build_name(),
-            "formats": OWN_FORMATS,
-            "version": self.view.version,
-            "stopping": self.stopping.is_set(),
-            "store_ok": self.store_ok,
-            "store_calls": self.store.calls,
-            "running": self.permits.count(),
-            "live": list(self.roster.live),
-            "pools": self.pools.statuses(),
-            "moves": dict(self.rollout_states),
-            "peer_bytes_sent": self.links.bytes_sent,
-            "peer_bytes_received": self.links.bytes_received,
-            "cpu_seconds": time.process_time(),
-            "uptime": self.wall() - self.started_at,
-        }
-
-
-def _to_pools(name):
-    def route(node, body, reply):
-        getattr(node.pools, name)(body, reply)
-
-    return route
-
-
-_ROUTES = {
-    messages.Probe: Node._to_members,
-    messages.ProbeAck: Node._to_members,
-    messages.ConfigAnnouncement: Node._to_config,
-    messages.ConfigPull: Node._to_config,
-    messages.ConfigSnapshot: Node._to_config,
-    messages.PermitRequest: _to_pools("request_permit"),
-    messages.PoolLookup: _to_pools("look_up"),
-    messages.PoolFirstByte: _to_pools("first_byte"),
-    messages.PoolFinished: _to_pools("finished"),
-    messages.PoolPause: _to_pools("pause"),
-    messages.PoolWithdraw: _to_pools("withdraw"),
-    messages.PoolRegister: _to_pools("register"),
-    messages.ClaimRequest: Node._to_ledger,
-    messages.ClaimSettle: Node._to_ledger,
-    messages.ClaimRelease: Node._to_ledger,
-    messages.EvidenceUpdate: Node._to_rollouts,
-    messages.RollbackNotice: Node._to_rollouts,
-    messages.PoisonNotice: Node._to_poison,
-    messages.EventsRequest: Node._to_events,
-    messages.StatusRequest: Node._to_status,
-}
+        return node_status(self)
