--- a/lovagepier/node/_pool.py
+++ b/lovagepier/node/_pool.py
@@ -22,14 +22,14 @@
     TargetsDraining,
     decode_work,
 )
+from lovagepier.node._pool_pauses import PauseAnnouncer
+from lovagepier.node._pool_status import PoolStatus
 from lovagepier.peers import messages
 
 __all__ = ["PoolActor"]
 
 MAX_KNOWN_IDS_WAIT_S = 1.0
 LOST_WORK_CHECK_S = 2.0
-STATUS_PERIOD_S = 0.5
-MIN_PAUSE_INTERVAL_S = 0.1
 
 
 class PoolActor(NodeActor):
@@ -82,9 +82,8 @@
         self._poisoned = frozenset()
         self._dead_nodes = frozenset()
         self._last_lost_check_at = self.started_at
-        self._last_status_at = float("-inf")
-        self._announced_shed = None
-        self._last_pause_at = float("-inf")
+        self._status = PoolStatus(self)
+        self._pauses = PauseAnnouncer(node, subject, region)
         self._answers = PoolAnswers(node, self.epoch)
 
     def on_start(self):
@@ -249,25 +248,8 @@
         """Pause lower tiers because another region's pool shed a request."""
         self.scheduler.pause_below(message.tier, self.node.clock())
 
-    def _announce_pause(self, now):
-        shed = self.scheduler.last_shed
-        if (
-            shed == self._announced_shed
-            or now - self._last_pause_at < MIN_PAUSE_INTERVAL_S
-        ):
-            return
-        self._announced_shed = shed
-        self._last_pause_at = now
-        for subject, region in self.node.view.pools():
-            if subject == self.subject and region != self.region:
-                coordinator = self.node.roster.owner(f"pool/{subject}/{region}", region)
-                if coordinator is not None:
-                    self.node.tell(
-                        coordinator, messages.PoolPause(subject, region, shed[0])
-                    )
-
     def _send_decisions(self, decisions, now):
-        self._announce_pause(now)
+        self._pauses.announce(self.scheduler.last_shed, now)
         for decision in decisions:
             waiting_reply = self._replies.pop(decision.work.id, None)
             answer = self._answers.decision(decision)
@@ -367,19 +349,7 @@
         self._merge_poison(now)
         self._forget_dead_hosts(now)
         self._send_decisions(self.scheduler.tick(now), now)
-        self._publish(now)
-
-    def _publish(self, now):
-        if now - self._last_status_at < STATUS_PERIOD_S:
-            return
-        self._last_status_at = now
-        status = {
-            "epoch": self.epoch,
-            "waiting": self.scheduler.waiting.sizes(),
-            "counts": dict(self._answers.counts),
-            "targets": [_target_status(state) for state in self.scheduler.fleet],
-        }
-        self.node.pools.publish(self.subject, self.region, status)
+        self._status.publish(self._answers.counts, now)
 
     def _merge_poison(self, now):
         poisoned = self.node.poisoned
@@ -415,16 +385,3 @@
             pool=f"{self.subject}/{self.region}",
         )
         self.stop()
-
-
-def _target_status(state):
-    return {
-        "name": state.name,
-        "version": state.version,
-        "in_flight": state.in_flight,
-        "limit": round(state.limit.value, 1),
-        "leaving": state.draining,
-        "down": state.down,
-        "ms_a_token": round(state.speed.token_seconds * 1000, 2),
-        "prefill_rate": round(state.speed.prefill_rate),
-    }
