--- a/lovagepier/peers/_links.py
+++ b/lovagepier/peers/_links.py
@@ -1,6 +1,7 @@
 """WebSocket links to peers; one event loop in its own thread serves them all."""
 
 import asyncio
+import contextlib
 import itertools
 import logging
 import ssl
@@ -98,6 +99,19 @@
             return
         ready.set_result(None)
         self._loop.run_forever()
+        self._loop.run_until_complete(self._end_tasks())
+
+    async def _end_tasks(self):
+        """Close the listener and its connections, then end the links to other nodes."""
+        self._server.close()
+        # A suspended peer does not answer the closing handshake.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await self._server.wait_closed()
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _listen(self):
         host, port = self._cfg.peers_listen
