--- a/test/conftest.py
+++ b/test/conftest.py
@@ -9,6 +9,7 @@
 from hypothesis import HealthCheck, settings
 
 from lovagepier.client import Caller
+from test.concurrent_cases import ConcurrentCases
 from trials.cluster import Cluster
 
 settings.register_profile(
@@ -50,3 +51,9 @@
 def caller(cluster):
     """A caller with the key of account blue, in zone a1."""
     return Caller(cluster.addresses(), "key-of-blue", "a1")
+
+
+@pytest.fixture
+def cases(request):
+    """The `ConcurrentCases` of the test."""
+    return ConcurrentCases(request)
--- a/test/test_brittle_targets.py
+++ b/test/test_brittle_targets.py
@@ -1,6 +1,7 @@
 """Targets that fall over when they must reject requests for want of room."""
 
 import asyncio
+from functools import partial
 
 import pytest
 
@@ -8,6 +9,7 @@
 from test.brittle_model import CONTACT_S, BrittleModel
 from test.builders import ended, make_scheduler, make_work
 from test.entry_builders import call, config, entry_fleet, route, wait_until
+from test.processes import map_in_processes
 
 SEEDS = range(6)
 # More than the targets can do.
@@ -34,6 +36,12 @@
     return sum(at > BEGIN_S + CONTACT_S for at in model.served)
 
 
+def play_counts(seed, number, changes):
+    """Return (falls, targets, requests served) of a run."""
+    model = play(seed, number, changes=changes)
+    return len(model.falls()), len(model.targets), served(model)
+
+
 @pytest.mark.parametrize(("changes", "least_served"), [(False, 0.85), (True, 0.7)])
 @pytest.mark.parametrize("number", [1, 3, 8])
 def test_brittle_targets_hardly_ever_fall(number, changes, least_served):
@@ -41,12 +49,13 @@
 
     The work done is compared with that at targets that withstand any rejections.
     """
-    totals = [0, 0]
-    for seed in SEEDS:
-        model = play(seed, number, changes=changes)
-        assert len(model.falls()) <= most_falls(len(model.targets)), seed
-        totals[0] += served(model)
-        totals[1] += served(play(seed, MANY, changes=changes))
+    brittle = map_in_processes(
+        partial(play_counts, number=number, changes=changes), SEEDS
+    )
+    for seed, (falls, targets, _) in zip(SEEDS, brittle, strict=True):
+        assert falls <= most_falls(targets), seed
+    sturdy = map_in_processes(partial(play_counts, number=MANY, changes=changes), SEEDS)
+    totals = [sum(counts[2] for counts in runs) for runs in (brittle, sturdy)]
     assert totals[0] >= least_served * totals[1]
 
 
--- a/test/test_mixed_builds.py
+++ b/test/test_mixed_builds.py
@@ -172,7 +172,9 @@
 
 
 @pytest.mark.parametrize("commit", ["3794c33", "0953dc6"])
-def test_hosts_are_replaced_one_after_the_other_and_back(commit, tmp_path):
+def test_hosts_are_replaced_one_after_the_other_and_back(
+    cases, commit, tmp_path_factory
+):
     """Replaces two hosts, takes one back, then replaces all of them.
 
     The newest build decides: the first host that is replaced, then the other one.
@@ -195,11 +197,16 @@
             await mixed.replace(host, "new")
             assert await mixed.one_coordinator() == second.name
 
-    play(commit, tmp_path, scenario)
+    def play_commit(commit):
+        play(commit, tmp_path_factory.mktemp(commit), scenario)
+
+    cases.play("commit", play_commit)
 
 
 @pytest.mark.parametrize("commit", ["3794c33", "0953dc6"])
-def test_a_replaced_coordinator_does_not_part_the_fleet(commit, tmp_path):
+def test_a_replaced_coordinator_does_not_part_the_fleet(
+    cases, commit, tmp_path_factory
+):
     """Replaces the coordinator, whose successor takes it for draining for good."""
 
     async def scenario(mixed, home):
@@ -211,11 +218,16 @@
         await mixed.replace(others[0], "new")
         await mixed.one_coordinator()
 
-    play(commit, tmp_path, scenario)
+    def play_commit(commit):
+        play(commit, tmp_path_factory.mktemp(commit), scenario)
+
+    cases.play("commit", play_commit)
 
 
 @pytest.mark.parametrize("commit", ["3794c33", "0953dc6"])
-def test_hosts_of_either_build_take_over_from_a_killed_one(commit, tmp_path):
+def test_hosts_of_either_build_take_over_from_a_killed_one(
+    cases, commit, tmp_path_factory
+):
     """Kills the deciding host until an old one decides, and begins anew."""
 
     async def scenario(mixed, home):
@@ -229,11 +241,16 @@
         for name in (home, second):
             await mixed.start_again(mixed.host(name))
 
-    play(commit, tmp_path, scenario, is_mixed=True)
+    def play_commit(commit):
+        play(commit, tmp_path_factory.mktemp(commit), scenario, is_mixed=True)
+
+    cases.play("commit", play_commit)
 
 
 @pytest.mark.parametrize("commit", ["3794c33", "0953dc6"])
-def test_a_mixed_fleet_keeps_a_bad_version_and_a_limit_within_bounds(commit, tmp_path):
+def test_a_mixed_fleet_keeps_a_bad_version_and_a_limit_within_bounds(
+    cases, commit, tmp_path_factory
+):
     """Orders a failing version, states a limit, and kills the deciding host."""
 
     async def scenario(mixed, home):
@@ -265,4 +282,13 @@
             assert most_in_a_window(told) <= allowed(LIMIT_PER_S)
 
     # Callers get the bad version's errors, and refusals beyond the limit.
-    play(commit, tmp_path, scenario, is_mixed=True, max_failed=1.0)
+    def play_commit(commit):
+        play(
+            commit,
+            tmp_path_factory.mktemp(commit),
+            scenario,
+            is_mixed=True,
+            max_failed=1.0,
+        )
+
+    cases.play("commit", play_commit)
--- a/test/test_rollout_plan.py
+++ b/test/test_rollout_plan.py
@@ -1,6 +1,7 @@
 """Tests of rollout plans: bounded exposure of bad versions, completion in time."""
 
 from dataclasses import replace
+from functools import partial
 
 import pytest
 from hypothesis import given
@@ -14,6 +15,7 @@
     RolloutProgress,
     Stage,
 )
+from test.processes import map_in_processes
 
 SHARE, SLACK = 0.1, 50
 
@@ -188,8 +190,8 @@
 @pytest.mark.parametrize("fault", ["slow-at-once", "fails-at-once"])
 def test_a_bad_version_stays_within_the_exposure_bound(fault):
     """Replays EXPOSURE on traffic that moves at once after the canary stage."""
-    for seed in range(40):
-        run = simulate(fault, seed, 80.0, 15.0, switches_at_once=True)
+    play = partial(simulate, fault, rate=80.0, length=15.0, switches_at_once=True)
+    for seed, run in enumerate(map_in_processes(play, range(40))):
         assert run.rolled_back_open and not run.exceeds_exposure, seed
 
 
@@ -207,10 +209,9 @@
 def test_a_slow_version_of_a_small_service_stays_within_the_exposure_bound(behaviour):
     """Replays EXPOSURE: half of the responses are slow, 17 requests a second."""
     service = replace(SMALL_SERVICE, faulty_share=0.5, **BEHAVIOURS[behaviour])
-    runs = [
-        simulate("slow-at-once", seed, switches_at_once=True, service=service)
-        for seed in range(100)
-    ]
+    play = partial(simulate, "slow-at-once", switches_at_once=True, service=service)
+    runs = map_in_processes(play, range(100))
+    assert len(runs) == 100
     assert not sum(run.exceeds_exposure for run in runs)
     assert not sum(not run.rolled_back_open for run in runs)
 
@@ -218,10 +219,9 @@
 @pytest.mark.parametrize("behaviour", BEHAVIOURS)
 def test_a_good_version_of_a_small_service_is_completed(behaviour):
     service = replace(SMALL_SERVICE, **BEHAVIOURS[behaviour])
-    runs = [
-        simulate("", seed, switches_at_once=True, service=service)
-        for seed in range(100)
-    ]
+    play = partial(simulate, "", switches_at_once=True, service=service)
+    runs = map_in_processes(play, range(100))
+    assert len(runs) == 100
     assert not sum(run.rolled_back_open or not run.completed for run in runs)
 
 
