--- a/test/stream_targets.py
+++ b/test/stream_targets.py
@@ -1,9 +1,11 @@
 """Targets that play raw answers, and callers that note how a stream ended for them."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 
+from lovagepier.entry._store import actors
 from test.entry_builders import HOST, KEY, connect, wait_until
 from test.platform_standins import TargetStandin
 
@@ -122,6 +124,20 @@
     writer.transport.abort()
 
 
+@contextlib.contextmanager
+def _quick_changes():
+    """Let hosts read changes of the store without their usual pause between batches.
+
+    This is for preparations: what a test observes goes on with the usual pause.
+    """
+    usual = actors.WATCH_BATCH_PAUSE_S
+    actors.WATCH_BATCH_PAUSE_S = 0.002
+    try:
+        yield
+    finally:
+        actors.WATCH_BATCH_PAUSE_S = usual
+
+
 class StreamTargets:
     """Targets of one service that share one script, replaced before each test.
 
@@ -138,6 +154,10 @@
 
     async def renew(self, count):
         """Replace all targets by `count` new ones."""
+        with _quick_changes():
+            await self._renew(count)
+
+    async def _renew(self, count):
         old, self._names = self._names, []
         for _ in range(count):
             self._made += 1
