--- a/lovagepier/bench/rollouts.py
+++ b/lovagepier/bench/rollouts.py
@@ -46,7 +46,7 @@
 # The old version runs alone so long before a rollout that moves all traffic at once.
 WARM_UP_S = 20.0
 EVIDENCE_DELAY_S = 0.25
-# A completed rollout is open until the hosts have the configuration that says so.
+# A completed rollout is open until the hosts have the configuration that records it.
 RECORD_DELAY_S = 1.0
 # A bad version may get this share of the requests and so many more (`RolloutPlan`).
 EXPOSURE_SHARE = 0.1
--- a/lovagepier/decisions/claims.py
+++ b/lovagepier/decisions/claims.py
@@ -113,7 +113,7 @@
     def claim(self, key, body, nonce, made_at, now):
         """Claim `key`; return a `ClaimAnswer`, or None until a batch is written.
 
-        `made_at` is the wall-clock time in seconds at which the caller says that
+        `made_at` is the wall-clock time in seconds at which, according to the caller,
         the key was created, or None. A key from before the horizon is refused, as
         its claim may have been deleted.
         """
--- a/lovagepier/decisions/estimates.py
+++ b/lovagepier/decisions/estimates.py
@@ -12,7 +12,7 @@
 _RELAX_FACTOR = 0.95
 # Outcomes needed before a learnt length replaces the default.
 MIN_SAMPLES = 3
-# The times of shorter prefills say too little about the rate.
+# The times of shorter prefills are too little evidence of the rate.
 MIN_PREFILL_TOKENS = 32
 
 
--- a/lovagepier/decisions/paths.py
+++ b/lovagepier/decisions/paths.py
@@ -10,7 +10,7 @@
 MAX_RETRY_S = 1.5
 # A host that could not connect this one to a target is asked last for this long.
 PEER_PAUSE_S = 1.0
-# A host without paths to this fraction of the targets says that it is cut off.
+# A host without paths to this fraction of the targets reports that it is cut off.
 CUT_OFF_FRACTION = 0.5
 
 
--- a/lovagepier/decisions/pauses.py
+++ b/lovagepier/decisions/pauses.py
@@ -31,7 +31,7 @@
         self._by_host = {}
 
     def pause(self, host, target, incarnation, until):
-        """Record that a target wants a pause from a host; return whether that is new.
+        """Record a pause that a target requested from a host; return whether it is new.
 
         It isn't if a pause that lasts as long is known.
         """
--- a/lovagepier/decisions/succession.py
+++ b/lovagepier/decisions/succession.py
@@ -17,9 +17,9 @@
 
     `members` are registrations with `name`, `capacity_score` and `create_revision`.
     The names in `stale` restarted since: what is registered is not their present
-    incarnation, so its age says nothing. They and the names in `draining` are left
-    out. The own host is always among the candidates: at its place by seniority,
-    or as the last one if it has no valid registration or with `own_last`.
+    incarnation, so its age is not that incarnation's. They and the names in `draining`
+    are left out. The own host is always among the candidates: at its place by
+    seniority, or as the last one if it has no valid registration or with `own_last`.
     """
     ranked = sorted(members, key=_seniority_key)
     names = [host.name for host in ranked]
--- a/lovagepier/decisions/work.py
+++ b/lovagepier/decisions/work.py
@@ -1,4 +1,4 @@
-"""What the scheduler knows of requests, and the decisions it makes about them.
+"""The scheduler's description of requests, and its decisions about them.
 
 The body of a request stays on its entry host.
 """
@@ -139,10 +139,10 @@
     `status` is one of ok, failed, refused, late, cancelled, died (the target refuses
     connections after it began to run the request), unreachable (it refuses
     connections, so the request was not sent), vanished (the connection ended, or the
-    target doesn't know the id), cut-off (the entry host lost its path to the target),
-    not-run (no connection to the target, or it did not run the request), paused (the
-    same, and it wants a pause from the entry host), returned (the grant
-    was not used) and lost (no outcome will arrive). `in_time` tells whether the
+    target has no record of the id), cut-off (the entry host lost its path to the
+    target), not-run (no connection to the target, or it did not run the request),
+    paused (the same, and it requested a pause from the entry host), returned (the
+    grant was not used) and lost (no outcome will arrive). `in_time` tells whether the
     deadline was met.
     """
 
--- a/lovagepier/entry/_build_gauges.py
+++ b/lovagepier/entry/_build_gauges.py
@@ -29,7 +29,7 @@
 
 
 def _labels(row):
-    """Return the build and the format of a host, as far as its coordinator says."""
+    """Return the build and the format of a host, as its coordinator reported them."""
     if len(row) <= _BUILD_COLUMN:
         return "unknown", "unknown"
     build = str(row[_BUILD_COLUMN]) or "unknown"
--- a/lovagepier/entry/_cluster/capacity.py
+++ b/lovagepier/entry/_cluster/capacity.py
@@ -30,7 +30,7 @@
 
         `host_count` is the number of hosts that use this coordinator, this host
         included. `starting` tells that this host has just started and may not
-        know all others yet.
+        have found all others yet.
         """
         members = self._view.members()
         recent_count = self._count_recent(members, now)
--- a/lovagepier/entry/_cluster/cluster.py
+++ b/lovagepier/entry/_cluster/cluster.py
@@ -46,11 +46,11 @@
 STARTUP_SWITCH_S = 0.15
 STARTUP_REDIAL_INTERVAL_S = 0.05
 REDIAL_INTERVAL_S = 0.3
-# Only this many of the most senior hosts watch the store. The others learn from their
-# coordinator; otherwise the store's load would grow with the number of hosts.
+# Only this many of the most senior hosts watch the store. The others get changes from
+# their coordinator; otherwise the store's load would grow with the number of hosts.
 MAX_WATCHING_HOSTS = 9
-# Hosts that learn from their coordinator watch the store themselves once the store
-# last answered the coordinator longer ago than this.
+# Hosts that get changes from their coordinator watch the store themselves once the
+# store last answered the coordinator longer ago than this.
 MAX_COORDINATOR_STORE_AGE_S = 1.5 + 2.0
 
 _log = component_logger("members")
@@ -202,7 +202,7 @@
             self._coordinator.rollouts.roll_back(service, revision, cause)
 
     def _merge_evidence(self, roster):
-        """Know what the coordinator knows of suspects, to continue if it is lost."""
+        """Copy the coordinator's evidence on suspects, to continue if it is lost."""
         detector = self._coordinator.poison_detector
         now = self._loop.time()
         detector.merge_poisoned(roster.poisoned, now)
@@ -357,7 +357,7 @@
         return self._view.store_age(self._loop.time())
 
     def set_cut_off(self, is_cut_off):
-        """Tell all linked hosts whether this host reaches few of the targets."""
+        """Notify all linked hosts whether this host reaches few of the targets."""
         if is_cut_off == self.followers.is_cut_off:
             return
         self.followers.is_cut_off = is_cut_off
@@ -366,7 +366,7 @@
         self._send_heartbeats()
 
     def announce_draining(self):
-        """Tell all linked hosts at once that this host is draining."""
+        """Notify all linked hosts at once that this host is draining."""
         self.followers.announce_draining()
         self._send_heartbeats()
 
--- a/lovagepier/entry/_cluster/links.py
+++ b/lovagepier/entry/_cluster/links.py
@@ -74,7 +74,7 @@
     which the store last answered the peer, by its last heartbeat or roster. `in_use`
     tells whether one end is the coordinator of the other; other links are on standby.
     `format` is the format in which messages are sent, `build` the peer's build, empty
-    if it does not say. A peer that states no format has that of the newest frame that
+    if it is not stated. A peer that states no format has that of the newest frame that
     it sent.
     """
 
--- a/lovagepier/entry/_cluster/messages.py
+++ b/lovagepier/entry/_cluster/messages.py
@@ -54,7 +54,7 @@
 @message("e.roster", reshape={"hosts": host_rows, "rollouts": rollout_rows})
 @dataclass(slots=True)
 class Roster:
-    """The coordinator's answer to a heartbeat, with what its followers must know.
+    """The coordinator's answer to a heartbeat, with the state that its followers need.
 
     `hosts` rows are [name, callers' address, zone, draining, is_cut_off, format,
     build]; None if they are the same as in the last roster on this link. `store_age` is
@@ -68,7 +68,7 @@
     the new version, comparisons, callers that left] of open rollouts; the comparisons
     are the `SlownessDetector.thresholds` and the `RollbackTrigger.state`, the last is
     the state of `VersionComparison.left`. `boot` identifies the sender's incarnation,
-    empty if it does not say. `retry_levels` maps services to the tokens left in their
+    empty if it is not stated. `retry_levels` maps services to the tokens left in their
     `RetryBudget`s. `rate_limits` and `rejection_limits` are the rows of the
     coordinator's `StatedLimits` and `leaving` the `StoreView.leaving`, each None if it
     did not change.
@@ -175,7 +175,7 @@
 @message("e.down")
 @dataclass(slots=True)
 class TargetDown:
-    """A target of `service` broke off a response and refuses connections since."""
+    """A target of `service` aborted a response and refuses connections since."""
 
     service: str
     target: str
@@ -194,7 +194,7 @@
 @message("e.pause", since=2)
 @dataclass(slots=True)
 class TargetPaused:
-    """A target wants nothing from `host` for a number of seconds.
+    """A target requested that `host` send it nothing for a number of seconds.
 
     It said so in the response to `request`.
     """
@@ -224,7 +224,7 @@
 @message("e.withdraw")
 @dataclass(slots=True)
 class Withdraw:
-    """The request needs no grant any more.
+    """The request no longer needs a grant.
 
     Its caller disconnected, its deadline passed, or the slow target that it was sent
     to before has responded or failed.
@@ -241,7 +241,7 @@
 @message("e.register", reshape={"running": _running_rows})
 @dataclass(slots=True)
 class RunningReport:
-    """What an entry host runs, for a coordinator that may not know.
+    """What an entry host runs, for a coordinator that may lack this state.
 
     `running` rows are [field values of the `DispatchRequest`, target];
     `poisoned` are fingerprints; `rollbacks` rows are as in `Roster`. `spent` maps
--- a/lovagepier/entry/_cluster/older_formats.py
+++ b/lovagepier/entry/_cluster/older_formats.py
@@ -30,8 +30,8 @@
 def rollout_rows(rows, number):
     """Return the `rollouts` of a `Roster` for an older format.
 
-    The fifth part of a comparison differs in formats 1, 3 and 4, and 4 can't be told
-    from 3.
+    The fifth part of a comparison differs in formats 1, 3 and 4, and format 4
+    can't be distinguished from 3.
     """
     return [_with_common_parts(row) for row in rows]
 
--- a/lovagepier/entry/_cluster/outgoing.py
+++ b/lovagepier/entry/_cluster/outgoing.py
@@ -11,7 +11,7 @@
 LINK_TIMEOUT_S = 1.0
 # A standby link carries one heartbeat in this many rounds.
 STANDBY_HEARTBEAT_ROUNDS = 4
-# A host that can't talk to this one is dialed again after this time, which doubles.
+# A host without a common format is dialed again after this time, which doubles.
 MISFIT_REDIAL_INTERVAL_S = 0.6
 MAX_REDIAL_INTERVAL_S = 10.0
 
@@ -45,7 +45,7 @@
         return self._loop.time() - link.last_frame_at < _timeout(link)
 
     def is_known(self, name):
-        """Return whether a host is up and has said which incarnation it is."""
+        """Return whether a host is up and has stated its incarnation."""
         return self.is_up(name) and self.links[name].boot is not None
 
     def use(self, name):
--- a/lovagepier/entry/_cluster/precedence.py
+++ b/lovagepier/entry/_cluster/precedence.py
@@ -1,7 +1,7 @@
-"""Whether hosts of this build go first among those of the same capacity.
+"""Whether hosts of this build have precedence among those of the same capacity.
 
-The newest build decides, as it knows all that the others can tell it. Hosts say so by
-a point in the capacity score that they register, by which all builds rank alike.
+The newest build decides, as it can read all messages of the others. Its hosts register
+a capacity score with one more point, and all builds rank by that score.
 
 A coordinator of format 4 or less takes a host that drained for draining for good, if it
 was that host's follower. It does not follow the restarted host while others do; then
--- a/lovagepier/entry/_coordination/stated_limits.py
+++ b/lovagepier/entry/_coordination/stated_limits.py
@@ -37,7 +37,7 @@
         return min(stated, default=None)
 
     def expect(self, target, incarnation, value):
-        """Take a new incarnation for limited until it says otherwise."""
+        """Assume the limit for a new incarnation until it states another."""
         if value is not None:
             self._limits[target] = (incarnation, value)
             self._make_rows()
--- a/lovagepier/entry/_store/__init__.py
+++ b/lovagepier/entry/_store/__init__.py
@@ -1,1 +1,1 @@
-"""What this host knows of the platform's store."""
+"""This host's copy of the platform's store."""
--- a/lovagepier/entry/_store/view.py
+++ b/lovagepier/entry/_store/view.py
@@ -1,4 +1,4 @@
-"""The platform's store as this host knows it, decoded for look-ups."""
+"""This host's copy of the platform's store, decoded for look-ups."""
 
 import json
 from dataclasses import replace
@@ -58,7 +58,7 @@
         create_revision=item.create_revision,
         capacity_score=platform.read_whole(raw, "power", 0, MAX_CAPACITY_SCORE),
         boot=platform.read_name(boot),
-        # Builds up to format 4 don't say theirs.
+        # Builds up to format 4 don't state theirs.
         format=platform.read_whole({"format": 0, **raw}, "format", 0, MAX_FORMAT),
     )
 
@@ -294,7 +294,7 @@
         self.targets[key] = target
 
     def mark_leaving(self, incarnations):
-        """Take targets for draining that say so themselves; return the changed keys."""
+        """Mark targets as draining that stated it; return the changed keys."""
         new = [each for each in incarnations if each not in self.leaving]
         if not new:
             return []
--- a/lovagepier/entry/store_types.py
+++ b/lovagepier/entry/store_types.py
@@ -38,7 +38,7 @@
     is the store revision of its registration: the lowest has been registered
     longest. Hosts with a higher `capacity_score` are preferred as coordinator;
     0 is the lowest score. `boot` identifies the incarnation that registered, `format`
-    is the format of its build, 0 if it does not say.
+    is the format of its build, 0 if it is not stated.
     """
 
     name: str
--- a/lovagepier/frames.py
+++ b/lovagepier/frames.py
@@ -3,7 +3,7 @@
 Builds of different age talk to each other. What they send has a format, a number that
 grows by one with a release that changes it. A tag and a field have the number of the
 format since which they exist; a frame has only what the peer's format has, and a
-reader passes over what it doesn't know.
+reader skips what its build doesn't define.
 """
 
 import io
@@ -46,7 +46,7 @@
 
 
 class NotInFormat(EncodeError):
-    """The peer's format has no such message, or can't say what it says."""
+    """The peer's format has no such message, or can't express its content."""
 
 
 @dataclass(slots=True)
@@ -178,7 +178,7 @@
 
 
 def from_values(cls, values):
-    """Return a message from its field values, without those that it doesn't know."""
+    """Return a message from its field values, without those that it doesn't define."""
     return cls(*values[: len(_BY_CLASS[cls].names)])
 
 
--- a/lovagepier/node/_config.py
+++ b/lovagepier/node/_config.py
@@ -28,7 +28,7 @@
 class AdoptConfig:
     """A configuration read from the store or received from a peer.
 
-    `source` says which, for logs and the time line.
+    `source` names the origin, for logs and the time line.
     """
 
     record: ConfigRecord
--- a/lovagepier/node/_known_ids.py
+++ b/lovagepier/node/_known_ids.py
@@ -1,4 +1,4 @@
-"""Which targets have said what requests they were given before a coordinator began."""
+"""Which targets have reported the ids they were given before a coordinator started."""
 
 __all__ = ["KnownIds"]
 
@@ -7,7 +7,7 @@
     """The targets whose answer is due, and the messages that wait for it.
 
     `awaiting` are the targets that were asked and have not answered, `silent` those
-    that do not say which ids they know. Both are sets of names.
+    that did not report their ids. Both are sets of names.
     """
 
     __slots__ = ("_deferred", "awaiting", "silent")
@@ -27,7 +27,7 @@
         return deferred
 
     def on_answer(self, target, ids):
-        """Record a target's answer; `ids` is None if it does not say."""
+        """Record a target's answer; `ids` is None if it reported none."""
         if ids is None:
             self.silent.add(target)
         else:
--- a/lovagepier/node/_ledger.py
+++ b/lovagepier/node/_ledger.py
@@ -284,7 +284,7 @@
             self._give_up_shard(number, "the owner key changed")
         else:
             # The store is unreachable or refused the write: the claimants are
-            # told that nothing ran, and the same batch is written again until
+            # informed that nothing ran, and the same batch is written again until
             # it is known whether it is stored.
             for answer in owned.shard.fail_waiting():
                 self._reply(owned, answer)
--- a/lovagepier/platform/_headers.py
+++ b/lovagepier/platform/_headers.py
@@ -90,7 +90,7 @@
     that the target withstands, infinite or None likewise. `is_leaving` means that the
     target states that it leaves; a 421 speaks for another target. `pause_s` are the
     seconds for which a target that rejected the request wants a pause from this
-    host, 0 if it does not say, None if what it says can't be read.
+    host, 0 if it states none, None if the value can't be read.
     """
 
     status: int
