--- a/test/crash_model.py
+++ b/test/crash_model.py
@@ -59,7 +59,7 @@
         )
 
     def replace_coordinator(self):
-        """Start a new scheduler that knows what the last one told other hosts."""
+        """Start a new scheduler with what the last one sent to other hosts."""
         old = self.scheduler
         self.scheduler = make_scheduler((), slots=float(SLOTS))
         detector = self.scheduler.poison_detector
--- a/test/faults.py
+++ b/test/faults.py
@@ -121,7 +121,7 @@
         """Return descriptions of all disagreements between replies and executions.
 
         These are: a request or write that ran more than once, one that ran although
-        its caller was told that it did not, a write answered with 201 but not made,
+        its caller was informed that it did not, a write answered with 201 but not made,
         and an answer with missing or repeated tokens.
         """
         return self._request_mismatches() + self._write_mismatches()
--- a/test/test_crashes.py
+++ b/test/test_crashes.py
@@ -28,7 +28,7 @@
 
 
 def test_a_target_that_ends_under_a_request_counts_as_crashed_at_once():
-    """Nobody else connects to it, and its entry stays in the store for seconds."""
+    """No other caller connects to it, and its entry stays in the store for seconds."""
 
     async def scenario(fleet):
         (host,) = fleet.hosts
--- a/test/test_endless_responses.py
+++ b/test/test_endless_responses.py
@@ -1,7 +1,7 @@
 """Targets whose bytes never end, or never complete an event.
 
 Each case asserts three things: the entry host closes the connection, what it has read
-by then is bounded, and the caller is told the truth.
+by then is bounded, and the caller gets a true answer.
 """
 
 import asyncio
--- a/test/test_entry_settings.py
+++ b/test/test_entry_settings.py
@@ -116,7 +116,7 @@
 
 
 def test_a_start_imports_no_part_of_the_products_own_surroundings():
-    """A start after a loss of all hosts is time in which nobody is served."""
+    """During a start after a loss of all hosts no request is served."""
     program = (
         "import sys, lovagepier.entry._host\n"
         "others = ('peers', 'node', 'backing', 'targets', 'callers', 'standins')\n"
--- a/test/test_mixed_builds.py
+++ b/test/test_mixed_builds.py
@@ -20,7 +20,7 @@
 EXPOSURE_SHARE, EXPOSURE_SLACK = 0.1, 50
 LIMIT_PER_S = 4.0
 # By then all hosts had a response of each target.
-TOLD_AFTER_S = 1.0
+LIMIT_KNOWN_AFTER_S = 1.0
 
 
 class MixedFleet:
@@ -258,7 +258,7 @@
         limited = [t for t in fleet.targets.values() if t.service == "ledger"]
         for target in limited:
             target.limit = LIMIT_PER_S
-        limited_since = asyncio.get_running_loop().time() + TOLD_AFTER_S
+        limited_since = asyncio.get_running_loop().time() + LIMIT_KNOWN_AFTER_S
         new = await fleet.add_target("ledger")
         new.version = "v2"
         new.mode = "error"
@@ -278,8 +278,8 @@
         await asyncio.sleep(STEP_S)
         assert len(new.runs) == seen
         for target in limited:
-            told = [at for at in target.arrived_at if at >= limited_since]
-            assert most_in_a_window(told) <= allowed(LIMIT_PER_S)
+            arrived = [at for at in target.arrived_at if at >= limited_since]
+            assert most_in_a_window(arrived) <= allowed(LIMIT_PER_S)
 
     # Callers get the bad version's errors, and refusals beyond the limit.
     def play_commit(commit):
--- a/test/test_scheduler.py
+++ b/test/test_scheduler.py
@@ -440,7 +440,7 @@
 def _late_refusals(starting, observed_s=10.0):
     """Return how many of 60 late requests are refused early on 12 slots.
 
-    Higher tiers hold all slots unless `starting` of the late ones started lately.
+    Higher tiers hold all slots unless `starting` of the late ones started recently.
     The first start was `observed_s` ago.
     """
     scheduler = make_scheduler((), demote_late=True, tiers=4)
--- a/test/test_stray_responses.py
+++ b/test/test_stray_responses.py
@@ -475,7 +475,7 @@
             await asyncio.sleep(3 * PAUSE_S)
         second = await send(host, path, "r2", BODY)
         check_truth(second, "r2", "r2" in target.runs)
-        # A copy whose end can be told costs no caller its answer.
+        # A copy with a detectable end costs no caller its answer.
         if framing in DELIMITED or place in ("joined", "idle", "after"):
             case = (place, bears, first.status)
             assert (case, second.status, second.is_complete) == (case, 200, True)
@@ -492,20 +492,20 @@
 
 
 def test_the_truth_check_fails_for_answers_of_another_request():
-    def told(status, body, **headers):
+    def make_answer(status, body, **headers):
         headers = {name.replace("_", "-"): value for name, value in headers.items()}
         return Response(status, headers, body, True)
 
     own = {"x_request_id": "r1", "x_server_seal": "s.w1"}
-    check_truth(told(200, whole_body("r1"), **own), "r1", True)
+    check_truth(make_answer(200, whole_body("r1"), **own), "r1", True)
     for wrong in (
-        told(200, whole_body("r2"), **own),
-        told(200, whole_body("r1") + whole("r1"), **own),
-        told(200, stream_body("r1")[:-1], **own),
-        told(200, whole_body("r1"), x_request_id="r1"),
-        told(503, b""),
-        told(502, failure_body("r1"), x_server_seal="s.w1"),
-        told(500, failure_body("r2"), **own),
+        make_answer(200, whole_body("r2"), **own),
+        make_answer(200, whole_body("r1") + whole("r1"), **own),
+        make_answer(200, stream_body("r1")[:-1], **own),
+        make_answer(200, whole_body("r1"), x_request_id="r1"),
+        make_answer(503, b""),
+        make_answer(502, failure_body("r1"), x_server_seal="s.w1"),
+        make_answer(500, failure_body("r2"), **own),
     ):
         with pytest.raises(AssertionError):
             check_truth(wrong, "r1", True)
--- a/test/test_succession.py
+++ b/test/test_succession.py
@@ -59,7 +59,7 @@
 def run_scenario(scenario, hosts):
     async def run():
         async with entry_fleet(hosts=hosts) as fleet:
-            # A host whose watch ends before it knows the others has nobody to follow.
+            # A host whose watch ends before it has the others has no host to follow.
             await wait_until(
                 lambda: all(len(h.view.members()) == hosts for h in fleet.hosts)
             )
--- a/test/test_undelimited_bodies.py
+++ b/test/test_undelimited_bodies.py
@@ -75,7 +75,7 @@
 def test_a_copy_that_is_cut_or_differs_is_no_end(data, offsets, lost):
     text = data + b"\n\nthe end\n"
     copy = HEAD + b"\r\n" + text
-    # What is left of the copy is more than the start of its first line.
+    # The remainder of the copy is more than the start of its first line.
     raw = text + copy[: max(len(copy) - lost, 12)]
     with pytest.raises(SecondResponse):
         play(raw, offsets)
