--- a/test/stream_targets.py
+++ b/test/stream_targets.py
@@ -124,18 +124,20 @@
     writer.transport.abort()
 
 
+_USUAL_PAUSE_S = actors.WATCH_BATCH_PAUSE_S
+
+
 @contextlib.contextmanager
 def _quick_changes():
     """Let hosts read changes of the store without their usual pause between batches.
 
     This is for preparations: what a test observes goes on with the usual pause.
     """
-    usual = actors.WATCH_BATCH_PAUSE_S
     actors.WATCH_BATCH_PAUSE_S = 0.002
     try:
         yield
     finally:
-        actors.WATCH_BATCH_PAUSE_S = usual
+        actors.WATCH_BATCH_PAUSE_S = _USUAL_PAUSE_S
 
 
 class StreamTargets:
@@ -161,7 +163,7 @@
         old, self._names = self._names, []
         for _ in range(count):
             self._made += 1
-            name = f"s{self._made}"
+            name = f"{self._service}-{self._made}"
             target = StreamTarget(name, self._service, self.script, self.asked)
             self._fleet.targets[name] = await target.start()
             await self._fleet.store.write(f"servers/{name}", target.entry())
--- a/test/test_broken_streams.py
+++ b/test/test_broken_streams.py
@@ -143,43 +143,52 @@
     # No case may lack the retries that others have used up.
     fleets = entry_fleet(targets=False, budgets={"retry_slack": "1000000"})
     made = runner.run(fleets.__aenter__())
-    runner.run(_add_route(made))
+    runner.run(_add_routes(made))
     yield made
     runner.run(fleets.__aexit__(None, None, None))
 
 
-async def _add_route(fleet):
-    """Add a route whose streams may go on at several targets."""
+async def _add_routes(fleet):
+    """Add a route whose streams may go on at several targets, and those of `lanes`."""
     more = route("long", "streaming", "model", stream_resume=True, max_attempts=5)
     routes = [*config()["routes"], more]
-    await fleet.store.write("op/config", config(2, routes=routes))
+    services = config()["services"]
+    model = next(each for each in services if each["name"] == "model")
+    for stage in range(len(begun_stages())):
+        service = f"model{stage}"
+        services.append({**model, "name": service})
+        routes.append(route(f"talk{stage}", "streaming", service, stream_resume=True))
+    raw = config(2, routes=routes, services=services)
+    await fleet.store.write("op/config", raw)
     await wait_until(lambda: fleet.hosts[0].view.version == 2)
 
 
 class Played:
     """Plays calls against targets of their own."""
 
-    def __init__(self, host, targets):
+    def __init__(self, host, targets, path="/talk/x", name=""):
         self._host = host
         self._targets = targets
+        self._path = path
+        self._name = name
         self.count = 0
 
     async def renew(self, count=12):
         await self._targets.renew(count)
 
-    async def play(self, *script, path="/talk/x", caller="1.1", deadline_ms=500):
+    async def play(self, *script, path=None, caller="1.1", deadline_ms=500):
         """Return (what the caller has seen, the Last-Event-Ids of the targets)."""
         self.count += 1
         version, headers = CALLERS[caller]
         self._targets.play(*script)
         seen = await ask(
             self._host,
-            path,
-            f"r{self.count}",
+            path or self._path,
+            f"{self._name}r{self.count}",
             version,
             [*headers, f"X-Deadline-Ms: {deadline_ms}"],
             # A body of its own: failures of one call say nothing of the next.
-            body=b"call %d" % self.count,
+            body=b"%s call %d" % (self._name.encode(), self.count),
         )
         return seen, list(self._targets.asked)
 
@@ -189,6 +198,20 @@
     return Played(fleet.hosts[0], StreamTargets(fleet))
 
 
+@pytest.fixture(scope="module")
+def lanes(runner, fleet):
+    """One `Played` for each begun stage, with a service of its own."""
+    return [
+        Played(
+            fleet.hosts[0],
+            StreamTargets(fleet, f"model{number}"),
+            f"/talk{number}/x",
+            f"lane{number}-",
+        )
+        for number in range(len(begun_stages()))
+    ]
+
+
 def faults(seen, *, whole_answers=()):
     """Return what is wrong with a response, None if nothing is.
 
@@ -228,29 +251,38 @@
 @pytest.mark.parametrize("caller", CALLERS)
 @pytest.mark.parametrize("name", NEXT)
 def test_nothing_but_its_events_reaches_a_stream_that_has_begun(
-    runner, calls, quick_silence, name, caller
+    runner, lanes, quick_silence, name, caller
 ):
+    """The stages are played at the same time, each at targets of its own."""
+
+    async def play(calls, number, stage):
+        """Return what is wrong at a stage, None if nothing is."""
+        await calls.renew(4)
+        first = broken(stage, BREAKS[number % 2])
+        # All further targets answer alike.
+        script = (first, *[NEXT[name]] * 5)
+        seen, asked = await calls.play(*script, caller=caller)
+        if len(asked) < 2:
+            # On a busy machine the deadline may pass before.
+            seen, asked = await calls.play(*script, caller=caller, deadline_ms=5000)
+        assert len(asked) >= 2, stage
+        found = faults(seen)
+        if found is None and seen.status != 200:
+            found = f"status {seen.status}"
+        is_repeated = name in REPEAT_THE_LAST and STAGES[stage][1] == EVENTS
+        if found is None and seen.is_complete and not is_repeated:
+            found = "complete without a continuation"
+        return found
+
     async def scenario():
-        await calls.renew()
-        wrong = {}
-        for number, stage in enumerate(begun_stages()):
-            first = broken(stage, BREAKS[number % 2])
-            # All further targets answer alike.
-            script = (first, *[NEXT[name]] * 5)
-            seen, asked = await calls.play(*script, caller=caller)
-            if len(asked) < 2:
-                # On a busy machine the deadline may pass before.
-                seen, asked = await calls.play(*script, caller=caller, deadline_ms=5000)
-            assert len(asked) >= 2, stage
-            found = faults(seen)
-            if found is None and seen.status != 200:
-                found = f"status {seen.status}"
-            is_repeated = name in REPEAT_THE_LAST and STAGES[stage][1] == EVENTS
-            if found is None and seen.is_complete and not is_repeated:
-                found = "complete without a continuation"
-            if found is not None:
-                wrong[stage] = found
-        assert wrong == {}
+        stages = begun_stages()
+        found = await asyncio.gather(
+            *(
+                play(calls, number, stage)
+                for number, (calls, stage) in enumerate(zip(lanes, stages, strict=True))
+            )
+        )
+        assert dict(zip(stages, found, strict=True)) == dict.fromkeys(stages)
 
     runner.run(scenario())
 
