--- a/test/test_cuts.py
+++ b/test/test_cuts.py
@@ -11,27 +11,40 @@
 
 from lovagepier.client import Caller
 from lovagepier.decisions.rendezvous import choose_owner, shard_of
+from test.concurrent_tests import ConcurrentTests
 from test.faults import Traffic
 from trials.cluster import Cluster, wait_until
 
 
-@pytest.fixture
-def fleet():
-    with Cluster(callers_entry_ttl="1s") as cluster:
-        cluster.start_platform()
-        for number, zone in enumerate(("a1", "a2", "b1")):
-            cluster.start_engine(f"e{number}", zone)
-        cluster.start_records_worker("r0", "a1")
-        for name, tier in (("high", "urgent"), ("mid", "standard"), ("low", "batch")):
-            cluster.add_account(name, tier)
-        for number, zone in enumerate(("a1", "a2", "b1")):
-            cluster.start_node(f"n{number}", zone, relayed=True)
-        cluster.await_members(3)
-        cluster.configure()
-        yield cluster
+def make_relayed_fleet():
+    """Return a started `Cluster` whose nodes reach each other through relays."""
+    cluster = Cluster(callers_entry_ttl="1s")
+    try:
+        _populate(cluster)
+    except BaseException:
+        cluster.close()
+        raise
+    return cluster
+
+
+def _populate(cluster):
+    cluster.start_platform()
+    for number, zone in enumerate(("a1", "a2", "b1")):
+        cluster.start_engine(f"e{number}", zone)
+    cluster.start_records_worker("r0", "a1")
+    for name, tier in (("high", "urgent"), ("mid", "standard"), ("low", "batch")):
+        cluster.add_account(name, tier)
+    for number, zone in enumerate(("a1", "a2", "b1")):
+        cluster.start_node(f"n{number}", zone, relayed=True)
+    cluster.await_members(3)
+    cluster.configure()
+
+
+together = ConcurrentTests(make_relayed_fleet, at_once=2)
 
 
 @pytest.mark.parametrize("cut", [["n0"], ["n0", "n1", "n2"]])
+@together
 def test_replies_match_executions_across_a_network_partition(fleet, cut):
     traffic = Traffic(fleet, senders=3, records=2)
     try:
@@ -48,6 +61,7 @@
     assert traffic.mismatches() == []
 
 
+@together
 def test_a_version_accepted_during_a_partition_is_in_force_everywhere_after(fleet):
     for relay in fleet.relays.values():
         relay.cut()
@@ -58,6 +72,7 @@
     assert fleet.operator_call("GET", "/v1/config")[1]["version"] == version
 
 
+@together
 def test_a_write_is_made_once_when_the_ledger_owner_is_suspended(fleet):
     key = "frozen-owner"
     shard = shard_of(f"mid/ledger/{key}", fleet.shards)
--- a/test/test_kills.py
+++ b/test/test_kills.py
@@ -3,17 +3,11 @@
 import signal
 import time
 
-import pytest
-
+from test.concurrent_tests import ConcurrentTests
 from test.faults import Traffic, make_fleet, start_streams
 from trials.cluster import wait_until
 
-
-@pytest.fixture
-def fleet():
-    cluster = make_fleet()
-    yield cluster
-    cluster.close()
+together = ConcurrentTests(make_fleet, at_once=2)
 
 
 def _coordinator_of(cluster, subject="drafter", region="west"):
@@ -29,6 +23,7 @@
     return wait_until(find, 10, f"a home of {subject}/{region}")
 
 
+@together
 def test_a_stream_resumes_after_its_entry_host_is_killed(fleet):
     futures = start_streams(fleet, 9, tokens=300)
     time.sleep(1.0)
@@ -42,6 +37,7 @@
     assert any(reply.attempts > 1 for reply in replies)
 
 
+@together
 def test_replies_match_executions_when_the_coordinator_is_killed(fleet):
     traffic = Traffic(fleet, senders=4)
     try:
@@ -53,6 +49,7 @@
     assert traffic.mismatches() == []
 
 
+@together
 def test_replies_match_executions_when_the_coordinator_is_suspended(fleet):
     traffic = Traffic(fleet, senders=4)
     try:
@@ -67,6 +64,7 @@
     assert traffic.mismatches() == []
 
 
+@together
 def test_a_rolling_replacement_interrupts_no_request(fleet):
     # These streams last longer than callers keep their list of entry hosts and
     # longer than the shutdown timeout of the web server.
