--- a/test/concurrent_cases.py
+++ b/test/concurrent_cases.py
@@ -1,12 +1,13 @@
 """Plays the cases of a parametrized test at the same time."""
 
-from concurrent.futures import ThreadPoolExecutor
+import asyncio
+from concurrent.futures import Future, ThreadPoolExecutor
 
 __all__ = ["ConcurrentCases"]
 
 
 class ConcurrentCases:
-    """Starts all selected cases of a test with its first one, each in a thread.
+    """Starts all selected cases of a test with its first one.
 
     Each case still reports its own outcome.
     """
@@ -15,26 +16,50 @@
         self._request = request
         self._name = request.node.originalname
 
-    def play(self, parameter, function):
-        """Return or raise what `function(value)` did for the value of this case.
+    def play(self, function):
+        """Call `function` with the parameters of each case, in threads."""
+        return self._outcome(_play_in_threads, function)
 
-        `parameter` is the name of the test's only parameter.
-        """
-        futures = self._started(parameter, function)
-        return futures[self._request.node.callspec.params[parameter]].result()
+    def gather(self, function):
+        """Await `function` with the parameters of each case, on one event loop."""
+        return self._outcome(_play_on_one_loop, function)
 
-    def _started(self, parameter, function):
+    def _outcome(self, play, function):
+        """Return or raise what the function did for this case."""
         known = self._request.module.__dict__.setdefault("_started_cases", {})
         if self._name not in known:
-            values = [
-                item.callspec.params[parameter]
-                for item in self._request.session.items
-                if item.path == self._request.path
-                and getattr(item, "originalname", None) == self._name
-            ]
-            executor = ThreadPoolExecutor(len(values))
-            known[self._name] = {
-                value: executor.submit(function, value) for value in values
-            }
-            executor.shutdown(wait=False)
-        return known[self._name]
+            known[self._name] = play(function, self._selected_cases())
+        return known[self._name][self._request.node.callspec.id].result()
+
+    def _selected_cases(self):
+        return {
+            item.callspec.id: item.callspec.params
+            for item in self._request.session.items
+            if item.path == self._request.path
+            and getattr(item, "originalname", None) == self._name
+        }
+
+
+def _play_in_threads(function, cases):
+    executor = ThreadPoolExecutor(len(cases))
+    futures = {
+        name: executor.submit(function, **values) for name, values in cases.items()
+    }
+    executor.shutdown(wait=False)
+    return futures
+
+
+def _play_on_one_loop(function, cases):
+    async def run():
+        return await asyncio.gather(
+            *(function(**values) for values in cases.values()), return_exceptions=True
+        )
+
+    futures = {}
+    for name, outcome in zip(cases, asyncio.run(run()), strict=True):
+        fut = futures[name] = Future()
+        if isinstance(outcome, BaseException):
+            fut.set_exception(outcome)
+        else:
+            fut.set_result(outcome)
+    return futures
--- a/test/test_mixed_builds.py
+++ b/test/test_mixed_builds.py
@@ -200,7 +200,7 @@
     def play_commit(commit):
         play(commit, tmp_path_factory.mktemp(commit), scenario)
 
-    cases.play("commit", play_commit)
+    cases.play(play_commit)
 
 
 @pytest.mark.parametrize("commit", ["3794c33", "0953dc6"])
@@ -221,7 +221,7 @@
     def play_commit(commit):
         play(commit, tmp_path_factory.mktemp(commit), scenario)
 
-    cases.play("commit", play_commit)
+    cases.play(play_commit)
 
 
 @pytest.mark.parametrize("commit", ["3794c33", "0953dc6"])
@@ -244,7 +244,7 @@
     def play_commit(commit):
         play(commit, tmp_path_factory.mktemp(commit), scenario, is_mixed=True)
 
-    cases.play("commit", play_commit)
+    cases.play(play_commit)
 
 
 @pytest.mark.parametrize("commit", ["3794c33", "0953dc6"])
@@ -291,4 +291,4 @@
             max_failed=1.0,
         )
 
-    cases.play("commit", play_commit)
+    cases.play(play_commit)
--- a/test/test_odd_entries_path.py
+++ b/test/test_odd_entries_path.py
@@ -75,8 +75,10 @@
 
 
 @pytest.mark.parametrize("key, make", ODD, ids=NAMES)
-def test_a_host_serves_and_follows_the_store_after_an_odd_entry(key, make, capsys):
-    async def scenario():
+def test_a_host_serves_and_follows_the_store_after_an_odd_entry(
+    cases, key, make, capsys
+):
+    async def scenario(key, make):
         async with entry_fleet() as fleet:
             host = fleet.hosts[0]
             calls = _Calls(fleet.hosts)
@@ -89,7 +91,8 @@
             await follow_on(fleet)
             assert host.view.target(key) is None
 
-    asyncio.run(scenario())
+    cases.gather(scenario)
+    # The first case has the output of all.
     output = capsys.readouterr().out
     assert "unexpected error" not in output and "tick failed" not in output
 
@@ -240,15 +243,15 @@
 
 
 @pytest.mark.parametrize("era", ["\u00b2", "1" * 5000, "-1", "1e3", "0x1"])
-def test_an_era_that_is_no_number_does_not_end_the_watch(era):
-    async def scenario():
+def test_an_era_that_is_no_number_does_not_end_the_watch(cases, era):
+    async def scenario(era):
         async with entry_fleet() as fleet:
             fleet.store.era = era
             await asyncio.sleep(0.3)
             fleet.store.era = 1
             await follow_on(fleet)
 
-    asyncio.run(scenario())
+    cases.gather(scenario)
 
 
 def test_an_unexpected_error_ends_neither_watch_nor_registration(monkeypatch):
