Lose an answer whose head bears two different seals

A success was lost already. No single response has two seals, so such a head is made of two: the attempt is lost and the call may have run. Found by reading.

test_a_head_with_two_seals_proves_nothing: 2 of 3 failed before, all pass.

--- a/lovagepier/entry/_callers/exchange.py
+++ b/lovagepier/entry/_callers/exchange.py
@@ -167,6 +167,8 @@
         try:
             self._send(tconn, target)
             response = await self._read_head(tconn)
+            if response.has_two_seals:
+                raise TargetConnectionLost("a head with two seals")
             self._notes.note_leaving(target, tconn)
             self._notes.note_limits(grant, response)
             is_paused = self._notes.note_pause(target, tconn, response)
--- a/lovagepier/platform/_headers.py
+++ b/lovagepier/platform/_headers.py
@@ -114,6 +114,12 @@
         """Whether the response carries the target's seal."""
         return bool(self.seal)
 
+    @property
+    def has_two_seals(self):
+        """Whether it bears two different seals, which no single response does."""
+        seals = {_text(value) for name, value in self.headers if name == _SEAL}
+        return len(seals) > 1
+
 
 def _first(headers, name):
     for key, value in headers:
--- a/test/test_second_answers.py
+++ b/test/test_second_answers.py
@@ -254,6 +254,20 @@
     runner.run(scenario())
 
 
+@pytest.mark.parametrize("kind", ["whole", "failure", "refusal"])
+def test_a_head_with_two_seals_proves_nothing(runner, calls, kind):
+    async def scenario():
+        def make(request_id):
+            raw = answer_bytes(kind, "length", request_id)
+            seals = f"\r\nX-Server-Seal: {SEAL}\r\nX-Server-Seal: {OTHER_SEAL}"
+            return (raw.replace(b" X", b" X" + seals.encode(), 1),)
+
+        _, seen = await calls.play("file", make)
+        assert (seen.status, seen.body) == (502, b"")
+
+    runner.run(scenario())
+
+
 def test_a_refusal_with_another_answer_in_its_body_proves_nothing(runner, calls):
     async def scenario():
         def make(request_id):
