--- a/test/test_stop_answers.py
+++ b/test/test_stop_answers.py
@@ -335,3 +335,27 @@
     assert max(map(len, statuses)) <= 3
     # Each call ran once, whatever was refused before.
     assert len(runs) == len(set(runs)) == 48
+
+
+def test_a_request_that_is_not_read_whole_at_the_end_is_refused():
+    async def run():
+        async with entry_fleet(shutdown={"grace": "1.5s"}) as fleet:
+            host = fleet.hosts[0]
+            raw = config_of()
+            raw["limits"]["header_timeout_ms"] = 5000
+            await fleet.store.write("op/config", raw)
+            await wait_until(lambda: host.view.version == 2)
+            host._stopping.set()
+            await asyncio.sleep(0.3)
+            reader, writer = await connect(host)
+            body = b"a" * 50
+            whole = raw_request("/file/x", "r1", "POST", body=body)
+            writer.write(whole[:-10])
+            answer = await read_response(reader)
+            await fleet.tasks[0]
+            writer.close()
+            return answer, fleet.targets["w1"].runs
+
+    answer, runs = asyncio.run(run())
+    assert (answer.status, answer.headers["connection"]) == (503, "close")
+    assert not runs
