Take no step from a first id of 0

Streams with the ids 0, 10, 20 were cut after their first event since: the distance of 0 from the start counted as a step of 1.

--- a/lovagepier/entry/_callers/events.py
+++ b/lovagepier/entry/_callers/events.py
@@ -177,10 +177,11 @@
                 step = number - (_number(self.last_id) or 0)
             else:
                 step = number - last
-            is_beyond = self.can_resume and step > self.step
+            is_beyond = self.can_resume and 0 < self.step < step
             if last is not None and (number <= last or is_beyond):
                 raise _Misplaced(f"event {number} after event {last}")
-            step = max(step, 1)
+            # A first id of 0 shows no step.
+            step = max(step, 0)
             # The first event of a stream shows a step only until there is a second.
             is_first_step = self.count <= 1 and not self._inherits_step
             self.step = step if is_first_step else max(self.step, step)
--- a/test/test_entry_events.py
+++ b/test/test_entry_events.py
@@ -163,6 +163,12 @@
     return [b"data: x\n\n" if n is None else event(n, "x", "\n\n") for n in ids]
 
 
+@pytest.mark.parametrize("ids", [(0, 1, 2), (0, 10, 20), (0, 10, 20, 23)])
+def test_a_stream_whose_ids_begin_at_0_is_passed(ids):
+    data = b"".join(numbered(*ids))
+    assert EventSplitter().feed(data) == data
+
+
 @pytest.mark.parametrize(
     ("ids", "passed"),
     [
@@ -174,6 +180,7 @@
         ((4, 8, 7), 2),
         ((100, 101, 103), 2),
         ((1, 2, None, 2), 3),
+        ((0, 10, 21), 2),
     ],
 )
 def test_events_that_do_not_follow_in_one_stream_are_not_passed(ids, passed):
