Take a refusal whose body breaks HTTP for no proof

A call that may run once ran at two targets where the first one refused it in chunks, broke off in its body and answered again, as having run it. Cause: the rest of a refusal is read for reuse of its connection only, and whatever ended that was ignored; with a length the second head is found in the body, in chunks it mostly breaks their framing, which counted like a cut.

A cut (the connection ended, or nothing came in time) still leaves the refusal as it is. Bytes that break the framing do not: the call may have run. `TargetEnded` tells them apart. The errors of bodies without a length are `TargetConnectionLost` themselves now, not translated.

--- a/lovagepier/entry/_targets/conn.py
+++ b/lovagepier/entry/_targets/conn.py
@@ -5,14 +5,18 @@
 
 import h11
 
-from lovagepier.entry._targets.errors import SecondResponseFound, TargetConnectionLost
+from lovagepier.entry._targets.errors import (
+    SecondResponseFound,
+    TargetConnectionLost,
+    TargetEnded,
+    lost_by,
+)
 from lovagepier.entry._targets.parsers import MAX_HEAD_BYTES, make_parser
 from lovagepier.entry._targets.second_response import (
     find_second_response,
     is_head_of_two,
 )
 from lovagepier.entry._targets.undelimited_body import (
-    SecondResponse,
     UndelimitedBody,
     is_chunked,
     is_undelimited,
@@ -182,11 +186,11 @@
                 event = self._http.next_event()
             except h11.RemoteProtocolError as exc:
                 self._fail(str(exc))
-                raise TargetConnectionLost(str(exc))
+                raise lost_by(exc)
             if event is not h11.NEED_DATA and event is not h11.PAUSED:
                 return event
             if self._failure is not None:
-                raise TargetConnectionLost(self._failure)
+                raise TargetEnded(self._failure)
             self._resume()
             await self._wait_readable()
 
@@ -274,10 +278,7 @@
         while not self._body_ended:
             event = await self._next_event()
             self._body_ended = isinstance(event, h11.EndOfMessage)
-            try:
-                data = self._read_event(event)
-            except SecondResponse as exc:
-                raise SecondResponseFound(str(exc))
+            data = self._read_event(event)
             if data:
                 return data
         return None
@@ -288,12 +289,12 @@
             data = bytes(event.data)
             return data if self._undelimited is None else self._undelimited.feed(data)
         if not isinstance(event, h11.EndOfMessage):
-            raise TargetConnectionLost("the body ended early")
+            raise TargetEnded("the body ended early")
         if self._undelimited is None:
             return b""
         # A body without a length is complete only if the close was clean.
         if self._failure is not None and self._failure.startswith("reset"):
-            raise TargetConnectionLost(self._failure)
+            raise TargetEnded(self._failure)
         return self._undelimited.end()
 
     async def read_body(self):
@@ -344,19 +345,16 @@
         """Read the rest of a body that nobody needs; return whether it has ended.
 
         False means that it is too long, too slow or truncated. Raise
-        `SecondResponseFound` if it holds a second response.
+        `TargetConnectionLost` if it holds a second response or breaks its framing,
+        as a second one inside it does.
         """
         body = b""
-        try:
+        with contextlib.suppress(TimeoutError, TargetEnded):
             async with asyncio.timeout(DISCARD_TIMEOUT_S):
                 while (data := await self.read_data()) is not None:
                     body += data
                     if len(body) > MAX_DISCARDED_BYTES:
                         break
-        except SecondResponseFound:
-            raise
-        except (TimeoutError, TargetConnectionLost):
-            pass
         await self._check_body(body)
         return self._body_ended
 
--- a/lovagepier/entry/_targets/undelimited_body.py
+++ b/lovagepier/entry/_targets/undelimited_body.py
@@ -7,6 +7,7 @@
 import h11
 import xxhash
 
+from lovagepier.entry._targets.errors import SecondResponseFound
 from lovagepier.entry._targets.head_search import HeadSearch
 from lovagepier.entry._targets.parsers import make_parser
 from lovagepier.logs import component_logger
@@ -20,7 +21,7 @@
 _log = component_logger("targets")
 
 
-class SecondResponse(Exception):
+class SecondResponse(SecondResponseFound):
     """Another response, or a part of one, was found in a body.
 
     Where the body itself ends is not certain.
