Read on while waiting for what follows a long body

A body of more than 256 KiB that ends with the first bytes of a second response was passed on as a complete 200. Cause: reading from a target pauses at that size and goes on when the parser needs more; the wait for the bytes behind a body did not let it go on.

Evidence: test_unread_rests failed with 262,145 bytes and passed with 1,000; both pass. Found by reading; no run of a whole fleet has shown it.

--- a/lovagepier/entry/_targets/conn.py
+++ b/lovagepier/entry/_targets/conn.py
@@ -335,6 +335,7 @@
         rest, has_ended = self._http.trailing_data
         is_final = rest or has_ended or self._is_chunked or self._failure is not None
         if self._body_ended and not is_final:
+            self._resume()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(SETTLE_TIMEOUT_S):
                     await self._wait_readable()
