Find a head that ends where the body of another one does

A caller got a complete 200 with the first bytes of a second response as its rest where that one begins with an interim response (100) or bears no marks, and the blank line behind its head ends with the body. Cause: such a head was found only if its blank line began behind the body.

If anything follows on the connection, the head is one of a second response; if nothing does, that is waited for as with a head that is cut.

The new test of test_framed_bodies failed (2 of 2) and passes.

--- a/lovagepier/entry/_targets/second_response.py
+++ b/lovagepier/entry/_targets/second_response.py
@@ -87,8 +87,9 @@
         end = _end_of_line(data, position)
         line = data[position:end]
         if not line.strip():
-            # Behind the body's end it ends a head, too.
-            return end, position == size
+            # What follows a head that ends with the body is its own, or the next one.
+            is_found = len(data) > size or None
+            return end, False if end < size else is_found
         is_partial = not line.endswith(b"\n")
         if not (is_partial or line[:1] in b" \t" or _HEADER_LINE.match(line)):
             return position, False
--- a/test/test_framed_bodies.py
+++ b/test/test_framed_bodies.py
@@ -62,3 +62,15 @@
     began = time.process_time()
     assert find(data) is False
     assert time.process_time() - began < 3.0
+
+
+@pytest.mark.parametrize("status", [b"100 Continue", b"500 X\r\nContent-Length: 5"])
+def test_a_head_without_marks_that_ends_where_the_body_does_is_found(status):
+    second = b"HTTP/1.1 " + status + b"\r\n\r\n"
+    behind = b"HTTP/1.1 200 OK\r\n"
+    for inside in range(1, len(second) + 1):
+        body = b"done " + second[:inside]
+        assert find(body, second[inside:] + behind) is True, body
+        assert find(body) is None, body
+    # Behind its end there is more of the body: a text.
+    assert find(b"done " + second + b"x", behind) is False
