Take no more lines for a head than one may have

A body with a status line and more lines like headers than a head can have was refused if one of them, however far behind, bears the name of a seal; and 4 MiB of them kept the host's loop busy for 1.7 s. Cause: the search read on from a status line as long as the lines look like headers.

It stops 64 KiB behind the last status line, the parser's limit on a head. Evidence: the new test of test_framed_bodies failed and passes; 4 MiB in one head 1,684 ms before, 35 ms now (one run each). Other texts as before: 4 MiB of nothing but status lines 885 ms, of lines that each hold one 718 ms, plain ones 15 ms at most.

--- a/lovagepier/entry/_targets/second_response.py
+++ b/lovagepier/entry/_targets/second_response.py
@@ -79,8 +79,10 @@
 def _read_lines(data, position, size, is_mark):
     """Read the headers behind a status line; return (position, whether it is found).
 
-    `size` is the length of the body that `data` begins with.
+    `size` is the length of the body that `data` begins with. More lines than a head may
+    have are text.
     """
+    begin = position
     while position <= size:
         if position == len(data):
             return position, None
@@ -93,6 +95,10 @@
         is_partial = not line.endswith(b"\n")
         if not (is_partial or line[:1] in b" \t" or _HEADER_LINE.match(line)):
             return position, False
+        if HEAD_START in line:
+            begin = position + line.rfind(HEAD_START)
+        if end - begin > MAX_HEAD_BYTES:
+            return end, False
         name, _, value = line.partition(b":")
         if is_mark(name.lower(), value.strip()):
             return end, True
--- a/test/test_framed_bodies.py
+++ b/test/test_framed_bodies.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lovagepier.entry._targets.head_search import MAX_HEAD_BYTES
 from lovagepier.entry._targets.second_response import find_second_response
 from lovagepier.platform import is_response_mark
 
@@ -64,6 +65,18 @@
     assert time.process_time() - began < 3.0
 
 
+def test_a_mark_beyond_the_length_of_a_head_is_text():
+    lines = b"Name: value\r\n" * (MAX_HEAD_BYTES // 13 + 1)
+    text = b"HTTP/1.1 200 OK\r\n" + lines
+    assert find(text + b"X-Server-Seal: s\r\n\r\nthe end") is False
+    assert find(text, b"\r\n") is False
+    # A head behind it, or in the last of its lines, is found as ever.
+    assert find(text + HEADS[1]) is True
+    assert find(text[:-3] + HEADS[1]) is True
+    long_line = b"HTTP/1.1 200 OK\r\nName: " + b"x" * MAX_HEAD_BYTES
+    assert find(long_line + HEADS[1]) is True
+
+
 @pytest.mark.parametrize("status", [b"100 Continue", b"500 X\r\nContent-Length: 5"])
 def test_a_head_without_marks_that_ends_where_the_body_does_is_found(status):
     second = b"HTTP/1.1 " + status + b"\r\n\r\n"
