--- a/lovagepier/entry/_targets/head_search.py
+++ b/lovagepier/entry/_targets/head_search.py
@@ -3,10 +3,10 @@
 import re
 from collections import deque
 
-__all__ = ["HEAD_START", "MAX_HEAD_BYTES", "HeadSearch"]
+from lovagepier.entry._targets.parsers import MAX_HEAD_BYTES
+
+__all__ = ["HEAD_START", "HeadSearch"]
 
-# Limit on the head of a response.
-MAX_HEAD_BYTES = 64 * 1024
 HEAD_START = b"HTTP/1."
 # A head may begin at each of several places that share its end. Only so many of the
 # first and of the last ones are considered.
--- a/lovagepier/entry/_targets/second_response.py
+++ b/lovagepier/entry/_targets/second_response.py
@@ -7,7 +7,8 @@
 
 import re
 
-from lovagepier.entry._targets.head_search import HEAD_START, MAX_HEAD_BYTES
+from lovagepier.entry._targets.head_search import HEAD_START
+from lovagepier.entry._targets.parsers import MAX_HEAD_BYTES
 
 __all__ = ["find_second_response", "holds_head", "is_head_of_two"]
 
--- a/test/test_framed_bodies.py
+++ b/test/test_framed_bodies.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagepier.entry._targets.head_search import MAX_HEAD_BYTES
+from lovagepier.entry._targets.parsers import MAX_HEAD_BYTES
 from lovagepier.entry._targets.second_response import find_second_response
 from lovagepier.platform import is_response_mark
 
