Give back the quota of requests that no target was asked for

A request is charged when its host asks for a grant. A refusal gave the charge back; a request that its caller left while it waited, that a stopping host withdrew, or that waited at a host that was lost did not, and callers of the last two come back at once and were charged twice. What was granted stays charged: the next attempt of the same call asks without a cost.

Ruled out: giving back returned grants as well; an older host's next attempt costs nothing, so two builds would run more than the quota.

--- a/lovagepier/decisions/scheduler.py
+++ b/lovagepier/decisions/scheduler.py
@@ -139,8 +139,8 @@
         return None
 
     def withdraw(self, request_id, now):
-        """Drop a request that no longer needs a grant; return whether it was queued."""
-        return self.waiting.remove(request_id) is not None
+        """Drop a request that no longer needs a grant; return its work if queued."""
+        return self.waiting.remove(request_id)
 
     def find_dispatched(self, work):
         """Return the `Join` or `Refusal` for an id granted before, or None."""
@@ -315,14 +315,14 @@
             self.fleet.reindex(state)
 
     def forget_entry(self, entry, now):
-        """Drop the queued requests of a dead entry host; return their number.
+        """Drop and return the queued requests of a dead entry host.
 
         Its running requests stay: a retry under the same id joins the running one.
         """
         dropped = [work for work in self.waiting.works() if work.entry == entry]
         for work in dropped:
             self.waiting.remove(work.id)
-        return len(dropped)
+        return dropped
 
     def running_of(self, entry):
         """Return the ids of the running requests of an entry host."""
--- a/lovagepier/entry/_coordination/account_quotas.py
+++ b/lovagepier/entry/_coordination/account_quotas.py
@@ -3,6 +3,7 @@
 from lovagepier.decisions.quotas import Quotas
 from lovagepier.entry._cluster.messages import Refused
 from lovagepier.entry._coordination.budgets import make_quotas
+from lovagepier.entry._coordination.work import BANDS_PER_TIER
 from lovagepier.entry.catalog import ROUTE_TIERS
 from lovagepier.errors import ErrorKind
 
@@ -61,3 +62,10 @@
             account.name, account.rate, account.burst, req.cost, now
         )
         return wait > 0
+
+    def refund(self, work):
+        """Give back what a request was charged that no target was asked for."""
+        self.quotas.refund(work.account, work.cost)
+        if work.tier % BANDS_PER_TIER == 0:
+            # Those in other bands may have been over the base quota, uncharged.
+            self.base_quotas.refund(work.account, work.cost)
--- a/lovagepier/entry/_coordination/coordinator.py
+++ b/lovagepier/entry/_coordination/coordinator.py
@@ -191,7 +191,9 @@
     def on_withdraw(self, entry, request_id, now):
         """Drop a waiting request that no longer needs a grant; see `Withdraw`."""
         for pool in self._pools.values():
-            if pool.scheduler.withdraw(f"{entry}/{request_id}", now):
+            work = pool.scheduler.withdraw(f"{entry}/{request_id}", now)
+            if work is not None:
+                self._account_quotas.refund(work)
                 return
 
     def on_running_report(self, entry, report, now):
@@ -213,7 +215,8 @@
     def on_entry_lost(self, entry, now):
         """Drop all work of an entry host that is gone or has another coordinator."""
         for pool in self._pools.values():
-            pool.scheduler.forget_entry(entry, now)
+            for work in pool.scheduler.forget_entry(entry, now):
+                self._account_quotas.refund(work)
             for work_id in pool.scheduler.running_of(entry):
                 outcome = Outcome(work_id, "", "lost")
                 self._send_decisions(pool.scheduler.finish(outcome, now))
@@ -273,7 +276,7 @@
         )
 
     def _send_refusal(self, work, request_id, refusal):
-        self.quotas.refund(work.account, work.cost)
+        self._account_quotas.refund(work)
         wait = min(
             max(refusal.retry_after or 0.0, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S
         )
