Find the target that holds a whole prompt among many

A lookup of cached prompts examined eight holders of the first block. Where all requests of a service begin with a shared prompt every target holds that block, so with more than eight targets the one that holds the rest was found by chance (8 of 59), and requests read their prompts again elsewhere.

The holders of the deepest blocks are examined now, at most as many, and a target that is considered for its load counts what it holds, too.

--- a/lovagepier/decisions/policies.py
+++ b/lovagepier/decisions/policies.py
@@ -182,7 +182,7 @@
         count = MAX_CONSIDERED + len(work.exclude)
         for state in fleet.soonest(version, count, now, _may_overbook(work)):
             if state.name not in hits:
-                yield state, 0
+                yield state, work.hit_tokens(prefixes.depth(state.name, work.blocks))
 
 
 @policy("random-queued")
--- a/lovagepier/decisions/prefixes.py
+++ b/lovagepier/decisions/prefixes.py
@@ -96,21 +96,32 @@
     def hits(self, blocks):
         """Return {target: number of leading blocks held} for some targets.
 
-        At most `MAX_HOLDERS` of the targets that hold the first block are examined,
-        so the cost doesn't grow with the pool.
+        These are the holders of the deepest blocks: all targets may hold the first
+        one, a prompt that every request shares, but few the rest. At most
+        `MAX_HOLDERS` are examined, so the cost doesn't grow with the pool.
         """
-        if not blocks:
-            return {}
-        first = self._holders.get(blocks[0])
-        if not first:
-            return {}
         found = {}
-        for target in islice(first, MAX_HOLDERS):
-            held = self._by_target[target].blocks
-            depth = 1
-            for block in islice(blocks, 1, None):
-                if block not in held:
-                    break
-                depth += 1
-            found[target] = depth
+        examined = set()
+        for block in reversed(blocks):
+            for target in islice(self._holders.get(block, ()), MAX_HOLDERS):
+                if target in examined:
+                    continue
+                if len(examined) == MAX_HOLDERS:
+                    return found
+                examined.add(target)
+                depth = self.depth(target, blocks)
+                if depth:
+                    found[target] = depth
         return found
+
+    def depth(self, target, blocks):
+        """Return the number of leading blocks that one target holds."""
+        held = self._by_target.get(target)
+        if held is None:
+            return 0
+        depth = 0
+        for block in blocks:
+            if block not in held.blocks:
+                break
+            depth += 1
+        return depth
--- a/lovagepier/decisions/work.py
+++ b/lovagepier/decisions/work.py
@@ -90,6 +90,8 @@
 
     def hit_tokens(self, depth):
         """Return the prompt tokens in the first `depth` blocks."""
+        if not depth:
+            return 0
         if self.block_tokens:
             return sum(self.block_tokens[:depth])
         return int(depth * self.prefill_tokens / len(self.blocks))
