Stop a stream before an event that ends in an interim head

A head without headers has no line that tells it from an event: of "data: pieHTTP/1.1 100 Continue" only the blank line was seen, and the event reached the caller before the stream was cut. Two things tell it from a text: the head's line ends (CRLF, where the target ends its own lines otherwise), and the status line that must follow an interim head. An event whose last line has a status line and ends in CRLF twice waits for one byte behind it, or for the end of the stream; no other event waits. In an id or a retry a status line is no text.

Behind a counted stream that ends with "\r\n\r" the half blank line passed as a CR; this showed with the interim answer added to test_second_answers.py.

Ruled out: refusing each event that ends in a status line, as a text about HTTP may (test_events_about_http_are_passed_on).

--- a/lovagepier/entry/_callers/events.py
+++ b/lovagepier/entry/_callers/events.py
@@ -54,6 +54,7 @@
         "_buffer",
         "_has_joined",
         "_inherits_step",
+        "_is_held",
         "_last_number",
         "_resumes",
         "_searched",
@@ -67,6 +68,8 @@
     def __init__(self, last_id="", skip=False, step=0):
         self._buffer = b""
         self._searched = 0
+        # Whether the buffer begins with a whole event that may end in a head.
+        self._is_held = False
         self.last_id = last_id
         # Without an id there is nothing to skip: the stream begins anew.
         self._resumes = skip and bool(last_id)
@@ -81,7 +84,7 @@
 
     @property
     def incomplete(self):
-        """The bytes of an event whose end has not arrived yet."""
+        """The bytes of an event whose end, or what follows it, has not arrived yet."""
         return self._buffer
 
     def feed(self, data):
@@ -96,34 +99,56 @@
         self._buffer += data
         complete = []
         start = 0
+        self._is_held = False
         # A separator may have begun in the bytes that were searched before.
         for match in _END.finditer(self._buffer, self._searched):
             event = self._buffer[start : match.end()]
-            start = match.end()
             try:
+                if self._must_wait(event, match.end()):
+                    self._is_held = True
+                    self._searched = match.start() - start
+                    break
+                start = match.end()
                 if self._accept(event):
                     complete.append(event)
             except _Misplaced as exc:
                 self.fault = str(exc)
                 return b"".join(complete)
         self._buffer = self._buffer[start:]
+        if self._is_held:
+            return b"".join(complete)
         self._searched = max(len(self._buffer) - _MAX_SEPARATOR + 1, 0)
         if not complete and len(self._buffer) > MAX_EVENT_BYTES:
             raise EventTooLong(f"no end of an event in {len(self._buffer)} bytes")
         return b"".join(complete)
 
+    def _must_wait(self, event, end):
+        """Return whether more bytes behind the event's `end` must tell what it is.
+
+        Raise `_Misplaced` if it holds the head of a response.
+        """
+        if HEAD_START not in event:
+            return False
+        is_head = holds_head(event, self._buffer[end : end + len(HEAD_START)])
+        if is_head:
+            raise _Misplaced("a second response inside an event")
+        return is_head is None
+
     def finish(self):
         """Return the bytes that follow the last event at the end of the stream.
 
-        These are blank lines, or an event whose blank line is a CR. Raise
-        `EventTruncated` for any other.
+        These are blank lines, an event whose blank line is a CR, or one that waits for
+        the bytes behind it. Raise `EventTruncated` for any other.
         """
         rest, self._buffer = self._buffer, b""
-        if rest.strip(b"\r\n") and not rest.endswith(b"\n\r"):
+        is_whole = rest.endswith(b"\r\n" if self._is_held else b"\n\r")
+        if rest.strip(b"\r\n") and not is_whole:
             raise EventTruncated(
                 f"the stream ended after {len(rest)} bytes of an event"
             )
         try:
+            # A CR at the end may be the half of a head's last line end.
+            self._must_wait(rest + b"\n" if rest.endswith(b"\r") else rest, 0)
             return rest if self._accept(rest) else b""
         except _Misplaced as exc:
             self.fault = str(exc)
@@ -141,8 +166,6 @@
         if not _FIELD.search(event):
             # Comments and blank lines have no place in the order of events.
             return not self._resumes
-        if HEAD_START in event and holds_head(event):
-            raise _Misplaced("a second response inside an event")
         event_id = _event_id(event)
         number = _number(event_id)
         if self._resumes and not self._joins(number):
--- a/lovagepier/entry/_targets/second_response.py
+++ b/lovagepier/entry/_targets/second_response.py
@@ -22,6 +22,11 @@
 _LINE_END = re.compile(rb"\r\n|\r|\n")
 # A line of a server-sent event with a known field, or a comment.
 _EVENT_LINE = re.compile(rb"(?:data|event|id|retry)?:|(?:data|event|id|retry)\Z")
+# Lines of an event whose values are no text.
+_NUMBER_LINE = re.compile(rb"(?:id|retry):")
+# The end of a line that is not that of a head's lines.
+_PLAIN_LINE_END = re.compile(rb"(?<!\r)\n|\r(?!\n)")
+_HEAD_END = b"\r\n\r\n"
 
 
 def is_head_of_two(event):
@@ -35,20 +40,44 @@
     return any(_STATUS.search(value) for _, value in event.headers)
 
 
-def holds_head(event):
+def holds_head(event, behind):
     """Return whether a server-sent event holds the head of a response.
 
-    That is a status line which is followed by lines that no event has. Texts about
-    HTTP have the name of a field before each of their lines.
+    That is a status line which is followed by lines that no event has, or one that ends
+    the event. Texts about HTTP have the name of a field before each of their lines.
+    `behind` are the bytes that follow the event: None is returned if they are too few
+    to tell.
     """
     found = _STATUS.search(event)
     if found is None:
         return False
-    before = max(
-        event.rfind(b"\n", 0, found.start()), event.rfind(b"\r", 0, found.start())
-    )
-    lines = _LINE_END.split(event[before + 1 :])
-    return any(line and not _EVENT_LINE.match(line) for line in lines)
+    lines = _LINE_END.split(event[_line_start(event, found.start()) :])
+    if any(line and not _EVENT_LINE.match(line) for line in lines):
+        return True
+    return _ends_in_head(event, behind)
+
+
+def _ends_in_head(event, behind):
+    """Return whether an event ends in a head without headers, None if not certain.
+
+    Such a head is of an interim response, so that another one follows. A target that
+    ends its lines otherwise shows it before.
+    """
+    if not event.endswith(_HEAD_END):
+        return False
+    start = _line_start(event, len(event) - len(_HEAD_END))
+    if _STATUS.search(event, start) is None:
+        return False
+    if _PLAIN_LINE_END.search(event, 0, start) or _NUMBER_LINE.match(event, start):
+        return True
+    if len(behind) < len(HEAD_START) and HEAD_START.startswith(behind):
+        return None
+    return behind.startswith(HEAD_START)
+
+
+def _line_start(event, position):
+    """Return where the line of an event that holds `position` begins."""
+    return max(event.rfind(b"\n", 0, position), event.rfind(b"\r", 0, position)) + 1
 
 
 def find_second_response(body, rest, is_mark):
--- a/test/test_second_answers.py
+++ b/test/test_second_answers.py
@@ -30,6 +30,8 @@
 }
 STATUSES = {"whole": 200, "stream": 200, "failure": 500, "refusal": 503}
 FRAMINGS = ("length", "chunks", "none", "http10")
+SECONDS = ("the same", "another's", "a failure", "a refusal", "an interim one")
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Statuses that state that a request has not run and never will.
 NOT_RUN = (408, 421, 429, 503)
 
@@ -65,6 +67,7 @@
         "another's": answer_bytes(kind, framing, "other", OTHER_SEAL),
         "a failure": answer_bytes("failure", "length", request_id),
         "a refusal": answer_bytes("refusal", "length", request_id),
+        "an interim one": INTERIM + answer_bytes(kind, framing, request_id),
     }
 
 
@@ -155,7 +158,7 @@
 
 @pytest.mark.parametrize("framing", FRAMINGS)
 @pytest.mark.parametrize("kind", ["whole", "stream", "failure"])
-@pytest.mark.parametrize("second", ["the same", "another's", "a failure", "a refusal"])
+@pytest.mark.parametrize("second", SECONDS)
 def test_a_second_answer_behind_a_cut_one_is_not_read_as_its_rest(
     runner, calls, kind, framing, second
 ):
