Search a framed body for marks instead of status lines

The search parsed the lines behind each status line, so that a body of nothing but status lines, which a caller can have sent itself, took some 6 steps for each: linear, but 185 ms of the event loop for each MiB. A head without a mark is text unless the body ends in it, so the search now looks for marks first and goes back from one, and from the body's end, to the status line. The patterns do this; steps in Python are left for each mark only. A mark that no head precedes skips to the next status line.

Ruled out: a bound on the candidates, after which the body is refused: a dump of HTTP traffic has as many, and is legal.

--- a/lovagepier/entry/_targets/second_response.py
+++ b/lovagepier/entry/_targets/second_response.py
@@ -9,6 +9,7 @@
 
 from lovagepier.entry._targets.head_search import HEAD_START
 from lovagepier.entry._targets.parsers import MAX_HEAD_BYTES
+from lovagepier.platform import RESPONSE_MARKS
 
 __all__ = ["find_second_response", "holds_head", "is_head_of_two"]
 
@@ -19,6 +20,10 @@
 )
 _MAX_PARTIAL = len(b"HTTP/1.1 200")
 _HEADER_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:")
+# The end of a line before one that is no header, or blank.
+_NO_HEADER = re.compile(rb"\n(?!" + _HEADER_LINE.pattern + rb"|[ \t][^\S\n]*\S)")
+_LAST_STATUS = re.compile(rb"(?s:.*)" + _STATUS.pattern)
+_MARK = re.compile(rb"\n(?i:(" + b"|".join(sorted(RESPONSE_MARKS)) + rb")):")
 _LINE_END = re.compile(rb"\r\n|\r|\n")
 # A line of a server-sent event with a known field, or a comment.
 _EVENT_LINE = re.compile(rb"(?:data|event|id|retry)?:|(?:data|event|id|retry)\Z")
@@ -91,49 +96,66 @@
     if HEAD_START not in body and not _PARTIAL_STATUS.search(body[-_MAX_PARTIAL:]):
         return False
     data = body + rest[:MAX_HEAD_BYTES]
-    position = 0
-    while found := _STATUS.search(data, position):
-        if found.start() >= len(body):
-            return False
-        position = _end_of_line(data, found.end())
-        position, is_found = _read_lines(data, position, len(body), is_mark)
-        if is_found is not False:
-            return is_found
-    tail = max(len(data) - _MAX_PARTIAL, position)
-    found = _PARTIAL_STATUS.search(data[tail:])
-    if found is None or tail + found.start() >= len(body):
-        return False
-    return True if rest else None
+    size = len(body)
+    if HEAD_START in body and _holds_marked_head(data, size, is_mark):
+        return True
+    return (True if rest else None) if _is_head_at_end(data, size) else False
 
 
-def _read_lines(data, position, size, is_mark):
-    """Read the headers behind a status line; return (position, whether it is found).
+def _holds_marked_head(data, size, is_mark):
+    """Return whether a header that is a mark stands in a head.
 
-    `size` is the length of the body that `data` begins with. More lines than a head may
-    have are text.
+    `size` is the length of the body that `data` begins with. Marks are rarer than
+    status lines, so that the search begins with them.
     """
-    begin = position
-    while position <= size:
-        if position == len(data):
-            return position, None
-        end = _end_of_line(data, position)
-        line = data[position:end]
-        if not line.strip():
-            # What follows a head that ends with the body is its own, or the next one.
-            is_found = len(data) > size or None
-            return end, False if end < size else is_found
-        is_partial = not line.endswith(b"\n")
-        if not (is_partial or line[:1] in b" \t" or _HEADER_LINE.match(line)):
-            return position, False
-        if HEAD_START in line:
-            begin = position + line.rfind(HEAD_START)
-        if end - begin > MAX_HEAD_BYTES:
-            return end, False
-        name, _, value = line.partition(b":")
-        if is_mark(name.lower(), value.strip()):
-            return end, True
-        position = end
-    return position, True
+    # Where a status line may begin, and how far marks were searched for.
+    begin = position = data.find(HEAD_START)
+    while begin >= 0 and (found := _MARK.search(data, position)):
+        line = found.start() + 1
+        if line > size:
+            break
+        position = found.end()
+        value = data[position : _end_of_line(data, position)]
+        if is_mark(found[1].lower(), value.strip()):
+            if _is_head_before(data, line, begin):
+                return True
+            # What breaks a head before this line breaks it for later ones.
+            begin = position = data.find(HEAD_START, line)
+    return False
+
+
+def _is_head_at_end(data, size):
+    """Return whether a body ends in a head, or in the start of one."""
+    line = data.rfind(b"\n", 0, size) + 1
+    if line == size:
+        last = data.rfind(b"\n", 0, size - 1) + 1
+        if not data[last:size].strip():
+            return _is_head_before(data, last, 0)
+    begun = _STATUS.search(data, line) or _PARTIAL_STATUS.search(
+        data, max(len(data) - _MAX_PARTIAL, 0)
+    )
+    if begun and begun.start() < size:
+        return True
+    is_text = _is_text(data[line : _end_of_line(data, line)])
+    return not is_text and _is_head_before(data, line, 0)
+
+
+def _is_text(line):
+    """Return whether a line is neither a header, or a part of one, nor blank."""
+    is_whole = line.endswith(b"\n") and line.strip()
+    return is_whole and line[:1] not in b" \t" and not _HEADER_LINE.match(line)
+
+
+def _is_head_before(data, line, begin):
+    """Return whether headers only stand between a status line and the start of a line.
+
+    The status line begins at `begin` or later. More than a head may have are text.
+    """
+    found = _LAST_STATUS.match(data, max(begin, line - MAX_HEAD_BYTES), line)
+    if found is None:
+        return False
+    end = _end_of_line(data, found.end())
+    return _NO_HEADER.search(data, end - 1, line - 1) is None
 
 
 def _end_of_line(data, position):
--- a/lovagepier/platform/__init__.py
+++ b/lovagepier/platform/__init__.py
@@ -24,6 +24,7 @@
     read_whole,
 )
 from lovagepier.platform._headers import (
+    RESPONSE_MARKS,
     TargetResponse,
     decode_call,
     decode_response,
@@ -38,6 +39,7 @@
 __all__ = [
     "CONFIG_KEY",
     "MAX_DOCUMENT_BYTES",
+    "RESPONSE_MARKS",
     "TARGET_PREFIX",
     "DocumentError",
     "Event",
--- a/lovagepier/platform/_headers.py
+++ b/lovagepier/platform/_headers.py
@@ -6,6 +6,7 @@
 from lovagepier.entry.call import Call
 
 __all__ = [
+    "RESPONSE_MARKS",
     "TargetResponse",
     "decode_response",
     "decode_call",
@@ -27,8 +28,8 @@
 _LEAVING = b"server-leaving"
 _SEAL = b"x-server-seal"
 _NOT_EXECUTED = b"x-not-executed"
-# By these a response is known to be a target's.
-_TARGET_MARKS = frozenset((_REQUEST_ID, _SEAL, _NOT_EXECUTED))
+# Names of the headers by which a response is known to be a target's.
+RESPONSE_MARKS = frozenset((_REQUEST_ID, _SEAL, _NOT_EXECUTED))
 _MAX_PAUSE_S = 86400.0
 # Counts beyond this are not counts of tokens; estimates divide and multiply them.
 _MAX_COUNT_DIGITS = 9
@@ -260,7 +261,7 @@
         request_id=_only(headers, _REQUEST_ID),
         not_executed=_first(headers, _NOT_EXECUTED) is not None or status == 421,
         seal=_only(headers, _SEAL),
-        is_marked=any(name in _TARGET_MARKS for name, _ in headers),
+        is_marked=any(name in RESPONSE_MARKS for name, _ in headers),
         content_encoded=encoding not in ("", "identity"),
         event_stream=_text(_first(headers, b"content-type")).startswith(
             "text/event-stream"
@@ -283,7 +284,7 @@
     """
     if name == _REQUEST_ID:
         return _text(value) in request_ids
-    return name in _TARGET_MARKS
+    return name in RESPONSE_MARKS
 
 
 def _idle_timeout(value):
--- a/test/test_framed_bodies.py
+++ b/test/test_framed_bodies.py
@@ -1,5 +1,6 @@
 """A second response stands in a framed body where the rest of the first is due."""
 
+import sys
 import time
 
 import pytest
@@ -52,19 +53,65 @@
     assert find(text, second) is False
 
 
+TEXTS = {
+    "lines": b"X: HTTP/1.1 200\r\n",
+    "one line": b" HTTP/1.1 200",
+    "heads": b"HTTP/1.1 200 OK\r\nA: b\r\n\r\n",
+    "status lines": b"HTTP/1.1 200 OK\r\n",
+    "headers": b"Name: value\r\n",
+}
+MARKED_TEXTS = {
+    "seals behind a text": b"a text\r\nX-Server-Seal: s\r\n",
+    "a text in each head": b"HTTP/1.1 200\r\na text\r\nX-Server-Seal: s\r\n",
+    "other ids": b"X-Request-Id: 7f3a\r\n",
+    "heads with other ids": b"HTTP/1.1 200\r\nX-Request-Id: 7f3a\r\n\r\n",
+}
+
+
+def body_of(text, size):
+    return b"HTTP/1.1 200\r\n" + text * (size // len(text)) + b"\r\n\r\nthe end"
+
+
 @pytest.mark.parametrize(
-    "text",
-    [b"X: HTTP/1.1 200\r\n", b" HTTP/1.1 200", b"HTTP/1.1 200 OK\r\nA: b\r\n\r\n"],
-    ids=["lines", "one line", "heads"],
+    "text", (TEXTS | MARKED_TEXTS).values(), ids=TEXTS | MARKED_TEXTS
 )
 def test_the_search_takes_linear_time(text):
-    size = 1024 * 1024
-    data = b"HTTP/1.1 200\r\n" + text * (size // len(text)) + b"\r\n\r\nthe end"
+    data = body_of(text, 1024 * 1024)
     began = time.process_time()
     assert find(data) is False
     assert time.process_time() - began < 3.0
 
 
+def calls_of_search(data):
+    """Return how many functions, those in C too, the search of a body calls."""
+    count = 0
+
+    def on_event(frame, event, arg):
+        nonlocal count
+        count += event in ("call", "c_call")
+
+    sys.setprofile(on_event)
+    try:
+        assert find(data) is False
+    finally:
+        sys.setprofile(None)
+    return count
+
+
+@pytest.mark.parametrize("text", TEXTS.values(), ids=TEXTS)
+def test_a_text_without_marks_takes_as_many_steps_whatever_its_length(text):
+    """What is looked at one by one are headers that may be marks, not status lines."""
+    few, many = (calls_of_search(body_of(text, size)) for size in (128_000, 640_000))
+    assert few == many < 50
+
+
+@pytest.mark.parametrize("text", MARKED_TEXTS.values(), ids=MARKED_TEXTS)
+def test_a_text_with_marks_takes_a_bounded_number_of_steps_for_each(text):
+    data = body_of(text, 64_000)
+    marks = data.count(b"\nX-")
+    assert calls_of_search(data) < 20 * marks + 50
+
+
 def test_a_mark_beyond_the_length_of_a_head_is_text():
     lines = b"Name: value\r\n" * (MAX_HEAD_BYTES // 13 + 1)
     text = b"HTTP/1.1 200 OK\r\n" + lines
