Keep the patterns of heads in one module

Both searches, that of bodies without a length and that of framed bodies and events, had a status line, a begun one and a header's name of their own.

--- a/lovagepier/entry/_callers/events.py
+++ b/lovagepier/entry/_callers/events.py
@@ -2,7 +2,7 @@
 
 import re
 
-from lovagepier.entry._targets.head_search import HEAD_START
+from lovagepier.entry._targets.head_patterns import HEAD_START
 from lovagepier.entry._targets.second_response import holds_head
 
 __all__ = ["EventSplitter", "EventTooLong", "EventTruncated", "NotContinued"]
--- a/lovagepier/entry/_targets/head_search.py
+++ b/lovagepier/entry/_targets/head_search.py
@@ -3,18 +3,23 @@
 import re
 from collections import deque
 
+from lovagepier.entry._targets.head_patterns import (
+    HEAD_START,
+    HEADER_NAME,
+    STATUS,
+    may_be_begun,
+    partial_status,
+)
 from lovagepier.entry._targets.parsers import MAX_HEAD_BYTES
 
-__all__ = ["HEAD_START", "HeadSearch"]
+__all__ = ["HeadSearch"]
 
-HEAD_START = b"HTTP/1."
 # A head may begin at each of several places that share its end. Only so many of the
 # first and of the last ones are considered.
 MAX_STARTS = 4
 
-_STATUS = re.compile(rb"HTTP/1\.[01] [0-9]{3}(?=[ \r\n])")
-_STATUS_SAMPLE = b"HTTP/1.1 200 "
-_HEADER_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+(?::|\r?\n?\Z)|[ \t]|\r?\n?\Z")
+# A line of a head, or what is there of it.
+_HEAD_LINE = re.compile(HEADER_NAME.pattern + rb"(?::|\r?\n?\Z)|[ \t]|\r?\n?\Z")
 
 
 class HeadSearch:
@@ -67,7 +72,7 @@
         """Go on to the next place where a head may begin; return it."""
         found = self._held.find(HEAD_START, self._searched - self._base)
         if found < 0:
-            found = len(self._held) - _partial_start(self._held)
+            found = self._partial_start()
         self._line = self._searched = max(self._searched, self._base + found)
         return self._searched
 
@@ -79,7 +84,7 @@
             if line in (b"\r\n", b"\n"):
                 start = self._find_start(end)
                 self._open.clear()
-            elif not _HEADER_LINE.match(line):
+            elif not _HEAD_LINE.match(line):
                 self._open.clear()
         self._search(end)
         self._drop_broken(end - 1)
@@ -112,11 +117,10 @@
         last = end - self._base
         position = self._searched - self._base
         while (position := self._held.find(HEAD_START, position, last)) >= 0:
-            sample = self._held[position : position + len(_STATUS_SAMPLE)]
-            if _STATUS.match(sample + _STATUS_SAMPLE[len(sample) :]):
-                if len(sample) < len(_STATUS_SAMPLE) and not sample.endswith(b"\n"):
-                    self._searched = self._base + position
-                    return
+            if may_be_begun(self._held, position):
+                self._searched = self._base + position
+                return
+            if STATUS.match(self._held, position):
                 self._starts.append(self._base + position)
             position += len(HEAD_START)
             self._searched = self._base + position
@@ -124,12 +128,12 @@
     def _first_needed(self):
         """Return from where on bytes must be delayed."""
         whole = self._base + len(self._held)
-        if self._open and not _HEADER_LINE.match(self._slice(self._line, whole)):
+        if self._open and not _HEAD_LINE.match(self._slice(self._line, whole)):
             self._open.clear()
         self._search(whole)
         self._drop_broken(whole)
         if not self._held.startswith(HEAD_START, self._searched - self._base):
-            unsearched = whole - _partial_start(self._held)
+            unsearched = self._base + self._partial_start()
             self._searched = max(self._searched, unsearched)
         needed = self._searched
         for starts in (self._open, self._starts):
@@ -139,6 +143,11 @@
                 needed = min(needed, starts[0])
         return needed
 
+    def _partial_start(self):
+        """Return the offset in `_held` from where on a status line may begin."""
+        found = partial_status(self._held)
+        return len(self._held) if found is None else found
+
     def _slice(self, start, end):
         return self._held[start - self._base : end - self._base]
 
@@ -147,11 +156,3 @@
         self._held = self._held[len(taken) :]
         self._base += len(taken)
         return taken
-
-
-def _partial_start(data):
-    """Return how many bytes at the end of `data` may be the start of a head."""
-    for length in range(len(HEAD_START) - 1, 0, -1):
-        if data.endswith(HEAD_START[:length]):
-            return length
-    return 0
--- a/lovagepier/entry/_targets/second_response.py
+++ b/lovagepier/entry/_targets/second_response.py
@@ -7,22 +7,21 @@
 
 import re
 
-from lovagepier.entry._targets.head_search import HEAD_START
+from lovagepier.entry._targets.head_patterns import (
+    HEAD_START,
+    HEADER_NAME,
+    STATUS,
+    partial_status,
+)
 from lovagepier.entry._targets.parsers import MAX_HEAD_BYTES
 from lovagepier.platform import RESPONSE_MARKS
 
 __all__ = ["find_second_response", "holds_head", "is_head_of_two"]
 
-_STATUS = re.compile(rb"HTTP/1\.[01] [0-9]{3}(?=[ \r\n]|\Z)")
-# The start of a status line at the end of what was read.
-_PARTIAL_STATUS = re.compile(
-    rb"H(?:T(?:T(?:P(?:/(?:1(?:\.(?:[01](?: [0-9]{0,3})?)?)?)?)?)?)?)?\Z"
-)
-_MAX_PARTIAL = len(b"HTTP/1.1 200")
-_HEADER_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:")
+_HEADER_LINE = re.compile(HEADER_NAME.pattern + rb":")
 # The end of a line before one that is no header, or blank.
 _NO_HEADER = re.compile(rb"\n(?!" + _HEADER_LINE.pattern + rb"|[ \t][^\S\n]*\S)")
-_LAST_STATUS = re.compile(rb"(?s:.*)" + _STATUS.pattern)
+_LAST_STATUS = re.compile(rb"(?s:.*)" + STATUS.pattern)
 _MARK = re.compile(rb"\n(?i:(" + b"|".join(sorted(RESPONSE_MARKS)) + rb")):")
 _LINE_END = re.compile(rb"\r\n|\r|\n")
 # A line of a server-sent event with a known field, or a comment.
@@ -40,9 +39,9 @@
     The first one was cut inside its reason or a header's value, where a status line
     is valid.
     """
-    if _STATUS.search(event.reason):
+    if STATUS.search(event.reason):
         return True
-    return any(_STATUS.search(value) for _, value in event.headers)
+    return any(STATUS.search(value) for _, value in event.headers)
 
 
 def holds_head(event, behind):
@@ -53,7 +52,7 @@
     `behind` are the bytes that follow the event: None is returned if they are too few
     to tell.
     """
-    found = _STATUS.search(event)
+    found = STATUS.search(event)
     if found is None:
         return False
     lines = _LINE_END.split(event[_line_start(event, found.start()) :])
@@ -71,7 +70,7 @@
     if not event.endswith(_HEAD_END):
         return False
     start = _line_start(event, len(event) - len(_HEAD_END))
-    if _STATUS.search(event, start) is None:
+    if STATUS.search(event, start) is None:
         return False
     if _PLAIN_LINE_END.search(event, 0, start) or _NUMBER_LINE.match(event, start):
         return True
@@ -93,7 +92,7 @@
     unless it goes on behind the body's end. It is not certain where the body ends in
     what may be a head, and nothing follows yet.
     """
-    if HEAD_START not in body and not _PARTIAL_STATUS.search(body[-_MAX_PARTIAL:]):
+    if HEAD_START not in body and partial_status(body) is None:
         return False
     data = body + rest[:MAX_HEAD_BYTES]
     size = len(body)
@@ -131,10 +130,9 @@
         last = data.rfind(b"\n", 0, size - 1) + 1
         if not data[last:size].strip():
             return _is_head_before(data, last, 0)
-    begun = _STATUS.search(data, line) or _PARTIAL_STATUS.search(
-        data, max(len(data) - _MAX_PARTIAL, 0)
-    )
-    if begun and begun.start() < size:
+    found = STATUS.search(data, line)
+    begun = found.start() if found else partial_status(data)
+    if begun is not None and begun < size:
         return True
     is_text = _is_text(data[line : _end_of_line(data, line)])
     return not is_text and _is_head_before(data, line, 0)
