Keep the logs of a call in the message of a test that failed at high load

Twice a call of this test was answered without a body or cut, with nothing kept that tells why. The message has the status, the headers, how it ended, the targets' requests and the log lines since. Checks and bounds are as before.

--- a/test/test_broken_streams.py
+++ b/test/test_broken_streams.py
@@ -12,6 +12,7 @@
 
 from lovagepier.entry._callers import stream_relay as _stream_relay
 from test.entry_builders import config, entry_fleet, route, wait_until
+from test.request_logs import account_of, kept_logs
 from test.stream_targets import (
     EVENTS,
     LAST_CHUNK,
@@ -176,6 +177,11 @@
     async def renew(self, count=12):
         await self._targets.renew(count)
 
+    @property
+    def request_id(self):
+        """The id of the last call."""
+        return f"{self._name}r{self.count}"
+
     async def play(self, *script, path=None, caller="1.1", deadline_ms=500):
         """Return (what the caller has seen, the Last-Event-Ids of the targets)."""
         self.count += 1
@@ -184,7 +190,7 @@
         seen = await ask(
             self._host,
             path or self._path,
-            f"{self._name}r{self.count}",
+            self.request_id,
             version,
             [*headers, f"X-Deadline-Ms: {deadline_ms}"],
             # A body of its own: failures of one call say nothing of the next.
@@ -428,10 +434,12 @@
                 await calls.renew(12)
             pause = 0.07 + 0.001 * number
             first = Answer(head(), *START, pause, *late, LAST_CHUNK)
-            seen, asked = await calls.play(first)
+            with kept_logs() as logs:
+                seen, asked = await calls.play(first)
+            account = account_of(calls.request_id, seen, asked, logs)
             got = (seen.status, seen.body, seen.is_complete, seen.extra)
-            assert got == (200, WHOLE, True, b"")
-            assert asked in ([None], [None, "2"])
+            assert got == (200, WHOLE, True, b""), account
+            assert asked in ([None], [None, "2"]), account
             taken_over += len(asked) == 2
         # Both happened: the first target went on in time, and the second took over.
         assert 0 < taken_over < 60
