Judge a late rest of an answer by when the target sent it

The case failed once at a load of 36: complete bodies that end in the start of a status line. A host waits 50 ms for what follows such an end.

A fault still fails the test whenever the parts were less than 50 ms apart; a case whose parts were not is played again, five times at most.

--- a/test/test_second_answers.py
+++ b/test/test_second_answers.py
@@ -5,9 +5,11 @@
 """
 
 import asyncio
+import time
 
 import pytest
 
+from lovagepier.entry._targets.conn import SETTLE_TIMEOUT_S
 from test.entry_builders import entry_fleet
 from test.stream_targets import (
     LAST_CHUNK,
@@ -186,19 +188,37 @@
 ):
     """Its first part ends where the body of the first answer seems to end."""
 
+    async def play(missing):
+        """Return (what is wrong, or None; the seconds between the two parts)."""
+        sent_at = []
+
+        def make(request_id):
+            def timed(part):
+                sent_at.append(time.monotonic())
+                return part
+
+            first = answer_bytes(kind, "length", request_id)
+            behind = answer_bytes(kind, "length", request_id)
+            begin = first[:-missing] + behind[:missing]
+            return (
+                lambda _: timed(begin),
+                0.01,
+                lambda _: timed(behind[missing:]),
+            )
+
+        request_id, seen = await calls.play(route_of(kind), make)
+        return fault(seen, kind, request_id), sent_at[-1] - sent_at[0]
+
     async def scenario():
         wrong = {}
         for missing in range(1, len(BODIES[kind]) + 1):
-
-            def make(request_id, missing=missing):
-                first = answer_bytes(kind, "length", request_id)
-                behind = answer_bytes(kind, "length", request_id)
-                return first[:-missing] + behind[:missing], 0.01, behind[missing:]
-
-            request_id, seen = await calls.play(route_of(kind), make)
-            found = fault(seen, kind, request_id)
+            for _ in range(5):
+                found, seconds = await play(missing)
+                # A host waits no longer, and this loop may have been late.
+                if found is None or seconds < SETTLE_TIMEOUT_S:
+                    break
             if found is not None:
-                wrong[missing] = found
+                wrong[missing] = found, seconds
         assert wrong == {}
 
     runner.run(scenario())
