Stop a host's store actors when the host ends

The watcher and the registrar went on after the end of `EntryHost.run`. Once the event loop was closed, each of their results logged a traceback, "Event loop is closed", at error level, in tests and in the short time between the end of the loop and the end of the process. Now the host stops its actors, the registrar after its leave, and a result that comes after the loop's end is discarded with a debug line.

Stopping alone isn't enough: a call that is under way returns after the loop is closed. Discarding alone would leave the threads running.

--- a/lovagepier/entry/_host.py
+++ b/lovagepier/entry/_host.py
@@ -136,6 +136,12 @@
         signal.pthread_sigmask(signal.SIG_UNBLOCK, (*STOP_SIGNALS, signal.SIGHUP))
         self._loop.set_exception_handler(_log_unhandled)
         self._start_actors()
+        try:
+            await self._serve()
+        finally:
+            self._stop_actors()
+
+    async def _serve(self):
         links = LinkServer(
             self._on_link_message, self._on_link_closed, self.cluster.link_counts
         )
@@ -166,7 +172,12 @@
         # Actors run in threads of their own: their results go to the event loop.
         def on_loop(handler):
             def call(*args):
-                self._loop.call_soon_threadsafe(handler, *args)
+                try:
+                    self._loop.call_soon_threadsafe(handler, *args)
+                except RuntimeError:
+                    if not self._loop.is_closed():
+                        raise
+                    _log.debug("discarded a result of the store after the host's end")
 
             return call
 
@@ -189,6 +200,11 @@
             on_loop(self.cluster.candidates.on_registered),
         )
 
+    def _stop_actors(self):
+        """Stop the actors after their current calls, the registrar once it has left."""
+        self._watcher.stop(block=False)
+        self._registrar.stop(block=False)
+
     def _registration(self):
         host, port = self.cfg.peers_listen
         score = _capacity_score(self.cfg) + self.cluster.candidates.precedence.points
