Split the links between nodes by responsibility

`_outgoing.py` has one outbound link: connecting, sending its outbox, older formats. `_handshake.py` has what both sides check when a link opens: TLS, keys, formats. `Links` keeps the event loop, the received frames and the correlations. `IDLE_CLOSE_S` was used nowhere. No change in behaviour.

--- a/lovagepier/peers/_links.py
+++ b/lovagepier/peers/_links.py
@@ -3,18 +3,15 @@
 import asyncio
 import contextlib
 import itertools
-import logging
-import ssl
 import threading
 from concurrent.futures import Future
+from functools import partial
 
-from websockets.asyncio.client import connect
 from websockets.asyncio.server import serve
-from websockets.exceptions import ConnectionClosed, InvalidStatus, WebSocketException
+from websockets.exceptions import ConnectionClosed
 
-from lovagepier import formats, keys
+from lovagepier import formats
 from lovagepier.frames import (
-    FORMAT,
     MAX_FRAME_BYTES,
     CodecError,
     EncodeError,
@@ -23,38 +20,19 @@
     encode,
 )
 from lovagepier.logs import component_logger
+from lovagepier.peers._handshake import LIBRARY_LOG, check_peer, server_tls
+from lovagepier.peers._outgoing import (
+    CONNECT_TIMEOUT_S,
+    MAX_OUTBOX_MESSAGES,
+    OutgoingLink,
+    PeerUnreachable,
+)
 
 __all__ = ["Links", "PeerUnreachable"]
 
-MAX_OUTBOX_MESSAGES = 4096
-CONNECT_TIMEOUT_S = 1.0
-IDLE_CLOSE_S = 120.0
 # A peer without a common format is not dialed again for this long.
 MISFIT_REDIAL_INTERVAL_S = 10.0
 
-_QUIET_LOG = logging.getLogger("lovagepier.websockets")
-_QUIET_LOG.setLevel(logging.CRITICAL)
-
-
-class PeerUnreachable(Exception):
-    """The message was not sent, or the link broke and it may have arrived."""
-
-
-class _Link:
-    """One outbound connection with a bounded outbox.
-
-    `pending` maps the correlations of unanswered messages to the functions to
-    call if the link breaks.
-    """
-
-    __slots__ = ("address", "outbox", "pending", "task")
-
-    def __init__(self, address):
-        self.address = address
-        self.outbox = asyncio.Queue(MAX_OUTBOX_MESSAGES)
-        self.pending = {}
-        self.task = None
-
 
 class Links:
     """Sends messages to peers by address and dispatches received messages.
@@ -116,58 +94,20 @@
     async def _listen(self):
         host, port = self._cfg.peers_listen
         self._server = await serve(
-            self._serve_peer,
+            self.serve_peer,
             host,
             port,
-            process_request=self._check_peer,
+            process_request=partial(check_peer, self._cfg),
             process_response=formats.add_headers,
             max_size=MAX_FRAME_BYTES,
             compression=None,
-            ssl=self._server_tls(),
-            logger=_QUIET_LOG,
+            ssl=server_tls(self._cfg),
+            logger=LIBRARY_LOG,
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
-    def _server_tls(self):
-        if not self._cfg.peers_certificate:
-            return None
-        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-        context.load_cert_chain(
-            self._cfg.peers_certificate, self._cfg.peers_private_key
-        )
-        return context
-
-    def _client_tls(self):
-        if not self._cfg.peers_certificate:
-            return None
-        context = ssl.create_default_context(cafile=self._cfg.peers_certificate)
-        context.check_hostname = False
-        return context
-
-    def _check_peer(self, connection, request):
-        token = keys.bearer_token(request.headers.get("Authorization"))
-        hashes = [keys.digest(self._cfg.peers_key), *self._cfg.peers_accept_key_hashes]
-        if not keys.matches_any(token, hashes):
-            self._log.warning("refused a peer with an unknown key")
-            return connection.respond(401, "unknown peer key\n")
-        peer_formats = formats.read_headers(request.headers)
-        self._log_formats(peer_formats, connection.remote_address)
-        if peer_formats.number is None:
-            return formats.refusal(connection)
-        return None
-
-    def _log_formats(self, peer_formats, address):
-        if peer_formats.fault:
-            self._log.warning(
-                "formats of a peer",
-                address=":".join(map(str, address[:2])),
-                build=peer_formats.build,
-                formats=peer_formats.text,
-                own_formats=formats.OWN_FORMATS,
-                why=peer_formats.fault,
-            )
-
-    async def _serve_peer(self, connection, peer_formats=None):
+    async def serve_peer(self, connection, peer_formats=None):
+        """Dispatch what a peer sends over a connection until it ends."""
         if peer_formats is None:
             peer_formats = formats.read_headers(connection.request.headers)
         has_skipped = False
@@ -207,7 +147,7 @@
             try:
                 answer = encode(body, frame.correlation, True, number)
             except NotInFormat as exc:
-                self._omit(number, exc)
+                self.omit(number, exc)
                 return
             except EncodeError as exc:
                 self._log.error("could not encode an answer", why=str(exc))
@@ -216,15 +156,20 @@
 
         self._on_message(frame.message, reply)
 
-    def _omit(self, number, exc):
+    def omit(self, number, exc):
+        """Count and log a message that a peer's format lacks."""
         self.messages_omitted += 1
         self._log.info(
             "a peer of an older format gets less", format=number, why=str(exc)
         )
 
-    def _send_reply(self, connection, data):
+    def count_sent(self, data):
+        """Count a frame that is sent."""
         self.bytes_sent += len(data)
         self.messages_sent += 1
+
+    def _send_reply(self, connection, data):
+        self.count_sent(data)
         self._loop.create_task(_send_quietly(connection, data))
 
     def _deliver_reply(self, frame):
@@ -293,7 +238,7 @@
             return
         link = self._links.get(address)
         if link is None:
-            link = self._links[address] = _Link(address)
+            link = self._links[address] = OutgoingLink(address, self._cfg, self)
             link.task = self._loop.create_task(self._run_link(link))
         try:
             link.outbox.put_nowait(data)
@@ -314,84 +259,15 @@
                 if key in self._reply_handlers
             }
 
-    async def _run_link(self, link):
-        scheme = "wss" if self._cfg.peers_certificate else "ws"
-        host, port = link.address
-        try:
-            async with connect(
-                f"{scheme}://{host}:{port}/",
-                additional_headers={
-                    "Authorization": f"Bearer {self._cfg.peers_key}",
-                    **formats.own_headers(),
-                },
-                open_timeout=CONNECT_TIMEOUT_S,
-                close_timeout=CONNECT_TIMEOUT_S,
-                max_size=MAX_FRAME_BYTES,
-                compression=None,
-                proxy=None,
-                ssl=self._client_tls(),
-                logger=_QUIET_LOG,
-            ) as connection:
-                peer_formats = formats.read_headers(connection.response.headers)
-                self._log_formats(peer_formats, link.address)
-                if peer_formats.number is None:
-                    self._put_off(link)
-                else:
-                    await self._pump(link, connection, peer_formats)
-        except InvalidStatus as exc:
-            if exc.response.status_code == formats.UNSUPPORTED_STATUS:
-                self._put_off(link)
-                stated = formats.read_headers(exc.response.headers)
-                stated.fault = stated.fault or "it refused this build"
-                self._log_formats(stated, link.address)
-            else:
-                self._log_lost(link, exc)
-        except (OSError, WebSocketException, EOFError, ValueError) as exc:
-            self._log_lost(link, exc)
-        finally:
-            self._drop(link)
-
-    def _log_lost(self, link, exc):
-        host, port = link.address
-        self._log.debug("link to a peer lost", address=f"{host}:{port}", why=str(exc))
-
-    def _put_off(self, link):
+    def put_off(self, address):
         """Leave a peer without a common format alone for a while."""
-        self._misfits_until[link.address] = self._loop.time() + MISFIT_REDIAL_INTERVAL_S
+        self._misfits_until[address] = self._loop.time() + MISFIT_REDIAL_INTERVAL_S
 
-    async def _pump(self, link, connection, peer_formats):
-        reader = self._loop.create_task(self._serve_peer(connection, peer_formats))
+    async def _run_link(self, link):
         try:
-            while True:
-                getter = self._loop.create_task(link.outbox.get())
-                await asyncio.wait(
-                    {getter, reader}, return_when=asyncio.FIRST_COMPLETED
-                )
-                if not getter.done():
-                    getter.cancel()
-                    return
-                data = getter.result()
-                if peer_formats.number < FORMAT:
-                    data = self._in_older_format(link, data, peer_formats.number)
-                    if data is None:
-                        continue
-                await connection.send(data)
-                self.bytes_sent += len(data)
-                self.messages_sent += 1
+            await link.run()
         finally:
-            reader.cancel()
-
-    def _in_older_format(self, link, data, number):
-        """Return a frame as an older format has it, None if that lacks the message."""
-        frame = decode(data)
-        try:
-            return encode(frame.message, frame.correlation, number=number)
-        except NotInFormat as exc:
-            self._omit(number, exc)
-            on_error = link.pending.pop(frame.correlation, None)
-            if on_error is not None:
-                on_error(PeerUnreachable(str(exc)))
-            return None
+            self._drop(link)
 
     def _drop(self, link):
         # The messages sent over this link may have arrived, but their answers
