--- a/lovagepier/decisions/queue_forecast.py
+++ b/lovagepier/decisions/queue_forecast.py
@@ -10,7 +10,11 @@
 
 
 class StartLog:
-    """The times at which recent calls of each service began."""
+    """The times at which recent calls of each service began.
+
+    Unlike `StartRates`, it counts all starts of its window alike: between calls that
+    begin together, a decaying rate would fall toward zero.
+    """
 
     __slots__ = ("_times",)
 
--- a/lovagepier/decisions/request_rate.py
+++ b/lovagepier/decisions/request_rate.py
@@ -11,7 +11,8 @@
 class RequestRate:
     """The rate of requests over the last `span_s` seconds.
 
-    It is not known until there are samples over `min_span_s`.
+    It is not known until there are samples over `min_span_s`. Unlike a `StartLog` or
+    `StartRates`, it takes readings of a count instead of single events.
     """
 
     __slots__ = ("_min_span_s", "_samples", "_span_s")
--- a/lovagepier/decisions/start_rates.py
+++ b/lovagepier/decisions/start_rates.py
@@ -12,7 +12,7 @@
     """Exponentially decaying rates of starts, one per tier.
 
     Where higher tiers take all slots, lower ones rarely start or never do, however
-    many slots there are.
+    many slots there are. Unlike a `StartLog`, they add up over tiers.
     """
 
     __slots__ = ("_counts", "_first_at", "_updated_at")
