--- a/lovagepier/entry/__main__.py
+++ b/lovagepier/entry/__main__.py
@@ -7,11 +7,11 @@
 import time
 
 from lovagepier.entry._settings import load_entry_settings
+from lovagepier.entry._signals import HANDLED_SIGNALS
 from lovagepier.entry._sockets import open_sockets
 from lovagepier.errors import UserError
 
 SETTINGS_VARIABLE = "LOVAGEPIER_NODE_FILE"
-HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 def main():
--- a/lovagepier/entry/_host.py
+++ b/lovagepier/entry/_host.py
@@ -15,6 +15,7 @@
 from lovagepier.entry._coordination.coordinator import Coordinator
 from lovagepier.entry._coordination.verdicts import Verdicts
 from lovagepier.entry._settings import parse_entry_settings
+from lovagepier.entry._signals import HANDLED_SIGNALS, RELOAD_SIGNAL, STOP_SIGNALS
 from lovagepier.entry._store.actors import (
     LEASE_TTL_S,
     Registrar,
@@ -32,7 +33,6 @@
 
 __all__ = ["EntryHost"]
 
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 # Interval of the coordinator's tick while requests wait.
 TICK_S = 0.05
 # Interval of the coordinator's tick while nothing waits.
@@ -131,9 +131,9 @@
         """Serve until told to stop; return after a graceful shutdown."""
         for signum in STOP_SIGNALS:
             self._loop.add_signal_handler(signum, self._stopping.set)
-        self._loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._loop.add_signal_handler(RELOAD_SIGNAL, self._reload)
         # They are blocked during the start of a process.
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, (*STOP_SIGNALS, signal.SIGHUP))
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
         self._loop.set_exception_handler(_log_unhandled)
         self._start_actors()
         try:
