--- a/lovagepier/bench/capacity.py
+++ b/lovagepier/bench/capacity.py
@@ -11,10 +11,7 @@
 
 
 def scale_costs(size, costs):
-    """Return a table row for each role: messages, processor, memory and store calls.
-
-    The role "pool home" is the coordinator of a pool.
-    """
+    """Return a table row for each role: messages, processor, memory and store calls."""
     membership = costs[f"membership_{size.nodes}"]
     pool = costs["pool"]
     config = costs["config"]
@@ -65,7 +62,7 @@
             pool["wire_bytes_a_permit"] * size.requests / size.nodes * 0.6,
         ),
         _row(
-            "pool home",
+            "pool coordinator",
             f"{per_pool:.0f} permits a second",
             4 * per_pool,
             pool["seconds_a_permit"] * per_pool,
@@ -85,8 +82,8 @@
             ledger["wire_bytes_a_claim"] * per_shard,
         ),
         _row(
-            "moves, home of a moving model",
-            f"{size.open_moves} moves",
+            "rollouts, coordinator of a changing model",
+            f"{size.open_moves} rollouts",
             size.regions * 2 * 5,
             0.0,
             0,
--- a/lovagepier/entry/_cluster/cluster.py
+++ b/lovagepier/entry/_cluster/cluster.py
@@ -1,7 +1,8 @@
 """This host's place among the entry hosts: its coordinator and its requests to it.
 
 Every entry host runs a `Coordinator`. Hosts that reach each other use the same one,
-and their requests are decided there. Logs and metrics call the coordinator the home.
+and their requests are decided there. In names of log fields and metrics
+"home" means the coordinator.
 """
 
 import asyncio
--- a/lovagepier/entry/_coordination/coordinator.py
+++ b/lovagepier/entry/_coordination/coordinator.py
@@ -1,8 +1,8 @@
 """The coordinator: one host's schedulers for all services, quotas and rollouts.
 
 Every entry host runs one, and decides with it for the hosts that use it as their
-coordinator: usually one host for all, or several that can't reach each other. Logs and
-metrics call the coordinator the home.
+coordinator: usually one host for all, or several that can't reach each other. In
+names of log fields and metrics "home" means the coordinator.
 """
 
 from lovagepier.decisions.pauses import Pauses
--- a/lovagepier/entry/_coordination/service_pools.py
+++ b/lovagepier/entry/_coordination/service_pools.py
@@ -192,7 +192,7 @@
         if share == self.share:
             return
         _log.info(
-            "part of the targets that this home uses",
+            "part of the targets that this coordinator uses",
             share=round(share, 3),
             quotas=round(quota_share, 3),
         )
--- a/lovagepier/node/_permits.py
+++ b/lovagepier/node/_permits.py
@@ -240,7 +240,7 @@
         self._node.timeline.add(
             "pool",
             "late permit refused",
-            why="this node had turned to another home",
+            why="this node had turned to another coordinator",
             request=answer.id,
             subject=coordinator,
         )
--- a/lovagepier/node/_pool.py
+++ b/lovagepier/node/_pool.py
@@ -38,8 +38,8 @@
     It starts with the first message for the pool. Then it does not know what the
     previous coordinator granted, so it asks each target for its known request
     ids, and defers ids that are not new until the targets have answered or
-    `MAX_KNOWN_IDS_WAIT_S` has passed. The event and metric names that begin with
-    "home" mean the coordinator.
+    `MAX_KNOWN_IDS_WAIT_S` has passed. In names of events and metrics "home"
+    means the coordinator.
     """
 
     component = "pool"
--- a/lovagepier/node/_pools.py
+++ b/lovagepier/node/_pools.py
@@ -94,7 +94,7 @@
         room = 1.0 - SHED_FILL_STEP_PER_TIER * min(body.tier, 5)
         full = mailbox_fill(ref) >= room * MAX_MAILBOX_FILL
         if full or not post(ref, PermitRequested(body, reply)):
-            reply(_refusal(body, "shed", "the home's mailbox is full"))
+            reply(_refusal(body, "shed", "the coordinator's mailbox is full"))
 
     def look_up(self, body, reply):
         """Pass on the question whether an id was dispatched in the pool."""
