--- a/lovagepier/entry/_coordination/rollouts.py
+++ b/lovagepier/entry/_coordination/rollouts.py
@@ -165,7 +165,7 @@
         if state == "done":
             rollout.plan.stage = Stage.DONE
         elif state == "taken-back":
-            rollout.plan.roll_back("told so in the store")
+            rollout.plan.roll_back("the store states a rollback")
         elif begun:
             # Another coordinator began it, so its start time is used.
             elapsed = max(time.time() - begun, 0.0)
--- a/lovagepier/entry/_targets/conn.py
+++ b/lovagepier/entry/_targets/conn.py
@@ -42,7 +42,7 @@
 MAX_INTERIM_RESPONSES = 8
 # A body that is not streamed is held in memory up to this size.
 MAX_BODY_BYTES = 4 * 1024 * 1024
-# A body that nobody needs is read for reuse of its connection up to this size, and for
+# An unneeded body is read for reuse of its connection up to this size, and for
 # this long.
 MAX_DISCARDED_BYTES = 64 * 1024
 DISCARD_TIMEOUT_S = 0.1
@@ -342,7 +342,7 @@
         return bool(self._rest())
 
     async def discard_body(self):
-        """Read the rest of a body that nobody needs; return whether it has ended.
+        """Read the rest of an unneeded body; return whether it has ended.
 
         False means that it is too long, too slow or truncated. Raise
         `TargetConnectionLost` if it holds a second response or breaks its framing,
--- a/lovagepier/entry/_targets/connector.py
+++ b/lovagepier/entry/_targets/connector.py
@@ -188,7 +188,7 @@
     # Broken paths
 
     async def run(self):
-        """Try broken paths again and close tunnels that nobody needs, forever."""
+        """Try broken paths again and close unused tunnels, forever."""
         while True:
             await asyncio.sleep(RETRY_POLL_S)
             try:
--- a/lovagepier/entry/_targets/pool.py
+++ b/lovagepier/entry/_targets/pool.py
@@ -14,7 +14,7 @@
 class ConnectFailed(Exception):
     """No connection could be opened: nothing of the request was sent.
 
-    `refused` tells whether the target's host answered that nobody listens, `is_unsure`
+    `refused` tells whether the target's host refused the connection, `is_unsure`
     that the fault may be this host's: no other host could judge the target. If it
     `needs_others`, the host that judged reaches no target of the service at all.
     """
--- a/lovagepier/node/_ledger.py
+++ b/lovagepier/node/_ledger.py
@@ -248,7 +248,7 @@
         )
         self._restore(number, owned)
         self._owned[number] = owned
-        previous = found.value.decode() if found else "nobody"
+        previous = found.value.decode() if found else "no node"
         self.node.timeline.add(
             "ledger", f"shard {number} taken", why=f"{previous} owned it before"
         )
