--- a/lovagepier/decisions/poison.py
+++ b/lovagepier/decisions/poison.py
@@ -156,11 +156,11 @@
             for name, run in blamed.items()
             if not self.is_poison(name) and self._is_proved(name, run, alone)
         ]
-        culprits = [self._suspects[name] for name in poisoned]
-        for culprit in culprits:
-            self._convict(culprit)
-        for culprit in culprits:
-            self._clear_explained(culprit)
+        proved = [self._suspects[name] for name in poisoned]
+        for suspect in proved:
+            self._mark_poisoned(suspect)
+        for suspect in proved:
+            self._clear_explained(suspect.crashes)
         while len(self._suspects) > _MAX_SUSPECTS:
             self._suspects.popitem(last=False)
         poisoned.sort()
@@ -209,7 +209,7 @@
         return alone and len(suspect.crashes) >= 2
 
     def _is_proved_part(self, name, run):
-        """Return whether a part's trials convict it rather than another part.
+        """Return whether a part's trials show it, and no other part, to be poisonous.
 
         Of two parts that failed the same trials it is the later one in the prompt:
         had it been the earlier one, other requests with that would have failed, too.
@@ -226,17 +226,17 @@
         suspect = self._suspects.get(name)
         return 0 if suspect is None else len(suspect.failed_trials)
 
-    def _clear_explained(self, culprit):
+    def _clear_explained(self, crashes):
         """Clear other suspects of the crashes that a poisonous one explains."""
         for name, suspect in list(self._suspects.items()):
-            if suspect.poisoned or suspect.crashes.isdisjoint(culprit.crashes):
+            if suspect.poisoned or suspect.crashes.isdisjoint(crashes):
                 continue
-            suspect.crashes -= culprit.crashes
-            suspect.failed_trials -= culprit.crashes
+            suspect.crashes -= crashes
+            suspect.failed_trials -= crashes
             if not suspect.crashes:
                 del self._suspects[name]
 
-    def _convict(self, suspect):
+    def _mark_poisoned(self, suspect):
         if not suspect.poisoned:
             suspect.poisoned = True
             suspect.active = True
@@ -277,7 +277,7 @@
         suspect.active = suspect.active or active
         self.revision += 1
         if poisoned:
-            self._convict(suspect)
+            self._mark_poisoned(suspect)
 
     def merge_poisoned(self, names, now):
         """Merge verdicts of other hosts or of the store."""
--- a/lovagepier/decisions/trials.py
+++ b/lovagepier/decisions/trials.py
@@ -63,7 +63,7 @@
     def targets_with_suspects(self):
         """Return the names of targets where a suspect runs.
 
-        If a target with two suspects crashed, the culprit would stay unknown.
+        If a target with two suspects crashed, which one did it would stay unknown.
         """
         return {
             item.target
