--- a/lovagepier/decisions/rejections.py
+++ b/lovagepier/decisions/rejections.py
@@ -12,7 +12,7 @@
 ACCEPTED_AFTER_S = 0.25
 # A new coordinator starts nothing before the hosts have reported what runs there.
 SETTLE_S = 0.25
-# A target that withstands next to no rejections gets nothing that it may reject until
+# A target that tolerates next to no rejections gets nothing that it may reject until
 # this long after requests may have been left running there.
 LOST_RUN_S = 0.5
 # Part of the stated number that is used. The rest is for requests that are on their way
@@ -23,7 +23,7 @@
 class RejectionLimit:
     """Bounds the requests that one target may have to reject in a second.
 
-    `per_second` is the number of rejections that the target withstands, infinite if it
+    `per_second` is the number of rejections that the target tolerates, infinite if it
     states none; `is_stated` tells whether it does. Of a number that several
     coordinators use, each has its `share`.
 
--- a/lovagepier/entry/_cluster/links.py
+++ b/lovagepier/entry/_cluster/links.py
@@ -33,7 +33,7 @@
 
 
 class Dialed(enum.Enum):
-    """What became of dialing a peer.
+    """The result of dialing a peer.
 
     UNREADABLE is a link that ended because one end could not read the other's frames,
     UNSUPPORTED one that was refused for lack of a common format.
--- a/lovagepier/entry/_cluster/older_formats.py
+++ b/lovagepier/entry/_cluster/older_formats.py
@@ -1,4 +1,4 @@
-"""Fall-backs for older formats: rows inside fields, as those builds read them."""
+"""Fallbacks for older formats: rows inside fields, as those builds read them."""
 
 from lovagepier.logs import component_logger
 
--- a/lovagepier/entry/_coordination/version_comparison.py
+++ b/lovagepier/entry/_coordination/version_comparison.py
@@ -1,4 +1,4 @@
-"""What the outcomes of a service tell of its new version, or of the usual."""
+"""What outcomes show about the versions of a service, compared and by themselves."""
 
 import math
 from collections import deque
--- a/lovagepier/entry/_targets/undelimited_body.py
+++ b/lovagepier/entry/_targets/undelimited_body.py
@@ -44,7 +44,7 @@
     """Passes on the body of `response`, a `TargetResponse`, up to a second response.
 
     If that is the same once more, the body is known to be whole. Any other raises
-    `SecondResponse`. Only heads that bear a target's marks count as responses: the body
+    `SecondResponse`. Only heads with a target's marks count as responses: the body
     may well be a text about HTTP.
     """
 
--- a/lovagepier/entry/call.py
+++ b/lovagepier/entry/call.py
@@ -62,7 +62,7 @@
 
     @property
     def kind(self):
-        """The service and the route: calls of one kind last alike, by their sizes."""
+        """The service and the route: calls of one kind and size last about as long."""
         return self.route.service_for(self.request_id), self.route.name
 
 
--- a/lovagepier/platform/_headers.py
+++ b/lovagepier/platform/_headers.py
@@ -88,8 +88,8 @@
     unspecified. `rate_limit` are the requests per second that the target takes from
     all hosts together, infinite unless it states a limit, None if what it states can't
     be read. `rejection_limit` is the number of rejections for want of room in a second
-    that the target withstands, infinite or None likewise. `is_leaving` means that the
-    target states that it leaves; a 421 speaks for another target. `pause_s` are the
+    that the target tolerates, infinite or None likewise. `is_leaving` means that the
+    target states that it leaves; a 421 is about another target. `pause_s` are the
     seconds for which a target that rejected the request wants a pause from this
     host, 0 if it states none, None if the value can't be read.
     """
@@ -116,7 +116,7 @@
 
     @property
     def has_two_seals(self):
-        """Whether it bears two different seals, which no single response does."""
+        """Whether it has two different seals, which no single response does."""
         seals = {_text(value) for name, value in self.headers if name == _SEAL}
         return len(seals) > 1
 
