--- a/lovagepier/entry/_host.py
+++ b/lovagepier/entry/_host.py
@@ -15,6 +15,7 @@
 from lovagepier.entry._coordination.coordinator import Coordinator
 from lovagepier.entry._coordination.verdicts import Verdicts
 from lovagepier.entry._settings import parse_entry_settings
+from lovagepier.entry._signals import HANDLED_SIGNALS, RELOAD_SIGNAL, STOP_SIGNALS
 from lovagepier.entry._store.actors import (
     LEASE_TTL_S,
     Registrar,
@@ -32,7 +33,6 @@
 
 __all__ = ["EntryHost"]
 
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 # Interval of the coordinator's tick while requests wait.
 TICK_S = 0.05
 # Interval of the coordinator's tick while nothing waits.
@@ -131,11 +131,17 @@
         """Serve until told to stop; return after a graceful shutdown."""
         for signum in STOP_SIGNALS:
             self._loop.add_signal_handler(signum, self._stopping.set)
-        self._loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._loop.add_signal_handler(RELOAD_SIGNAL, self._reload)
         # They are blocked during the start of a process.
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, (*STOP_SIGNALS, signal.SIGHUP))
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
         self._loop.set_exception_handler(_log_unhandled)
         self._start_actors()
+        try:
+            await self._serve()
+        finally:
+            self._stop_actors()
+
+    async def _serve(self):
         links = LinkServer(
             self._on_link_message, self._on_link_closed, self.cluster.link_counts
         )
@@ -166,7 +172,12 @@
         # Actors run in threads of their own: their results go to the event loop.
         def on_loop(handler):
             def call(*args):
-                self._loop.call_soon_threadsafe(handler, *args)
+                try:
+                    self._loop.call_soon_threadsafe(handler, *args)
+                except RuntimeError:
+                    if not self._loop.is_closed():
+                        raise
+                    _log.debug("discarded a result of the store after the host's end")
 
             return call
 
@@ -189,6 +200,11 @@
             on_loop(self.cluster.candidates.on_registered),
         )
 
+    def _stop_actors(self):
+        """Stop the actors after their current calls, the registrar once it has left."""
+        self._watcher.stop(block=False)
+        self._registrar.stop(block=False)
+
     def _registration(self):
         host, port = self.cfg.peers_listen
         score = _capacity_score(self.cfg) + self.cluster.candidates.precedence.points
