Close the links of a host that has ended

Its tasks went on and its link server still listened if its run was cancelled, so hosts that had left it as their coordinator could follow it again (seen in test_crashes at a load of 18: n1, n2, n1, n2, n3 within a second). A process that ends has neither; within one process, as in the tests, the host now has neither as well.

--- a/lovagepier/entry/_cluster/links.py
+++ b/lovagepier/entry/_cluster/links.py
@@ -333,6 +333,10 @@
             logger=_QUIET_LOG,
         )
 
+    def close(self):
+        """Close all links and accept no more."""
+        self._server.close()
+
     def _check_formats(self, conn, request):
         peer_formats = formats.read_headers(request.headers)
         peer = ":".join(map(str, conn.remote_address[:2]))
--- a/lovagepier/entry/_host.py
+++ b/lovagepier/entry/_host.py
@@ -160,10 +160,14 @@
             build=build_name(),
             formats=OWN_FORMATS,
         )
-        await self._stopping.wait()
-        await self._drain()
-        for task in tasks:
-            task.cancel()
+        try:
+            await self._stopping.wait()
+            await self._drain()
+        finally:
+            for task in tasks:
+                task.cancel()
+            # No other host is to follow this one any more.
+            links.close()
         _log.info("stopped", host=self.cfg.host_name)
 
     def _start_actors(self):
