Send evidence of crashes to all hosts at once

A coordinator told its followers what it knew of requests that crash targets with its answers to their heartbeats, and pushed rosters at its next tick: up to 0.25 s later. If it was lost meanwhile, its successor began anew and the body crashed further targets (log of test_crashes: proved at the second crash, lost 10 ms later, two more crashes until the successor had proved it).

Rosters now go out in the next turn of the loop when a verdict was reached, and at most each 50 ms for other crashes.

--- a/lovagepier/entry/_cluster/followers.py
+++ b/lovagepier/entry/_cluster/followers.py
@@ -9,6 +9,9 @@
 
 __all__ = ["Followers"]
 
+# Evidence of crashes is sent at once, but not more often than this.
+MIN_PUSH_INTERVAL_S = 0.05
+
 _log = component_logger("members")
 
 
@@ -32,6 +35,8 @@
         self._sent_hosts = {}
         self._sent = {}
         self._rosters_due = False
+        self._pushed_at = float("-inf")
+        self._push = None
         self.links = {}
         self.draining = False
         self._is_cut_off = False
@@ -190,5 +195,22 @@
         if not self._rosters_due:
             return
         self._rosters_due = False
+        self._pushed_at = self._loop.time()
         for link in self.links.values():
             link.send(self.roster(link))
+
+    def push_rosters_soon(self, at_once=False):
+        """Send rosters in the next turn of the loop.
+
+        Unless `at_once`, they are sent `MIN_PUSH_INTERVAL_S` after the last ones.
+        """
+        self._rosters_due = True
+        due_at = self._pushed_at + MIN_PUSH_INTERVAL_S
+        if at_once or due_at <= self._loop.time():
+            self._loop.call_soon(self.push_rosters)
+        elif self._push is None:
+            self._push = self._loop.call_at(due_at, self._push_due)
+
+    def _push_due(self):
+        self._push = None
+        self.push_rosters()
--- a/lovagepier/entry/_cluster/host_messages.py
+++ b/lovagepier/entry/_cluster/host_messages.py
@@ -28,6 +28,16 @@
 
     def handle(self, entry, message, now):
         """Handle a message of an entry host; one of another type is ignored."""
+        coordinator = self._coordinator
+        crash_reports = coordinator.crash_reports
+        verdicts = coordinator.poison_detector.verdicts
+        self._handle(entry, message, now)
+        if coordinator.crash_reports != crash_reports:
+            # This host may be lost next, and the evidence with it.
+            is_proved = coordinator.poison_detector.verdicts != verdicts
+            self._followers.push_rosters_soon(at_once=is_proved)
+
+    def _handle(self, entry, message, now):
         coordinator = self._coordinator
         if isinstance(message, DispatchRequest):
             coordinator.on_dispatch_request(entry, message, now)
--- a/lovagepier/entry/_coordination/coordinator.py
+++ b/lovagepier/entry/_coordination/coordinator.py
@@ -33,7 +33,8 @@
     `send(entry, message)` sends an answer to an entry host, `write_state` writes a
     rollout's state to the store (see `Rollouts`). `quotas` decides what passes.
     `rate_limits` and `rejection_limits` are those that targets state, `stated_limits`
-    both by kind. `pauses` are what targets want from single hosts. Times (`now`) are in
+    both by kind. `pauses` are what targets want from single hosts, `crash_reports`
+    counts what was reported of crashes. Times (`now`) are in
     seconds on the event loop's clock.
     """
 
@@ -42,6 +43,7 @@
         self._send = send
         self.pauses = Pauses()
         self.poison_detector = PoisonDetector()
+        self.crash_reports = 0
         self._account_quotas = AccountQuotas(cfg, view)
         self.quotas = self._account_quotas.quotas
         self.rollouts = Rollouts(cfg, view, write_state)
@@ -74,6 +76,7 @@
 
     def _log_crashes(self):
         for crash in self.poison_detector.take_crashes():
+            self.crash_reports += 1
             _log.warning(
                 "a target crashed",
                 target=crash.id,
