Run the tests in three worker processes

The test command took 823 s of wall time for 620 s of processor time, because tests that wait ran one after the other. pytest-xdist gives whole files to three workers; files must not be parted, as the first test of some starts all of them. The longest files start first. Files that use the pool of simulations stay in one worker, and so do those that use the session cluster: three of either would take the processors from timed tests. The summary counts deselected tests as before.

--- a/test/conftest.py
+++ b/test/conftest.py
@@ -1,4 +1,6 @@
-"""Hypothesis profiles, and a cluster that tests share if they leave it intact.
+"""Hypothesis profiles, the order of files, and a cluster that tests share.
+
+A test that doesn't leave the cluster intact has one of its own.
 
 The default profile uses fixed seeds; SOAK=1 selects random ones.
 """
@@ -10,6 +12,7 @@
 
 from lovagepier.client import Caller
 from test.concurrent_cases import ConcurrentCases
+from test.workers import DeselectedTests, FileScheduling, longest_first
 from trials.cluster import Cluster
 
 settings.register_profile(
@@ -29,6 +32,22 @@
 settings.load_profile("soak" if os.environ.get("SOAK") else "fixed")
 
 
+def pytest_configure(config):
+    """Count deselected tests in the main process."""
+    config.pluginmanager.register(DeselectedTests())
+
+
+def pytest_collection_modifyitems(items):
+    """Start the longest files first."""
+    longest_first(items)
+
+
+@pytest.hookimpl(optionalhook=True)
+def pytest_xdist_make_scheduler(config, log):
+    """Keep files, and some groups of files, in one worker."""
+    return FileScheduling(config, log)
+
+
 @pytest.fixture(scope="session")
 def cluster():
     """A cluster of three nodes in two regions, with engines and records workers."""
