Run the simulations of test_moves.py in processes

The three tests that simulate whole rollouts played them one after the other. They go through `map_in_processes` now, as test_rollout_plan.py's do; seeds, cases and assertions are the same.

--- a/lovagepier/bench/rollouts.py
+++ b/lovagepier/bench/rollouts.py
@@ -6,6 +6,7 @@
 their response. No process is started.
 """
 
+import functools
 import heapq
 import math
 import random
@@ -291,14 +292,21 @@
     return detector.classify(route, not is_new, work, outcome, load=load)
 
 
-def run_rollouts(runs, seed=1, rate=20.0, length=120.0):
-    """Simulate `runs` bad and `runs` good rollouts; return all `RolloutRun`s."""
-    results = []
-    for number in range(runs):
-        fault = FAULTS[number % len(FAULTS)]
-        results.append(run_rollout(fault, f"{seed}/{number}", rate, length))
-        results.append(run_rollout("", f"{seed}/{number}", rate, length))
-    return results
+def run_rollouts(runs, seed=1, rate=20.0, length=120.0, map_cases=map):
+    """Simulate `runs` bad and `runs` good rollouts; return all `RolloutRun`s.
+
+    `map_cases` is called as `map` is; it may play the simulations in processes.
+    """
+    cases = [
+        (fault, f"{seed}/{number}")
+        for number in range(runs)
+        for fault in (FAULTS[number % len(FAULTS)], "")
+    ]
+    return list(map_cases(functools.partial(_run_case, rate, length), cases))
+
+
+def _run_case(rate, length, case):
+    return run_rollout(*case, rate, length)
 
 
 def summarize(runs):
--- a/test/test_moves.py
+++ b/test/test_moves.py
@@ -1,5 +1,7 @@
 """Rollouts: shares, evidence, the rollback trigger and simulated rollouts."""
 
+from functools import partial
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -14,6 +16,7 @@
     share_at,
     state_at,
 )
+from test.processes import map_in_processes
 
 ROLLOUT = Rollout("m", "drafter", "v1", "v2", 100.0, 200.0)
 _STATES = st.builds(
@@ -123,7 +126,7 @@
 
 
 def test_simulated_rollouts_keep_the_stated_rates():
-    found = summarize(run_rollouts(56, seed=11))
+    found = summarize(run_rollouts(56, seed=11, map_cases=map_in_processes))
     assert found["bad_taken_back"] >= 0.99
     assert found["sent_after_brake"] == 0
     assert found["good_taken_back"] < 0.01
@@ -131,6 +134,10 @@
     assert found["exposed_share_mean"] < 0.02
 
 
+def _run_disturbed(disturbance, seed):
+    return run_rollout("", f"g{seed}", length=60.0, disturbance=disturbance)
+
+
 @pytest.mark.parametrize(
     "disturbance",
     [
@@ -144,8 +151,8 @@
     ],
 )
 def test_a_good_version_is_not_rolled_back_for_slowness_of_something_else(disturbance):
-    for seed in range(25):
-        run = run_rollout("", f"g{seed}", length=60.0, disturbance=disturbance)
+    play = partial(_run_disturbed, disturbance)
+    for seed, run in enumerate(map_in_processes(play, range(25))):
         assert not run.rolled_back_open and run.completed, seed
 
 
@@ -153,15 +160,17 @@
 _WATCHED_STEPS = ((0.0, 0.05), (0.2, 0.2), (0.4, 0.6), (0.6, 1.0))
 
 
+def _run_watched(seed):
+    return run_rollout(
+        "",
+        f"d{seed}",
+        disturbance="fewer-new-targets",
+        service=Service(rate=50.0, length=14.0),
+        steps=_WATCHED_STEPS,
+    )
+
+
 def test_a_good_version_is_not_rolled_back_for_the_load_of_all_traffic():
     """Two targets take over from four; a false verdict in 1,000 is allowed."""
-    service = Service(rate=50.0, length=14.0)
-    for seed in range(160):
-        run = run_rollout(
-            "",
-            f"d{seed}",
-            disturbance="fewer-new-targets",
-            service=service,
-            steps=_WATCHED_STEPS,
-        )
+    for seed, run in enumerate(map_in_processes(_run_watched, range(160))):
         assert not run.rolled_back_open and run.completed, seed
