Don't follow a linked host that said that it drains

Two hosts drained, and the store, which was busy, kept their registrations. A follower takes its knowledge of draining hosts from its coordinator's roster, which lists the hosts that linked to that one. It went back to one draining host, left it at the first roster of that host, was with its successor for 1 ms, and went to the other draining host as its link opened; it never had the successor's roster.

A linked host's own row in its last roster counts as well now.

--- a/lovagepier/entry/_cluster/candidates.py
+++ b/lovagepier/entry/_cluster/candidates.py
@@ -49,18 +49,29 @@
         )
 
     def _draining_names(self, roster, members):
-        """Return the hosts that the roster says are draining and that did not restart.
+        """Return the hosts that are draining and did not restart.
 
-        The roster of a former coordinator stays when this host succeeds it.
+        They are those that the roster lists as draining, and linked ones that said so
+        themselves: a coordinator may not list a host that drains beside it. The roster
+        of a former coordinator stays when this host succeeds it.
         """
         if roster is not self._roster:
             self._roster = roster
             boots = {host.name: host.boot for host in members}
             self._draining = {row[0]: boots.get(row[0]) for row in roster if row[3]}
         return {
-            host.name for host in members if self._draining.get(host.name) == host.boot
+            host.name
+            for host in members
+            if self._draining.get(host.name) == host.boot
+            or self._states_draining(host.name)
         }
 
+    def _states_draining(self, name):
+        link = self._outgoing.links.get(name)
+        return link is not None and any(
+            row[0] == name and row[3] for row in link.roster
+        )
+
     def _is_stale(self, host):
         """Return whether a host is known to have restarted since it registered."""
         if host.name == self._cfg.host_name:
--- a/test/test_succession.py
+++ b/test/test_succession.py
@@ -6,9 +6,16 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lovagepier import platform
 from lovagepier.decisions.succession import rank_candidates
-from lovagepier.entry._store.view import encode_host
-from test.entry_builders import call, entry_fleet, wait_until
+from lovagepier.entry._cluster.candidates import Candidates
+from lovagepier.entry._cluster.followers import Followers
+from lovagepier.entry._cluster.links import LinkCounts
+from lovagepier.entry._cluster.outgoing import OutgoingLinks
+from lovagepier.entry._settings import parse_entry_settings
+from lovagepier.entry._store.view import StoreView, encode_host
+from lovagepier.frames import FORMAT
+from test.entry_builders import call, entry_fleet, settings, wait_until
 
 
 @dataclass
@@ -160,3 +167,45 @@
         assert (await call(weak, "/read/x", "r1")).status == 200
 
     run_scenario(scenario, hosts=1)
+
+
+class StandinLink:
+    """What a host keeps of the last roster of a peer, which lists the peer alone."""
+
+    def __init__(self, name, boot, draining):
+        self.boot = boot
+        self.roster = [[name, "10.0.0.1:80", "a1", draining, False, FORMAT, "0.1.0"]]
+
+
+def register(view, revision, name, boot):
+    key = f"lovagepier/hosts/{name}.{boot}"
+    item = platform.Item(key, encode_host(name, "10.0.0.1:81"), revision, revision)
+    view.on_events([platform.Event(key, revision, item)], revision, 0.0)
+
+
+def test_hosts_that_drain_at_the_same_time_are_not_followed_again():
+    """Replays two stops while the store keeps the registrations of both hosts.
+
+    A follower went back to the host that its coordinator's roster did not list, and at
+    that one's word on to the other. It was never long enough with the third host to
+    get its roster.
+    """
+
+    async def scenario():
+        cfg = parse_entry_settings(settings("n4", 1))
+        view = StoreView()
+        for number in range(1, 5):
+            register(view, number, f"n{number}", "first")
+        outgoing = OutgoingLinks(None, None, None, LinkCounts())
+        followers = Followers(cfg, view, None, "first")
+        candidates = Candidates(cfg, view, outgoing, followers, "first")
+        for name, draining in (("n1", True), ("n2", True), ("n3", False)):
+            outgoing.links[name] = StandinLink(name, "first", draining)
+        for link in list(outgoing.links.values()):
+            assert candidates.names(link.roster) == ["n3", "n4"]
+        # A restarted host is followed by its place.
+        outgoing.links["n1"] = StandinLink("n1", "second", False)
+        register(view, 5, "n1", "second")
+        assert candidates.names(outgoing.links["n3"].roster) == ["n3", "n4", "n1"]
+
+    asyncio.run(scenario())
