--- a/test/test_mixed_builds.py
+++ b/test/test_mixed_builds.py
@@ -106,9 +106,18 @@
         """Wait until all hosts use the same coordinator; return its name."""
         hosts = self.fleet.live_hosts()
         await wait_until(
-            lambda: len({_home(host) for host in hosts}) == 1, ONE_COORDINATOR_S
+            lambda: len({coordinator_of(host) for host in hosts}) == 1,
+            ONE_COORDINATOR_S,
+        )
+        return coordinator_of(hosts[0])
+
+    async def coordinated_by(self, name):
+        """Wait until all hosts use a certain host's coordinator."""
+        hosts = self.fleet.live_hosts()
+        await wait_until(
+            lambda: {coordinator_of(host) for host in hosts} == {name},
+            ONE_COORDINATOR_S,
         )
-        return _home(hosts[0])
 
     async def close(self):
         self._is_over = True
@@ -120,7 +129,8 @@
     return host.log.read_bytes()[host._log_begin :].decode()
 
 
-def _home(host):
+def coordinator_of(host):
+    """Return which host's coordinator a host uses, by its log."""
     homes = re.findall(r'"home": "([^"]*)"[^\n]*switched coordinator', _own_log(host))
     return homes[-1] if homes else host.name
 
--- a/trials/soak_fleet.py
+++ b/trials/soak_fleet.py
@@ -65,16 +65,16 @@
     """One entry host: its settings file, its proxy to the store and its process.
 
     `build_folder` holds the package that it runs from its next start on, None for that
-    of this checkout.
+    of this checkout. `extra` maps sections of the settings to keys.
     """
 
-    def __init__(self, number, folder, store_proxy, seeds):
+    def __init__(self, number, folder, store_proxy, seeds, **extra):
         self.build_folder = None
         self.name = f"n{number}"
         self.path = folder / f"{self.name}.ini"
         self.log = folder / f"{self.name}.log"
         self.store_proxy = store_proxy
-        text = settings(self.name, store_proxy.port, seeds=seeds)
+        text = settings(self.name, store_proxy.port, seeds=seeds, **extra)
         self.path.write_text(text)
         self.cfg = parse_entry_settings(text)
         self.address = self.cfg.callers_listen
@@ -137,11 +137,12 @@
     """The store, the targets, the hosts and the proxies between them.
 
     With `old_build`, a folder with its package, every other host runs that build at
-    first.
+    first. `extra` maps names of hosts to further settings, see `HostProcess`.
     """
 
-    def __init__(self, folder, book, old_build=None):
+    def __init__(self, folder, book, old_build=None, extra=None):
         self.old_build = old_build
+        self.extra = extra or {}
         self.folder = folder
         self.book = book
         self.store = LeasedStore()
@@ -166,7 +167,8 @@
                 await self.add_target(service)
         for number in range(1, HOSTS + 1):
             proxy = await Proxy().start(self.store.port)
-            host = HostProcess(number, self.folder, proxy, "")
+            extra = self.extra.get(f"n{number}", {})
+            host = HostProcess(number, self.folder, proxy, "", **extra)
             host.build_folder = build_folder
             if number % 2 and self.old_build is not None:
                 host.build_folder = self.old_build
