--- a/trials/proxy.py
+++ b/trials/proxy.py
@@ -29,7 +29,7 @@
     async def start(self, target_port):
         """Listen on a port of its own; return the proxy."""
         self.target_port = target_port
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self._server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
         self.port = self._server.sockets[0].getsockname()[1]
         return self
 
@@ -57,7 +57,8 @@
         for task in list(self._tasks):
             task.cancel()
 
-    async def _accept(self, reader, writer):
+    async def accept(self, reader, writer):
+        """Forward one connection until it ends."""
         self._writers.add(writer)
         self._tasks.add(asyncio.current_task())
         upstream = None
