Count a search's steps without garbage collections; repair a test's cases

test_framed_bodies: 30 calls counted where 26 were, in 1 of 1 whole run in three processes: hypothesis has callbacks that run with each collection. Counted without collections now; the bound is as it was. test_crash_evidence: a parametrization had come to stand before another test, so the file was not collected; the test of many crashes needs as many targets.

--- a/test/test_crash_evidence.py
+++ b/test/test_crash_evidence.py
@@ -45,12 +45,12 @@
 
 
 class CoordinatorHost:
-    """The coordinator of two other hosts, with three targets; no clock runs."""
+    """The coordinator of two other hosts, with a few targets; no clock runs."""
 
-    def __init__(self):
+    def __init__(self, target_count=3):
         cfg = parse_entry_settings(settings("n0", 1))
         self.view = StoreView()
-        for name in ("w1", "w2", "w3"):
+        for name in (f"w{number}" for number in range(target_count)):
             self.view.targets[name] = Target(
                 name, "read", "10.0.0.9", 80, "a1", "v1", 4, False, 1
             )
@@ -149,11 +149,10 @@
         assert len(link.rosters) == 1
 
 
-@pytest.mark.parametrize("status", ["ok", "failed", "unreachable", "returned"])
 def test_crashes_one_after_the_other_are_sent_a_few_times():
     async def run():
         loop = asyncio.get_running_loop()
-        host = CoordinatorHost()
+        host = CoordinatorHost(40)
         began_at = loop.time()
         for number in range(1, 40):
             host.dispatch(f"r{number}", f"body{number}", float(number))
@@ -167,6 +166,7 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("status", ["ok", "failed", "unreachable", "returned"])
 def test_other_results_send_nothing(status):
     def scenario(host):
         host.dispatch("r1", BODY, 1.0)
--- a/test/test_framed_bodies.py
+++ b/test/test_framed_bodies.py
@@ -1,5 +1,6 @@
 """A second response stands in a framed body where the rest of the first is due."""
 
+import gc
 import sys
 import time
 
@@ -90,11 +91,14 @@
         nonlocal count
         count += event in ("call", "c_call")
 
+    # Collections may come at any moment and have callbacks.
+    gc.disable()
     sys.setprofile(on_event)
     try:
         assert find(data) is False
     finally:
         sys.setprofile(None)
+        gc.enable()
     return count
 
 
