Build the coordinators of tests in one place

Four test files made a coordinator, its view and its requests by themselves, two of them new, and two had a link of their own that does nothing. The builders are apart now. No check, bound or expectation changed; that nothing is sent for other results now covers all messages, not rosters alone.

--- a/test/test_crash_evidence.py
+++ b/test/test_crash_evidence.py
@@ -1,70 +1,37 @@
 """What a crash shows reaches all hosts at once: its coordinator may be lost next."""
 
 import asyncio
-import random
 
 import pytest
 
 from lovagepier.entry._cluster.followers import MIN_PUSH_INTERVAL_S, Followers
 from lovagepier.entry._cluster.host_messages import HostMessages
-from lovagepier.entry._cluster.messages import (
-    DispatchRequest,
-    DispatchResult,
-    Heartbeat,
-    Roster,
-    TargetDown,
+from lovagepier.entry._cluster.messages import DispatchResult, Heartbeat, TargetDown
+from test.coordinator_builders import (
+    StandinLink,
+    make_cfg,
+    make_coordinator,
+    make_request,
+    make_view,
 )
-from lovagepier.entry._coordination.coordinator import Coordinator
-from lovagepier.entry._settings import parse_entry_settings
-from lovagepier.entry._store.view import StoreView
-from lovagepier.entry.store_types import Target
-from lovagepier.frames import FORMAT
-from test.entry_builders import settings
 
 BODY = "fingerprint"
 
 
-class RecordingLink:
-    """A link that keeps the rosters that are sent."""
-
-    def __init__(self, name):
-        self.peer = ""
-        self.build = "0.1.0"
-        self.format = FORMAT
-        self.in_use = False
-        self.store_answered_at = 0.0
-        self.name = name
-        self.rosters = []
-
-    def send(self, message):
-        if isinstance(message, Roster):
-            self.rosters.append(message)
-
-    def close(self):
-        pass
-
-
 class CoordinatorHost:
     """The coordinator of two other hosts, with a few targets; no clock runs."""
 
     def __init__(self, target_count=3):
-        cfg = parse_entry_settings(settings("n0", 1))
-        self.view = StoreView()
-        for name in (f"w{number}" for number in range(target_count)):
-            self.view.targets[name] = Target(
-                name, "read", "10.0.0.9", 80, "a1", "v1", 4, False, 1
-            )
+        cfg = make_cfg("n0")
+        self.view = make_view(target_count, slots=4)
         self.granted = {}
-        self.coordinator = Coordinator(
-            cfg, self.view, random.Random(1), self._answer, None
-        )
+        self.coordinator = make_coordinator(cfg, self.view, self._answer)
         self.followers = Followers(cfg, self.view, self.coordinator, "boot")
         self.messages = HostMessages(self.coordinator, self.followers, None)
-        self.links = [RecordingLink("n1"), RecordingLink("n2")]
-        for link in self.links:
-            beat = Heartbeat(link.name, True, "a1", "10.0.0.1:80", False, 1, 1, 0.0)
+        self.links = [StandinLink(), StandinLink()]
+        for name, link in zip(("n1", "n2"), self.links, strict=True):
+            beat = Heartbeat(name, True, "a1", "10.0.0.1:80", False, 1, 1, 0.0)
             self.followers.on_heartbeat(link, beat)
-        self.coordinator.refresh(0.0)
         # They know the hosts.
         for link in self.links:
             self.followers.roster(link)
@@ -74,10 +41,7 @@
 
     def dispatch(self, request_id, fingerprint, now):
         """Have a request of n1 granted; return its target."""
-        req = DispatchRequest(
-            request_id,
-            *("read", "", "read", 1, 9.0, 9.0, 0, 1, [], fingerprint, "a1", 0, [], 0.0),
-        )
+        req = make_request(request_id, fingerprint=fingerprint)
         self.messages.handle("n1", req, now)
         return self.granted[request_id]
 
@@ -111,7 +75,7 @@
 def test_suspects_are_sent_at_once():
     host = play(lambda host: crash(host, 1))
     for link in host.links:
-        assert [row[0] for row in link.rosters[-1].suspects] == [BODY]
+        assert [row[0] for row in link.sent[-1].suspects] == [BODY]
 
 
 def test_what_is_proved_is_sent_at_once():
@@ -121,7 +85,7 @@
 
     host = play(scenario)
     for link in host.links:
-        assert link.rosters[-1].poisoned == [BODY]
+        assert link.sent[-1].poisoned == [BODY]
 
 
 def test_what_is_proved_is_sent_at_once_after_other_rosters():
@@ -132,7 +96,7 @@
         crash(host, 2)
         await asyncio.sleep(0)
         for link in host.links:
-            assert [roster.poisoned for roster in link.rosters] == [[], [BODY]]
+            assert [roster.poisoned for roster in link.sent] == [[], [BODY]]
 
     asyncio.run(run())
 
@@ -146,7 +110,7 @@
 
     host = play(scenario)
     for link in host.links:
-        assert len(link.rosters) == 1
+        assert len(link.sent) == 1
 
 
 def test_crashes_one_after_the_other_are_sent_a_few_times():
@@ -161,7 +125,7 @@
         await asyncio.sleep(MIN_PUSH_INTERVAL_S)
         most = 1 + (loop.time() - began_at) / MIN_PUSH_INTERVAL_S
         for link in host.links:
-            assert 2 <= len(link.rosters) <= most
+            assert 2 <= len(link.sent) <= most
 
     asyncio.run(run())
 
@@ -173,4 +137,4 @@
         host.end("r1", status, 1.1)
 
     host = play(scenario)
-    assert [link.rosters for link in host.links] == [[], []]
+    assert [link.sent for link in host.links] == [[], []]
--- a/test/test_followers.py
+++ b/test/test_followers.py
@@ -8,27 +8,10 @@
 from lovagepier.entry._coordination.coordinator import Coordinator
 from lovagepier.entry._settings import parse_entry_settings
 from lovagepier.entry._store.view import StoreView
-from lovagepier.frames import FORMAT
+from test.coordinator_builders import StandinLink
 from test.entry_builders import settings
 
 
-class StandinLink:
-    """A link that keeps nothing of what is sent."""
-
-    def __init__(self):
-        self.peer = ""
-        self.build = "0.1.0"
-        self.format = FORMAT
-        self.in_use = False
-        self.store_answered_at = 0.0
-
-    def send(self, message):
-        pass
-
-    def close(self):
-        pass
-
-
 def heartbeat(name, **fields):
     values = {
         "name": name,
--- a/test/test_quota_refunds.py
+++ b/test/test_quota_refunds.py
@@ -1,18 +1,18 @@
 """Requests that no target was asked for don't count against their account's quota."""
 
-import random
 from types import SimpleNamespace
 
 import pytest
 
-from lovagepier.entry._cluster.messages import DispatchRequest, Granted, Refused
-from lovagepier.entry._coordination.coordinator import Coordinator
-from lovagepier.entry._settings import parse_entry_settings
-from lovagepier.entry._store.view import StoreView
+from lovagepier.entry._cluster.messages import Granted, Refused
 from lovagepier.entry.catalog import Account
-from lovagepier.entry.store_types import Target
 from lovagepier.errors import ErrorKind
-from test.entry_builders import settings
+from test.coordinator_builders import (
+    make_cfg,
+    make_coordinator,
+    make_request,
+    make_view,
+)
 
 # Requests that an account may send at once; its quota gains next to nothing later.
 BURST = 10
@@ -22,31 +22,19 @@
     """A coordinator with one target of one place, and the answers that it sent."""
 
     def __init__(self):
-        cfg = parse_entry_settings(settings("n1", 1))
-        view = StoreView()
         account = Account("blue", (), 1, 1e-6, BURST, False, 1.0)
+        view = make_view(1, slots=1)
         view.catalog = SimpleNamespace(
             accounts={"blue": account}, service_names={"read"}
         )
-        view.targets["w1"] = Target(
-            "w1", "read", "10.0.0.9", 80, "a1", "v1", 1, False, 1
-        )
         self.answers = []
-        self.coordinator = Coordinator(
-            cfg,
-            view,
-            random.Random(1),
-            lambda entry, answer: self.answers.append(answer),
-            None,
+        self.coordinator = make_coordinator(
+            make_cfg(), view, lambda entry, answer: self.answers.append(answer)
         )
-        self.coordinator.refresh(0.0)
 
     def ask(self, request_id, entry="n1", cost=1.0, now=0.0):
         """Ask for a grant for a request of the account; return its `ErrorKind`."""
-        request = DispatchRequest(
-            request_id,
-            *("read", "blue", "read", 1, 9.0, 9.0, 0, 1, [], "", "a1", 0, [], cost),
-        )
+        request = make_request(request_id, account="blue", cost=cost)
         before = len(self.answers)
         self.coordinator.on_dispatch_request(entry, request, now)
         kinds = [a.kind for a in self.answers[before:] if isinstance(a, Refused)]
--- a/test/test_target_backoff.py
+++ b/test/test_target_backoff.py
@@ -1,13 +1,12 @@
 """How long a target that refuses connections gets no requests."""
 
-import random
-
-from lovagepier.entry._cluster.messages import DispatchRequest, DispatchResult, Granted
-from lovagepier.entry._coordination.coordinator import Coordinator
-from lovagepier.entry._settings import parse_entry_settings
-from lovagepier.entry._store.view import StoreView
-from lovagepier.entry.store_types import Target
-from test.entry_builders import settings
+from lovagepier.entry._cluster.messages import DispatchResult, Granted
+from test.coordinator_builders import (
+    make_cfg,
+    make_coordinator,
+    make_request,
+    make_view,
+)
 
 SLOTS = 4
 # The first pause of a target that refuses connections, and some more.
@@ -18,26 +17,16 @@
     """A coordinator with one target, and the answers that it sent."""
 
     def __init__(self):
-        cfg = parse_entry_settings(settings("n1", 1))
-        view = StoreView()
-        view.targets["w1"] = Target(
-            "w1", "read", "10.0.0.9", 80, "a1", "v1", SLOTS, False, 1
-        )
         self.answers = []
-        self.coordinator = Coordinator(
-            cfg,
-            view,
-            random.Random(1),
+        self.coordinator = make_coordinator(
+            make_cfg(),
+            make_view(1, SLOTS),
             lambda entry, answer: self.answers.append(answer),
-            None,
         )
-        self.coordinator.refresh(0.0)
 
     def ask(self, request_id, now):
         """Ask for a grant; return whether there was one at once."""
-        request = DispatchRequest(
-            request_id, "read", "", "read", 1, 9.0, 9.0, 0, 1, [], "", "a1", 0, [], 0.0
-        )
+        request = make_request(request_id)
         before = len(self.answers)
         self.coordinator.on_dispatch_request("n1", request, now)
         return any(isinstance(a, Granted) for a in self.answers[before:])
