--- a/review/standins.py
+++ b/review/standins.py
@@ -10,6 +10,7 @@
 import contextlib
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -25,6 +26,8 @@
 ROOT = HERE.parent
 LOOPBACK = "127.0.0.1"
 BEAT_S = 1.2
+# The portion of its answers that a bad version fails.
+BAD_SHARE = 0.6
 NO_ANSWER = (OSError, TimeoutError, asyncio.IncompleteReadError)
 HOST = "ficu95.example"
 TENANT_KEY = "i9n73hh2b9wu3fexd9dn"
@@ -131,8 +134,14 @@
 
     async def _end_leases(self):
         while True:
+            before = time.monotonic()
             await asyncio.sleep(0.05)
             now = time.monotonic()
+            if self.fault:
+                # Leases pause while the store is down.
+                for lease, (ttl_ms, until) in self.leases.items():
+                    self.leases[lease] = (ttl_ms, until + now - before)
+                continue
             for lease, (_, until) in list(self.leases.items()):
                 if until <= now:
                     await self._end(lease)
@@ -274,7 +283,7 @@
 
     It writes one line for each request that reaches it to its log. The mode of
     /x-mode is that of a faulty worker: "endless-chunks" and "endless-heads" answer each
-    request with bytes that don't end until the caller closes.
+    request with bytes that don't end until the caller closes; "bad" fails a portion.
     """
 
     def __init__(self, options):
@@ -357,6 +366,11 @@
         if self.mode.startswith("endless"):
             await self._send_endlessly(writer, echo)
             return
+        if self.mode == "bad" and random.random() < BAD_SHARE:
+            self.note(id=request_id, what="failed")
+            seal = f"X-Server-Seal: {self.id}.{request_id}"
+            writer.write(response(500, b"", [*echo, seal]))
+            return
         self.note(id=request_id, what="answered")
         body = f"{self.id} {request_id} ".encode().ljust(800, b".")
         seal = f"X-Server-Seal: {self.id}.{request_id}"
