--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,156 +1,129 @@
-"""Case 2: a sound, often repeated look-up is taken for one that crashes workers."""
+"""Case 2: a new version of a large configuration stops hosts for many seconds."""
 
 import asyncio
 import itertools
-import random
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 from standins import (  # noqa: E402
-    BEAT_S,
+    NO_ANSWER,
     Deployment,
+    ask,
     has_trouble,
     plain_service,
-    remove,
     request,
     route,
     run_case,
 )
 
-WORKERS = 6
-WORK_S = 0.09
-PER_S = 200.0
-HOT_SHARE = 0.28
-CRASH_SHARE = 0.25
-DOWN_S = 2.0
-BETWEEN_S = 2.5
-CRASHES = 14
-MOST_S = 80.0
-
-
-class Workers:
-    """The workers of the service; crashed ones come back with new ids."""
-
-    def __init__(self, deployment, rng):
-        self.deployment = deployment
-        self.rng = rng
-        self.live = []
-        self.later = []
-        self._ids = itertools.count()
-
-    async def add(self, zone):
-        """Start one worker."""
-        name = f"i-{next(self._ids):02d}"
-        await self.deployment.start_worker(name, "lehu44b", zone, work_s=WORK_S)
-        self.live.append((name, zone))
-
-    async def crash(self, record):
-        """Kill a share of the workers at the same moment."""
-        count = -int(-WORKERS * CRASH_SHARE // 1)
-        down = self.rng.sample(self.live, count)
-        for name, _ in down:
-            self.deployment.workers[name][1].kill()
-        record(crashed=[name for name, _ in down], at=round(time.monotonic(), 3))
-        for name, zone in down:
-            self.live.remove((name, zone))
-            self.later.append(asyncio.create_task(self._expire(name)))
-            self.later.append(asyncio.create_task(self._return(zone)))
-
-    async def _expire(self, name):
-        # The platform removes the entry after three intervals of silence.
-        await asyncio.sleep(3 * BEAT_S)
-        await remove(self.deployment.store, f"servers/{name}")
-
-    async def _return(self, zone):
-        await asyncio.sleep(DOWN_S)
-        await self.add(zone)
-
-
-async def look_up(deployment, rng, number):
-    """Send one look-up; one record gets a share of them."""
-    thing = "hot" if rng.random() < HOT_SHARE else f"t{number}"
-    host = deployment.hosts[number % len(deployment.hosts)]
-    answer = await request(host, "GET", "/cufi504/", thing, 2000)
-    return thing, answer
+ROUTES = 700
+TIMEOUT_MS = 2000
+NEW_TIMEOUT_MS = 1900
+LATE_S = 0.5
+PER_S = 20.0
+BEFORE_S = 4.0
+AFTER_S = 25.0
+SERVICES = ("huvo11a", "wuno96b")
+
+
+def routes(timeout_ms):
+    """Return the routes of a version: all are split between the two services."""
+    split = [
+        {"service": name, "weight": w}
+        for name, w in zip(SERVICES, (90, 10), strict=True)
+    ]
+    rows = []
+    for number in range(ROUTES):
+        row = route(f"r-{number:05d}", f"/p{number:05d}/", "idempotent", SERVICES[0])
+        del row["service"]
+        rows.append({**row, "timeout_ms": timeout_ms, "traffic_split": split})
+    return rows
 
 
-async def send_all(deployment, rng, until, results):
-    """Send look-ups at a steady rate until `until()` is true."""
+async def send_all(deployment, until, answers):
+    """Send requests at a steady rate, in turn to each host, until `until()`."""
     started = time.monotonic()
     tasks = []
     for number in itertools.count():
         if until():
             break
-        tasks.append(asyncio.create_task(look_up(deployment, rng, number)))
+        host = deployment.hosts[number % len(deployment.hosts)]
+        prefix = f"/p{number * 37 % ROUTES:05d}/"
+        sending = request(host, "GET", prefix, f"{number}", TIMEOUT_MS)
+        tasks.append(asyncio.create_task(sending))
         await asyncio.sleep(started + number / PER_S - time.monotonic())
-    results += await asyncio.gather(*tasks)
+    answers += await asyncio.gather(*tasks)
+
+
+async def probe(host, record, until, waits):
+    """Ask /ready once a second, as the platform does."""
+    while not until():
+        at = time.monotonic()
+        try:
+            status, _ = await ask(host.ready, "GET", "/ready", timeout_s=30.0)
+        except NO_ANSWER:
+            status = 0
+        took = time.monotonic() - at
+        waits.setdefault(host.name, []).append(took)
+        record(ready=host.name, at=round(at, 3), status=status, took=round(took, 3))
+        await asyncio.sleep(max(1.0 - took, 0.0))
 
 
 async def case(record):
-    """Return whether proper requests were refused no more often than allowed."""
-    rng = random.Random()
+    """Return whether requests got their answer at their route's timeout."""
     deployment = Deployment(3)
-    results = []
+    answers, waits = [], {}
     is_done = asyncio.Event()
-    began = time.monotonic()
     try:
         await deployment.start_store()
-        await deployment.configure(
-            3,
-            [route("r-read", "/cufi504/", "idempotent", "lehu44b")],
-            [plain_service("lehu44b", 430)],
-        )
-        workers = Workers(deployment, rng)
-        for zone, _ in zip(itertools.cycle(deployment.ZONES), range(WORKERS)):
-            await workers.add(zone)
+        services = [plain_service(name) for name in SERVICES]
+        await deployment.configure(3, routes(TIMEOUT_MS), services)
+        for service, (number, zone) in itertools.product(
+            SERVICES, enumerate(deployment.ZONES)
+        ):
+            await deployment.start_worker(f"{service}-{number}", service, zone)
         for host in deployment.hosts:
             deployment.start_host(host)
         for host in deployment.hosts:
             await deployment.ready(host)
-        sending = asyncio.create_task(
-            send_all(deployment, rng, is_done.is_set, results)
-        )
-        await asyncio.sleep(3.0)
-        for _ in range(CRASHES):
-            if has_trouble():
-                await workers.crash(record)
-            await asyncio.sleep(DOWN_S + BETWEEN_S)
-            if time.monotonic() - began > MOST_S:
-                break
+        tasks = [
+            asyncio.create_task(send_all(deployment, is_done.is_set, answers)),
+            *(
+                asyncio.create_task(probe(host, record, is_done.is_set, waits))
+                for host in deployment.hosts
+            ),
+        ]
+        await asyncio.sleep(BEFORE_S)
+        changed_at = time.monotonic()
+        if has_trouble():
+            await deployment.configure(7, routes(NEW_TIMEOUT_MS), services)
+            record(changed="version 7", at=round(changed_at, 3))
+        await asyncio.sleep(AFTER_S)
         is_done.set()
-        await sending
-        await asyncio.gather(*workers.later)
+        await asyncio.gather(*tasks)
         for row in deployment.worker_lines():
             record(**row)
-        verdicts = sum(
-            '"pool: a target crashed"' in line and '"poisoned": ["' in line
-            for host in deployment.hosts
-            for line in deployment.host_log(host).splitlines()
-        )
     finally:
         deployment.end()
-    refused = [
-        (thing, answer)
-        for thing, answer in results
-        if 400 <= answer.status < 500
-        and answer.status not in (408, 421, 429)
-        and "x-server-seal" not in answer.headers
-    ]
-    for thing, answer in sorted(results, key=lambda row: row[1].sent):
-        record(thing=thing, **answer.line())
-    allowed = 5 + len(results) / 500
+    for answer in answers:
+        record(**answer.line())
+    before = [a for a in answers if a.sent < changed_at]
+    unanswered = [a for a in answers if a.ended - a.sent > TIMEOUT_MS / 1e3]
+    late = [a for a in unanswered if a.ended - a.sent > TIMEOUT_MS / 1e3 + LATE_S]
     record(
-        requests=len(results),
-        served=sum(answer.status == 200 for _, answer in results),
-        refused_with_4xx=len(refused),
-        of_the_hot_record=sum(thing == "hot" for thing, _ in refused),
-        statuses=sorted({answer.status for _, answer in refused}),
-        allowed=allowed,
-        crashes_with_a_verdict=verdicts,
+        requests=len(answers),
+        served=sum(a.status == 200 for a in answers),
+        before=len(before),
+        served_before=sum(a.status == 200 for a in before),
+        unanswered_at_timeout=len(unanswered),
+        unanswered_half_a_second_later=len(late),
+        longest_wait_for_ready={name: round(max(w), 3) for name, w in waits.items()},
     )
-    return len(refused) <= allowed
+    if sum(a.status == 200 for a in before) < len(before):
+        raise RuntimeError("not all requests before the change were served")
+    return not (len(late) >= 8 and len(late) > len(unanswered) / 2)
 
 
 if __name__ == "__main__":
