--- a/review/1/case.py
+++ b/review/1/case.py
@@ -25,8 +25,8 @@
 HOSTS = 7
 PER_S = 20.0
 DURATION_S = 20.0
-FREEZE_AT_S = 16.85
-FREEZE_S = 2.0
+FREEZE_AT_S = 16.75
+FREEZE_S = 2.05
 AFTER_S = 16.0
 CONTACT_S = 3.0
 ROLLBACK_S = 5.0
