--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,6 +4,7 @@
 import base64
 import itertools
 import json
+import os
 import signal
 import sys
 import time
@@ -14,7 +15,6 @@
     NO_ANSWER,
     Deployment,
     ask,
-    has_trouble,
     plain_service,
     put,
     request,
@@ -22,6 +22,8 @@
     run_case,
 )
 
+# TROUBLE=0 leaves out the disruption.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOSTS = 7
 PER_S = 20.0
 DURATION_S = 20.0
@@ -128,7 +130,7 @@
         record(ordered=order, at=ordered_at)
         await asyncio.sleep(FREEZE_AT_S)
         leader = await coordinator(deployment)
-        if has_trouble():
+        if HAS_TROUBLE:
             frozen = leader.name
             leader.process.send_signal(signal.SIGSTOP)
             record(frozen=frozen, at=time.time())
@@ -136,7 +138,7 @@
             await ask(deployment.workers[name][0], "GET", "/x-mode?how=bad")
         record(bad="v2", at=time.time())
         await asyncio.sleep(FREEZE_S)
-        if has_trouble():
+        if HAS_TROUBLE:
             leader.process.send_signal(signal.SIGCONT)
         woke_at = time.time()
         record(woke=frozen, at=woke_at)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import os
 import sys
 import time
 from pathlib import Path
@@ -11,13 +12,14 @@
     NO_ANSWER,
     Deployment,
     ask,
-    has_trouble,
     plain_service,
     request,
     route,
     run_case,
 )
 
+# TROUBLE=0 leaves out the disruption.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ROUTES = 700
 TIMEOUT_MS = 2000
 NEW_TIMEOUT_MS = 1900
@@ -97,7 +99,7 @@
         ]
         await asyncio.sleep(BEFORE_S)
         changed_at = time.monotonic()
-        if has_trouble():
+        if HAS_TROUBLE:
             await deployment.configure(7, routes(NEW_TIMEOUT_MS), services)
             record(changed="version 7", at=round(changed_at, 3))
         await asyncio.sleep(AFTER_S)
--- a/review/standins.py
+++ b/review/standins.py
@@ -718,11 +718,6 @@
     }
 
 
-def has_trouble():
-    """Return whether the case is to be run with its disruption."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def run_case(case, folder):
     """Run `await case(record)`; exit with 1 if it returns False, 0 if True, else 2.
 
