End a rollout only in the term that decided it

Cause: the end was decided by the clock of a host that had heard nothing since, and the condition of the conditional write was a revision that it read after the decision. A stored end could be replaced by the other one.

Now an end is provisional until the store holds it, and final from then on; a state is written over another one only where a table allows it. A coordinator's term begins with a take-over and after a gap between ticks, and is named in the states that it writes. An end is written only over a "running" of the same term, so the write fails if any other coordinator has written in between. In the first second of a term nothing is ended. Rollbacks on evidence need neither.

The own runtime had the same fault: it recorded an outcome whatever stood there, and a node that had been suspended did so before it heard its peers.

Ruled out: the lease. It had not lapsed (3 s), and a lapsed one would not have kept the write back.

--- a/lovagepier/decisions/rollout_plan.py
+++ b/lovagepier/decisions/rollout_plan.py
@@ -11,7 +11,14 @@
 
 from lovagepier.decisions.request_rate import MIN_RATE_SPAN_S, RequestRate
 
-__all__ = ["SLOW_QUANTILE", "RolloutPlan", "RolloutProgress", "Stage"]
+__all__ = [
+    "RESUMED_WATCH_S",
+    "SLOW_QUANTILE",
+    "RolloutPlan",
+    "RolloutProgress",
+    "Stage",
+    "may_follow",
+]
 
 # The bar of the `SlownessDetector`. There is no way back once all traffic has moved, so
 # a slow version must show in the few outcomes of its canary stage.
@@ -63,6 +70,22 @@
 # on the old version are cut off by the platform. The rest is for a change of the
 # coordinator and for the store.
 MAX_END_FRACTION = 0.93
+# A coordinator that begins or resumes in the middle of a rollout lacks the outcomes of
+# the time before. It sees those of this time before it ends the rollout.
+RESUMED_WATCH_S = 1.0
+# The stored states that may follow each stored state, None for no state yet. The
+# platform acts on the end of a rollout, so an end is never replaced.
+_NEXT_STATES = {
+    None: ("running", "done", "taken-back"),
+    "running": ("running", "done", "taken-back"),
+    "done": (),
+    "taken-back": (),
+}
+
+
+def may_follow(stored, state):
+    """Return whether a rollout's stored state may be replaced by `state`."""
+    return state in _NEXT_STATES[stored]
 
 
 class Stage:
@@ -138,18 +161,22 @@
     """One rollout: `step` advances its stage, `share` bounds its exposure.
 
     `duration` is the time for the whole rollout and `began` its start, in seconds. A
-    bad version may get `exposure_share` of the requests plus `exposure_slack`.
+    bad version may get `exposure_share` of the requests plus `exposure_slack`. An end
+    is provisional until the store holds it (`is_confirmed`).
     """
 
     __slots__ = (
         "_duration",
         "_is_final",
         "_rate",
+        "_open_stage",
         "_requests",
+        "_resumed_at",
         "_share",
         "_slack",
         "began",
         "cause",
+        "is_confirmed",
         "stage",
     )
 
@@ -160,24 +187,62 @@
         self._requests = RequestRate(RATE_SPAN_S)
         self._rate = None
         self._is_final = False
+        self._open_stage = Stage.CANARY
+        self._resumed_at = float("-inf")
+        self.is_confirmed = False
         self.began = began
         self.stage = Stage.CANARY
         self.cause = ""
 
+    @property
+    def is_open(self):
+        """Whether the new version can still be rolled back."""
+        return self.stage in (Stage.CANARY, Stage.SWITCHED) or (
+            self.stage == Stage.DONE and not self.is_confirmed
+        )
+
     def roll_back(self, cause):
-        """Roll back unless the rollout has ended; this is final."""
-        if self.stage in (Stage.CANARY, Stage.SWITCHED):
-            self.stage = Stage.ROLLED_BACK
+        """Roll back unless the store holds that the rollout is done."""
+        if self.is_open:
+            self._end(Stage.ROLLED_BACK)
             self.cause = cause
 
+    def confirm(self, stage):
+        """Adopt the end that the store holds, DONE or ROLLED_BACK.
+
+        Return False if the store held the other one before.
+        """
+        if self.is_confirmed:
+            return self.stage == stage
+        if self.stage != stage:
+            self._end(stage)
+        self.is_confirmed = True
+        return True
+
+    def resume(self, now):
+        """Take back a provisional end, and end no earlier than `RESUMED_WATCH_S` later.
+
+        What this host decided may be outdated: others may have had the outcomes.
+        """
+        self._resumed_at = now
+        if not self.is_confirmed and self.stage in (Stage.DONE, Stage.ROLLED_BACK):
+            self.stage = self._open_stage
+            self.cause = ""
+
+    def _end(self, stage):
+        if self.stage in (Stage.CANARY, Stage.SWITCHED):
+            self._open_stage = self.stage
+        self.stage = stage
+
     def step(self, progress, now):
         """Advance the rollout to `now` and return its stage."""
         self._learn_rate(progress, now)
         elapsed = now - self.began
-        if self.stage == Stage.CANARY:
+        is_current = now - self._resumed_at >= RESUMED_WATCH_S
+        if self.stage == Stage.CANARY and is_current:
             self._end_canary(progress, elapsed)
         elif self.stage == Stage.SWITCHED:
-            self._end_watch(progress, elapsed)
+            self._end_watch(progress, elapsed, is_current)
         return self.stage
 
     def _learn_rate(self, progress, now):
@@ -223,7 +288,7 @@
         needed = max(needed, self._duration * MIN_OLD_FRACTION)
         return min(needed, self._duration * MAX_OLD_FRACTION)
 
-    def _end_watch(self, progress, elapsed):
+    def _end_watch(self, progress, elapsed, is_current):
         end = self._duration * MAX_END_FRACTION
         sent_soon = (self._rate or 0.0) * STEP_AHEAD_S
         is_bound = self._room(progress) <= sent_soon
@@ -234,10 +299,10 @@
             self._is_final = True
         is_late = elapsed >= self._duration * MIN_END_FRACTION
         is_ended = self._is_final and is_late and not progress.old_running
-        if not (elapsed >= end or (is_bound and is_ended)):
+        if not is_current or not (elapsed >= end or (is_bound and is_ended)):
             return
         if progress.new_ready:
-            self.stage = Stage.DONE
+            self._end(Stage.DONE)
         elif elapsed >= end:
             # Once it is done, the old version's targets are stopped.
             self.roll_back("no target of the new version at the end")
--- a/lovagepier/entry/_coordination/rollouts.py
+++ b/lovagepier/entry/_coordination/rollouts.py
@@ -5,9 +5,16 @@
 """
 
 import time
+import uuid
 
 from lovagepier import platform
-from lovagepier.decisions.rollout_plan import RolloutPlan, RolloutProgress, Stage
+from lovagepier.decisions.rollout_plan import (
+    RESUMED_WATCH_S,
+    RolloutPlan,
+    RolloutProgress,
+    Stage,
+    may_follow,
+)
 from lovagepier.entry._coordination.version_comparison import VersionComparison
 from lovagepier.logs import component_logger
 
@@ -47,17 +54,24 @@
 class _Rollout:
     """One ordered rollout.
 
-    `stored_state` is the state that the store shows, None before there is one.
+    `stored_state` is the state that the store shows, None before there is one, and
+    `stored_term` the term in which it was written, at `stored_revision`. Another
+    coordinator wrote it at `others_wrote_at` as far as this host knows.
     """
 
     __slots__ = (
         "comparison",
+        "has_claimed",
         "has_evidence",
+        "last_write",
         "last_write_at",
         "order",
+        "others_wrote_at",
         "plan",
         "progress",
+        "stored_revision",
         "stored_state",
+        "stored_term",
     )
 
     def __init__(self, order, plan, comparison):
@@ -70,6 +84,12 @@
         # the other hosts.
         self.has_evidence = False
         self.stored_state = None
+        self.stored_term = ""
+        self.stored_revision = 0
+        self.others_wrote_at = float("-inf")
+        # Whether the store has shown a state of this host's present term.
+        self.has_claimed = False
+        self.last_write = None
         self.last_write_at = float("-inf")
 
 
@@ -78,6 +98,11 @@
 
     `write_state(key, value, expected)` writes a rollout's state to the store if
     the key is still at revision `expected`, 0 if it must not exist.
+
+    A term is a time in which this host is the coordinator without a gap. The
+    coordinator of a term first writes that the rollout is running. It ends a rollout
+    on the condition that this is still the stored state, so no other coordinator has
+    decided anything since. Only a rollback on evidence needs no claim.
     """
 
     def __init__(self, cfg, view, write_state):
@@ -89,6 +114,41 @@
         self._comparisons = {}
         self._slack_fraction = 1.0
         self._changed = set()
+        self._term = uuid.uuid4().hex
+
+    def begin_term(self, now, why):
+        """Begin a term as coordinator: nothing decided before is known to hold."""
+        self._term = uuid.uuid4().hex
+        for service, rollout in self._rollouts.items():
+            rollout.has_claimed = False
+            rollout.others_wrote_at = float("-inf")
+            if rollout.plan.is_confirmed:
+                continue
+            _log.info(
+                "a term as coordinator of a rollout begins",
+                service=service,
+                why=why,
+                term=self._term,
+                stage=rollout.plan.stage,
+                stored=rollout.stored_state,
+                revision=platform.number_of(rollout.stored_revision),
+            )
+            self._resume(service, rollout, now)
+
+    def _resume(self, service, rollout, now):
+        """Decide again what is not stored yet, with the outcomes from now on."""
+        if rollout.has_evidence:
+            return
+        before = rollout.plan.stage
+        rollout.plan.resume(now)
+        if rollout.plan.stage != before:
+            self._changed.add(service)
+            _log.info(
+                "an end that is not stored is decided again",
+                service=service,
+                before=before,
+                stage=rollout.plan.stage,
+            )
 
     def refresh(self, now):
         """Begin newly ordered rollouts and adopt the states found in the store."""
@@ -100,15 +160,16 @@
             elif rollout is None or rollout.order.revision < order.revision:
                 self._begin_known(order, now)
                 continue
-            self._read_state(self._rollouts[service])
+            self._read_state(self._rollouts[service], now)
 
     def _begin_known(self, order, now):
         """Begin a rollout, which other hosts may have begun earlier."""
         rollout = self._rollouts[order.service] = self._begin(order, now)
         rollout.progress.slack_fraction = self._slack_fraction
-        self._read_state(rollout)
+        self._read_state(rollout, now)
         if now - rollout.plan.began >= EARLIER_BEGIN_S:
             rollout.plan.assume_canary(rollout.progress)
+            rollout.plan.resume(now)
 
     def set_slack_fraction(self, fraction):
         """Set this host's part of the exposure slack while several coordinate."""
@@ -147,7 +208,7 @@
         comparison = self._comparisons.pop(order.service, None)
         return _Rollout(order, plan, comparison or VersionComparison())
 
-    def _read_state(self, rollout):
+    def _read_state(self, rollout, now):
         item = self._view.rollout_state(rollout.order.service)
         if item is None:
             rollout.stored_state = None
@@ -162,10 +223,9 @@
             return
         if revision == rollout.order.revision:
             rollout.stored_state = state
-        if state == "done":
-            rollout.plan.stage = Stage.DONE
-        elif state == "taken-back":
-            rollout.plan.roll_back("the store states a rollback")
+            self._note_writer(rollout, item, now)
+        if state != "running":
+            self._adopt_end(rollout, state)
         elif begun:
             # Another coordinator began it, so its start time is used.
             elapsed = max(time.time() - begun, 0.0)
@@ -173,17 +233,55 @@
                 now = self._view.last_answer_at or rollout.plan.began
                 rollout.plan.began = min(rollout.plan.began, now - elapsed)
 
+    def _note_writer(self, rollout, item, now):
+        """Note who wrote the stored state; another coordinator has outcomes, too."""
+        if item.revision == rollout.stored_revision:
+            return
+        rollout.stored_revision = item.revision
+        rollout.stored_term = platform.rollout_state_term(item.value)
+        if rollout.stored_term == self._term:
+            rollout.has_claimed = True
+            return
+        rollout.others_wrote_at = now
+        if rollout.stored_state == "running":
+            self._resume(rollout.order.service, rollout, now)
+
+    def _adopt_end(self, rollout, state):
+        """Adopt the end that the store states, also against this host's evidence.
+
+        The platform has acted on it.
+        """
+        stage = Stage.DONE if state == "done" else Stage.ROLLED_BACK
+        before = rollout.plan.stage
+        if not rollout.plan.confirm(stage):
+            _log.error(
+                "the store states another end of a rollout than before",
+                service=rollout.order.service,
+                stage=before,
+                stored=state,
+                revision=platform.number_of(rollout.stored_revision),
+            )
+        elif before != stage:
+            rollout.plan.cause = f"the store states {state}"
+            self._changed.add(rollout.order.service)
+            _log.info(
+                "adopted the end of a rollout from the store",
+                service=rollout.order.service,
+                before=before,
+                stage=stage,
+                had_evidence=rollout.has_evidence,
+                revision=platform.number_of(rollout.stored_revision),
+            )
+
     def take_changed(self):
         """Return the services whose rollout changed its stage since the last call."""
         changed, self._changed = self._changed, set()
         return changed
 
     def _open(self, service):
-        """Return the rollout of a service that has not ended, or None."""
+        """Return the rollout of a service that can still be rolled back, or None."""
         rollout = self._rollouts.get(service)
-        if rollout is None or rollout.plan.stage in (Stage.DONE, Stage.ROLLED_BACK):
-            return None
-        return rollout
+        return rollout if rollout is not None and rollout.plan.is_open else None
 
     def version_label(self, target):
         """Return "old" or "new" during a rollout and "" without one.
@@ -195,11 +293,10 @@
         if rollout is None:
             return ""
         is_new = target.version == rollout.order.version
-        if rollout.plan.stage == Stage.DONE:
-            return "" if is_new else None
-        if rollout.plan.stage == Stage.ROLLED_BACK:
-            return None if is_new else ""
-        return "new" if is_new else "old"
+        if rollout.plan.is_open:
+            return "new" if is_new else "old"
+        has_ended_on = rollout.plan.stage == Stage.DONE
+        return "" if is_new == has_ended_on else None
 
     def share(self, service, now):
         """Return the new version's share of requests, None without an open rollout."""
@@ -352,19 +449,38 @@
     def write_states(self, now):
         """Write the states that the store does not show yet."""
         for service, rollout in self._rollouts.items():
-            state = _STATE_BY_STAGE[rollout.plan.stage]
-            if (
-                rollout.stored_state == state
-                or now - rollout.last_write_at < REWRITE_INTERVAL_S
-            ):
+            state = self._next_state(rollout, now)
+            if state is None:
                 continue
-            rollout.last_write_at = now
             item = self._view.rollout_state(service)
+            write = (state, item.revision if item else 0)
+            is_repeated = write == rollout.last_write
+            if is_repeated and now - rollout.last_write_at < REWRITE_INTERVAL_S:
+                continue
+            rollout.last_write, rollout.last_write_at = write, now
             began_ago = now - rollout.plan.began
-            self._write_state(
-                platform.rollout_state_key(service),
-                platform.encode_rollout_state(
-                    rollout.order, state, time.time() - began_ago, rollout.plan.cause
-                ),
-                item.revision if item else 0,
+            value = platform.encode_rollout_state(
+                rollout.order,
+                state,
+                time.time() - began_ago,
+                rollout.plan.cause,
+                self._term,
             )
+            self._write_state(platform.rollout_state_key(service), value, write[1])
+
+    def _next_state(self, rollout, now):
+        """Return the state to write, or None if the stored one stays."""
+        state = _STATE_BY_STAGE[rollout.plan.stage]
+        if not may_follow(rollout.stored_state, state):
+            return None
+        is_running = rollout.stored_state == "running"
+        is_own = is_running and rollout.stored_term == self._term
+        if state == "running":
+            is_stored = is_running and rollout.has_claimed
+        elif is_own or rollout.has_evidence or rollout.plan.is_confirmed:
+            return state
+        else:
+            is_stored = False
+        # The coordinator that wrote last may be about to end the rollout.
+        is_due = now - rollout.others_wrote_at >= RESUMED_WATCH_S
+        return None if is_stored or not is_due else "running"
--- a/lovagepier/entry/_host.py
+++ b/lovagepier/entry/_host.py
@@ -9,6 +9,8 @@
 from result import Err
 
 from lovagepier import build_name
+from lovagepier.clocks import uptime
+from lovagepier.decisions.terms import Terms
 from lovagepier.entry._callers.frontend import GRACE_MARGIN_S, Frontend
 from lovagepier.entry._cluster.cluster import Cluster
 from lovagepier.entry._cluster.links import LinkServer
@@ -119,6 +121,7 @@
             cfg, self.view, self.coordinator, self._on_changed_keys, self._boot
         )
         self.frontend = Frontend(cfg, self.view, self.cluster, self.coordinator)
+        self._terms = Terms()
         self._watcher = None
         self._registrar = None
         self._stopping = asyncio.Event()
@@ -346,6 +349,9 @@
                 if self.view.expire_lapsed(now):
                     self._refresh()
                 is_coordinator = self.cluster.coordinator_name == self.cfg.host_name
+                why = self._terms.beginning(is_coordinator, uptime())
+                if why:
+                    self.coordinator.rollouts.begin_term(now, why)
                 self.coordinator.tick(now, is_coordinator)
                 if is_coordinator:
                     self.coordinator.rollouts.write_states(now)
--- a/lovagepier/node/_node.py
+++ b/lovagepier/node/_node.py
@@ -12,6 +12,7 @@
 
 from lovagepier import build_name
 from lovagepier.backing import HostList, WeightStore, open_store
+from lovagepier.clocks import uptime
 from lovagepier.config import ConfigStore, ConfigView, empty_document
 from lovagepier.errors import UserError
 from lovagepier.formats import OWN_FORMATS
@@ -65,6 +66,7 @@
         self.boot = uuid.uuid4().hex[:8]
         self.clock = time.monotonic
         self.wall = time.time
+        self.uptime = uptime
         self.timeline = Timeline(cfg.node_name)
         self.metrics = Metrics()
         self.store = open_store(cfg)
--- a/lovagepier/node/_open_rollout.py
+++ b/lovagepier/node/_open_rollout.py
@@ -4,6 +4,7 @@
 
 from lovagepier.decisions.capacity_hold import CapacityHold
 from lovagepier.decisions.rollback import RollbackTrigger
+from lovagepier.decisions.terms import Terms
 
 __all__ = ["OpenRollout"]
 
@@ -21,7 +22,8 @@
     `clear_count` is how often operators have cleared the trigger; `last_event` the
     stage and share last written to the time line. `step` is the share of the step in
     force, `excess` that of the last strained outcome observed here. `hold_cause` has
-    the figures as a hold began, None if there is none.
+    the figures as a hold began, None if there is none. `terms` are those in which this
+    node records the outcome, `term_began_at` is when the present one began.
     """
 
     __slots__ = (
@@ -33,6 +35,8 @@
         "last_event",
         "rollout",
         "step",
+        "term_began_at",
+        "terms",
         "trigger",
     )
 
@@ -46,6 +50,8 @@
         self.step = 0.0
         self.last_event = None
         self.announced = False
+        self.terms = Terms()
+        self.term_began_at = float("-inf")
 
     @property
     def evidence_id(self):
--- a/lovagepier/node/_rollouts.py
+++ b/lovagepier/node/_rollouts.py
@@ -23,6 +23,9 @@
 PUSH_PERIOD_S = 0.2
 FULL_PUSH_PERIOD_S = 2.0
 RECORD_RETRY_S = 1.0
+# Peers repeat a rollback with each full push. A node that has owned a rollout for less,
+# or that did not run for a while, may not have heard of one.
+MIN_TERM_S = FULL_PUSH_PERIOD_S + 0.5
 # The time line gets an event whenever the share, rounded to tenths, changes.
 SHARE_EVENT_STEPS = 10
 # The bound of the configuration's schema.
@@ -231,9 +234,22 @@
     def on_tick(self, _):
         """Apply a new configuration, publish the shares and push evidence."""
         self._apply_config()
+        self._begin_terms()
         self._publish()
         self._push()
 
+    def _begin_terms(self):
+        for entry in self._open_rollouts.values():
+            is_owner = self.node.roster.owns(f"move/{entry.rollout.id}")
+            why = entry.terms.beginning(is_owner, self.node.uptime())
+            if why:
+                entry.term_began_at = self.node.clock()
+                self.log.info(
+                    "a term as owner of a rollout begins",
+                    move=entry.rollout.id,
+                    why=why,
+                )
+
     def _apply_config(self):
         view = self.node.view
         if view.version == self._config_version:
@@ -315,12 +331,16 @@
     def _record(self, entry, stage):
         """Write the outcome to the configuration if this node owns the rollout.
 
-        The patch id is the same in every retry, so the patch is applied once.
+        The patch id is the same in every retry, so the patch is applied once. It is
+        for the version that shows the rollout as open: what another node has recorded
+        since is not replaced.
         """
         rollout = entry.rollout
         if not self.node.roster.owns(f"move/{rollout.id}"):
             return
         now = self.node.clock()
+        if stage == "done" and now - entry.term_began_at < MIN_TERM_S:
+            return
         if now - self._last_record_at.get(rollout.id, float("-inf")) < RECORD_RETRY_S:
             return
         self._last_record_at[rollout.id] = now
@@ -340,11 +360,12 @@
                 }
             )
         patch_id = f"move-{rollout.id}-{stage}-{entry.clear_count}"
-        self._recorder.submit(self._write, operations, patch_id)
+        base = self._config_version
+        self._recorder.submit(self._write, operations, base, patch_id)
 
-    def _write(self, operations, patch_id):
+    def _write(self, operations, base, patch_id):
         try:
-            self.node.submit_patch(operations, None, patch_id, "moves")
+            self.node.submit_patch(operations, base, patch_id, "moves")
         except RequestError as exc:
             self.log.warning(
                 "failed to write the outcome of a rollout; will retry",
--- a/lovagepier/platform/__init__.py
+++ b/lovagepier/platform/__init__.py
@@ -13,6 +13,7 @@
     is_rollout_state,
     rollout_service,
     rollout_state_key,
+    rollout_state_term,
 )
 from lovagepier.platform._fields import (
     MAX_DOCUMENT_BYTES,
@@ -70,6 +71,7 @@
     "read_whole",
     "rollout_service",
     "rollout_state_key",
+    "rollout_state_term",
     "relayed_headers",
     "with_last_event_id",
 ]
--- a/lovagepier/platform/_documents.py
+++ b/lovagepier/platform/_documents.py
@@ -35,6 +35,7 @@
     "is_rollout_state",
     "rollout_service",
     "rollout_state_key",
+    "rollout_state_term",
 ]
 
 CONFIG_KEY = "op/config"
@@ -276,12 +277,12 @@
     return key.startswith(_ROLLOUT_STATE_PREFIX)
 
 
-def encode_rollout_state(order, state, started_at, cause=""):
+def encode_rollout_state(order, state, started_at, cause="", term=""):
     """Return the document for a rollout's state: running, done or taken-back.
 
     `started_at` is the Unix time in seconds at which the order was first
     seen. The document holds the order's revision, so that a state is never
-    applied to a later order.
+    applied to a later order, and the coordinator's `term` in which it was written.
     """
     return json.dumps(
         {
@@ -291,10 +292,20 @@
             "revision": order.revision,
             "begun": started_at,
             "cause": cause,
+            "term": term,
         }
     ).encode()
 
 
+def rollout_state_term(data):
+    """Return the term in which a decodable state was written, "" if it has none.
+
+    Earlier builds write none.
+    """
+    term = load_document(data).get("term")
+    return term if isinstance(term, str) else ""
+
+
 def decode_rollout_state(data):
     """Return (order revision, version, state, start time) of a rollout's state.
 
--- a/test/test_held_rollouts.py
+++ b/test/test_held_rollouts.py
@@ -92,6 +92,7 @@
             pools=self.pools,
             clock=lambda: self.now,
             wall=lambda: self.now,
+            uptime=lambda: self.now,
             set_shares=self.shares.update,
             set_rollout_state=self._set_state,
             timeline=SimpleNamespace(add=self._add_event),
@@ -341,3 +342,40 @@
     excess = {"first": [0.5, 0.4], "pace": [0.00002, 0.0]}
     assert JudgedOutcome(Pace.STRAINED, excess=excess).times() == [0.00002, 0.0]
     assert JudgedOutcome(Pace.STRAINED).times() == [0.0, 0.0]
+
+
+def record_patches(host):
+    """Return a list that gets (recorded state, base version) of each patch."""
+    recorded = []
+
+    def submit(operations, base, patch_id, author):
+        recorded.append((operations[0]["value"], base))
+
+    host.node.submit_patch = submit
+    return recorded
+
+
+# A node that was suspended near the end recorded "done" over its peers' rollback.
+def test_a_node_that_was_suspended_hears_its_peers_before_it_records_an_end():
+    host = Host()
+    recorded = record_patches(host)
+    host.run_to_the_last_step()
+    host.tick_until(170.0)
+    host.now += 8.0
+    host.tick_until(host.now + 1.0)
+    assert host.state[0] == "done"
+    notice = messages.RollbackNotice("m", 0, "failures")
+    host.actor.on_peer_message(SimpleNamespace(body=notice))
+    host.tick_until(host.now + 3.0)
+    host.actor._recorder.shutdown()
+    assert {state for state, _ in recorded} == {"taken-back"}
+
+
+# The outcome of a rollout was written whatever had been recorded since.
+def test_the_outcome_is_for_the_version_that_shows_the_rollout_as_open():
+    host = Host()
+    recorded = record_patches(host)
+    host.run_to_the_last_step()
+    host.tick_until(201.0)
+    host.actor._recorder.shutdown()
+    assert set(recorded) == {("done", 1)}
