--- a/lovagepier/entry/_coordination/verdicts.py
+++ b/lovagepier/entry/_coordination/verdicts.py
@@ -53,7 +53,8 @@
     def write(self, now):
         """Write verdicts that the store lacks, a few at a time."""
         stored = set(self._view.poisoned.values())
-        missing = [name for name in self._detector.poisoned() if name not in stored]
+        poisoned = self._detector.poisoned()
+        missing = {name: None for name in poisoned if name not in stored}
         self._written_at = {
             name: at for name, at in self._written_at.items() if name in missing
         }
--- a/lovagepier/entry/_host.py
+++ b/lovagepier/entry/_host.py
@@ -16,6 +16,7 @@
 from lovagepier.entry._cluster.links import LinkServer
 from lovagepier.entry._coordination.coordinator import Coordinator
 from lovagepier.entry._coordination.verdicts import Verdicts
+from lovagepier.entry._loop_monitor import LoopMonitor
 from lovagepier.entry._settings import parse_entry_settings
 from lovagepier.entry._signals import HANDLED_SIGNALS, RELOAD_SIGNAL, STOP_SIGNALS
 from lovagepier.entry._store.actors import (
@@ -122,6 +123,7 @@
         )
         self.frontend = Frontend(cfg, self.view, self.cluster, self.coordinator)
         self._terms = Terms()
+        self._loop_monitor = LoopMonitor(self.frontend.metrics)
         self._watcher = None
         self._registrar = None
         self._stopping = asyncio.Event()
@@ -139,9 +141,11 @@
         signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
         self._loop.set_exception_handler(_log_unhandled)
         self._start_actors()
+        self._loop_monitor.start()
         try:
             await self._serve()
         finally:
+            self._loop_monitor.stop()
             self._stop_actors()
 
     async def _serve(self):
@@ -341,9 +345,10 @@
 
     async def _tick_forever(self):
         while True:
-            await asyncio.sleep(
-                TICK_S if self.coordinator.has_waiting() else IDLE_TICK_S
-            )
+            pause_s = TICK_S if self.coordinator.has_waiting() else IDLE_TICK_S
+            self._loop_monitor.expect(pause_s)
+            await asyncio.sleep(pause_s)
+            self._loop_monitor.tick()
             now = self._loop.time()
             try:
                 if self.view.expire_lapsed(now):
--- a/lovagepier/entry/_store/view.py
+++ b/lovagepier/entry/_store/view.py
@@ -295,7 +295,8 @@
 
     def mark_leaving(self, incarnations):
         """Mark targets as draining that stated it; return the changed keys."""
-        new = [each for each in incarnations if each not in self.leaving]
+        known = set(self.leaving)
+        new = {each: None for each in incarnations if each not in known}
         if not new:
             return []
         self.leaving = [*self.leaving, *new][-MAX_LEAVING:]
