Keep an ejected target in probing when more of its failures come in

Callers lost request after request to a failing target of a service with two to five targets: the failures that came in after its ejection ended its probing, so that it got its full part of the traffic after two seconds.

Cause: whether one more target may be ejected was asked with the target itself among those that are out. The others are counted now; the bound on ejected targets is unchanged.

--- a/lovagepier/decisions/fleet.py
+++ b/lovagepier/decisions/fleet.py
@@ -217,10 +217,7 @@
         others = [other for other in self._targets.values() if other is not state]
         if not any(other.takes_work(now) for other in others):
             return False
-        out = sum(
-            state.probing or now < state.ejected_until
-            for state in self._targets.values()
-        )
+        out = sum(other.probing or now < other.ejected_until for other in others)
         return out + 1 <= max(len(self._targets) * MAX_EJECTED_FRACTION, 1.0)
 
     def has_target_besides(self, names):
--- a/test/test_scheduler.py
+++ b/test/test_scheduler.py
@@ -564,3 +564,17 @@
     assert not _grants(scheduler.finish(ended(held), 2.7))
     grants = _grants(scheduler.tick(2.5 + scheduler.options.shed_pause_s + 0.1))
     assert [grant.work.id for grant in grants] == ["lower"]
+
+
+# Failures that came after the ejection of one of few targets gave it full traffic again.
+def test_late_failures_do_not_end_the_probing_of_an_ejected_target():
+    scheduler = make_scheduler(targets=("e1", "e2"), slots=20.0)
+    granted = [scheduler.offer(make_work(f"r{n}"), 1.0)[0] for n in range(20)]
+    bad = [grant.work for grant in granted if grant.target == "e1"]
+    assert len(bad) >= 6
+    for work in bad:
+        scheduler.finish(ended(work, "e1", status="failed"), 2.0)
+    state = scheduler.fleet.get("e1")
+    assert state.probing
+    grants = [scheduler.offer(make_work(f"q{n}"), 5.0)[0] for n in range(10)]
+    assert sum(grant.target == "e1" for grant in grants) <= 1
