Bound the bodies of all targets together, and eject those that do not end

Bodies beyond 16 KB now need a reservation for their whole length in a budget over all requests, half of which one target may have; the others wait and are not read. An attempt that still brings bytes at its deadline has failed. Connections read 32 KB at a time, and a body is one buffer instead of a list of parts.

--- a/lovagepier/entry/_callers/exchange.py
+++ b/lovagepier/entry/_callers/exchange.py
@@ -8,7 +8,10 @@
 from lovagepier.entry._callers.events import NotContinued
 from lovagepier.entry._callers.grants import FailedOver, Grants
 from lovagepier.entry._callers.response_notes import ResponseNotes
-from lovagepier.entry._callers.stream_relay import StreamRelay
+from lovagepier.entry._callers.stream_relay import (
+    MAX_SILENCE_TIMEOUT_S,
+    StreamRelay,
+)
 from lovagepier.entry._cluster.messages import Granted
 from lovagepier.entry._targets.conn import TargetConnectionLost
 from lovagepier.entry._targets.pool import ConnectFailed
@@ -56,6 +59,7 @@
         "_loop",
         "_notes",
         "_progress",
+        "_reservations",
         "_stop_why",
         "_stream",
         "_timeout",
@@ -74,6 +78,7 @@
         self._grants = Grants(frontend, self._progress)
         self._caller = CallerResponse(frontend, conn, self._progress)
         self._stream = StreamRelay(self._progress, self._grants, self._caller)
+        self._reservations = []
         self._timeout = None
         self._stop_why = ""
 
@@ -93,6 +98,9 @@
         finally:
             running_calls.discard(self)
             self._grants.return_unused()
+            # A failure's body may have been kept for the caller until now.
+            for reservation in self._reservations:
+                reservation.release()
         return self._caller.is_reusable
 
     def end_by(self, ends_at, why):
@@ -204,6 +212,10 @@
 
     async def _run_attempt(self, grant, target, tconn):
         started_at = self._loop.time()
+        reservation = self._frontend.body_memory.reservation(
+            target.incarnation, self.call.request_id
+        )
+        self._reservations.append(reservation)
         status = "cancelled"
         first = None
         tokens = 0
@@ -236,18 +248,21 @@
                 status = "failed"
                 return _Outcome.FAILED
             if success and response.event_stream:
-                first = await self._stream.run(grant, tconn, response, started_at)
+                first = await self._stream.run(
+                    grant, tconn, response, reservation, started_at
+                )
                 tokens = self._progress.events * self._frontend.tokens_per_event(target)
                 status = "ok"
                 self._release_connection(target, tconn, response)
                 return _Outcome.COMPLETED
-            body = await tconn.read_body()
+            body = await tconn.read_body(reservation)
             tokens = 1
             status = "ok" if response.status < 500 else "failed"
             self._release_connection(target, tconn, response)
             return self._handle_response(response, body)
         except TargetConnectionLost as exc:
             status = "vanished"
+            reservation.release()
             # Also if it had stated before that it did not.
             self._progress.maybe_executed = True
             self._progress.executions = executions_before + 1
@@ -267,11 +282,8 @@
             status = "silent"
             return _Outcome.FAILED
         except asyncio.CancelledError:
-            status = (
-                "late"
-                if self._loop.time() >= self._progress.deadline - 0.05
-                else status
-            )
+            if self._loop.time() >= self._progress.deadline - 0.05:
+                status = self._late_status(grant, tconn, reservation)
             raise
         finally:
             self._notes.note_leaving(target, tconn)
@@ -281,6 +293,25 @@
                 grant, target, tconn, status, started_at, first, tokens
             )
 
+    def _late_status(self, grant, tconn, reservation):
+        """Return the status of an attempt that lasted until the deadline.
+
+        A target whose response goes on without an end has failed, unless this host or
+        the caller kept it waiting.
+        """
+        now = self._loop.time()
+        progressed = self._progress.events and (
+            now - self._progress.progress_at < MAX_SILENCE_TIMEOUT_S
+        )
+        if progressed or reservation.has_waited or not tconn.is_sending(now):
+            return "late"
+        _log.info(
+            "a target was still sending its response at the deadline",
+            request=self.call.request_id,
+            target=grant.target,
+        )
+        return "failed"
+
     def _reject(self, grant, why):
         """Log that a target does not go on with a stream that has begun."""
         _log.info(
--- a/lovagepier/entry/_callers/frontend.py
+++ b/lovagepier/entry/_callers/frontend.py
@@ -11,6 +11,7 @@
     STOPPING_RETRY_AFTER_S,
     RunningCalls,
 )
+from lovagepier.entry._targets.body_memory import BodyMemory
 from lovagepier.entry._targets.checks import TargetChecks
 from lovagepier.entry._targets.connector import TargetConnector
 from lovagepier.entry._targets.pool import TargetConnectionPool
@@ -98,6 +99,7 @@
             self.target_connections.put_idle,
             cluster.requests.report_target_down,
         )
+        self.body_memory = BodyMemory()
         self.metrics = Metrics()
         self.running_calls = RunningCalls()
         self.durations = DurationEstimates()
@@ -354,6 +356,8 @@
             # Whether this host is the coordinator.
             "is_home": int(self.cluster.coordinator_name == self.cfg.host_name),
             "target_connections_opened": self.target_connections.opened,
+            "body_bytes_reserved": self.body_memory.held,
+            "bodies_waiting": self.body_memory.waiting_count,
             **build_gauges(self.cluster.live_hosts(), self.cluster.link_counts),
         }
 
--- a/lovagepier/entry/_callers/stream_relay.py
+++ b/lovagepier/entry/_callers/stream_relay.py
@@ -2,11 +2,17 @@
 
 import asyncio
 
-from lovagepier.entry._callers.events import EventSplitter, EventTooLong, EventTruncated
+from lovagepier.entry._callers.events import (
+    MAX_EVENT_BYTES,
+    EventSplitter,
+    EventTooLong,
+    EventTruncated,
+)
+from lovagepier.entry._targets.body_memory import FREE_BYTES
 from lovagepier.entry._targets.conn import TargetConnectionLost
 from lovagepier.logs import component_logger
 
-__all__ = ["StreamRelay"]
+__all__ = ["MAX_SILENCE_TIMEOUT_S", "StreamRelay"]
 
 # How long a resumable stream may be silent before another target is requested: a
 # multiple of the route's maximum event gap, within these bounds.
@@ -38,9 +44,10 @@
         """The id of the last event that was relayed, empty if there was none."""
         return self._splitter.last_id
 
-    async def run(self, grant, tconn, response, started_at):
+    async def run(self, grant, tconn, response, reservation, started_at):
         """Relay a target's stream to its end; return the seconds to its first event.
 
+        A long event is read on once the `Reservation` covers it.
         Raise `TargetConnectionLost` if it broke off, `FailedOver` if another target
         takes over and `NotContinued` if it does not go on after the last event.
         """
@@ -68,6 +75,10 @@
                 await self._caller.send_events(events)
             if self._splitter.fault:
                 raise TargetConnectionLost(self._splitter.fault)
+            if len(self._splitter.incomplete) > FREE_BYTES:
+                await reservation.grow_to(MAX_EVENT_BYTES)
+            else:
+                reservation.release()
         self._splitter.check_joined()
         self._caller.start_stream(response)
         self._caller.end_stream()
--- a/lovagepier/entry/_targets/conn.py
+++ b/lovagepier/entry/_targets/conn.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import contextlib
+import math
 
 import h11
 
+from lovagepier.entry._targets.body_memory import FREE_BYTES
 from lovagepier.entry._targets.errors import (
     SecondResponseFound,
     TargetConnectionLost,
@@ -26,8 +28,10 @@
 
 __all__ = ["TargetConnection", "TargetConnectionLost"]
 
-# Reading pauses while a slow caller leaves more than this unread.
-MAX_UNPARSED_BYTES = 256 * 1024
+# Reading pauses while more than this is unread, as for a slow caller.
+MAX_UNPARSED_BYTES = 32 * 1024
+# What is read from a socket at a time.
+READ_BYTES = 32 * 1024
 # Idle connections are closed after this, before most targets close theirs.
 MAX_IDLE_S = 10.0
 # Subtracted from the idle timeout that a target announces, to close first.
@@ -49,11 +53,18 @@
 # How long a body that ends in what may be a head waits for the bytes behind it.
 SETTLE_TIMEOUT_S = 0.05
 
+# A response is still being sent if its body lasts for this long already, and the last
+# bytes of it came this recently.
+MIN_SENDING_S = 0.5
+MAX_SENDING_GAP_S = 0.5
+
 _HEADS = (h11.Response, h11.InformationalResponse)
+# Bytes are copied from it before the next socket is read.
+_read_buffer = bytearray(READ_BYTES)
 _log = component_logger("targets")
 
 
-class TargetConnection(asyncio.Protocol):
+class TargetConnection(asyncio.BufferedProtocol):
     """One connection, which carries one request at a time.
 
     `idle_timeout_s` is how long it may be reused after `idle_since` (loop
@@ -65,13 +76,16 @@
 
     __slots__ = (
         "_body_ended",
+        "_body_size",
         "_carried_ids",
         "_failure",
+        "_head_at",
         "_http",
         "_is_chunked",
         "_loop",
         "_paused",
         "_readable",
+        "_received_at",
         "_request",
         "_transport",
         "_undelimited",
@@ -96,6 +110,9 @@
         self._undelimited = None
         self._is_chunked = False
         self._body_ended = False
+        self._body_size = None
+        self._head_at = math.inf
+        self._received_at = -math.inf
         self._carried_ids = set()
         self.idle_since = 0.0
         self.idle_timeout_s = MAX_IDLE_S
@@ -108,8 +125,17 @@
         """Store the transport."""
         self._transport = transport
 
+    def get_buffer(self, sizehint):
+        """Return the buffer for the next bytes, which all connections share."""
+        return _read_buffer
+
+    def buffer_updated(self, nbytes):
+        """Handle bytes that the transport has read."""
+        self.data_received(_read_buffer[:nbytes])
+
     def data_received(self, data):
         """Pass bytes to the parser; unsolicited ones close an idle connection."""
+        self._received_at = self._loop.time()
         if self._http is None:
             self._fail("sent bytes that nothing had asked for")
             return
@@ -224,6 +250,8 @@
             self.is_leaving = self.is_leaving or response.is_leaving
             undelimited = is_undelimited(event)
             if response.request_id == request_id:
+                self._head_at = self._loop.time()
+                self._body_size = _content_length(event)
                 self._body_ended = False
                 self._is_chunked = is_chunked(event)
                 self._undelimited = UndelimitedBody(response) if undelimited else None
@@ -296,22 +324,35 @@
             raise TargetEnded(self._failure)
         return self._undelimited.end()
 
-    async def read_body(self):
+    async def read_body(self, reservation=None):
         """Return the whole body.
 
+        A longer one than `FREE_BYTES` is read on once the `Reservation` covers it.
         Raise `TargetConnectionLost` if it is truncated or exceeds `MAX_BODY_BYTES`.
         """
-        parts = []
-        size = 0
+        body = bytearray()
         while (data := await self.read_data()) is not None:
-            parts.append(data)
-            size += len(data)
-            if size > MAX_BODY_BYTES:
+            body += data
+            if len(body) > MAX_BODY_BYTES:
                 raise TargetConnectionLost("the body does not end")
-        body = b"".join(parts)
+            if reservation is not None and len(body) > FREE_BYTES:
+                size = MAX_BODY_BYTES if self._body_size is None else self._body_size
+                await reservation.grow_to(min(size, MAX_BODY_BYTES))
+        body = bytes(body)
         await self._check_body(body)
         return body
 
+    def is_sending(self, now):
+        """Return whether the body of the present response goes on and on.
+
+        A target that is only slow has sent nothing, or stopped.
+        """
+        return (
+            not self._body_ended
+            and now - self._head_at >= MIN_SENDING_S
+            and now - self._received_at <= MAX_SENDING_GAP_S
+        )
+
     async def _check_body(self, body):
         """Raise `SecondResponseFound` if a framed body holds a second response."""
         if self._undelimited is not None or self._request.method == b"HEAD":
@@ -378,6 +419,7 @@
         )
         self._http = None
         self._request = None
+        self._head_at = math.inf
         if not reusable:
             self.close()
             return False
@@ -396,3 +438,11 @@
             self._failure = "closed here"
         if self._transport is not None:
             self._transport.abort()
+
+
+def _content_length(event):
+    """Return the length that the head of a response states, None if it states none."""
+    for name, value in event.headers:
+        if name == b"content-length":
+            return int(value)
+    return None
--- a/test/platform_standins.py
+++ b/test/platform_standins.py
@@ -476,6 +476,20 @@
         head = ["HTTP/1.1 200 OK", "Transfer-Encoding: chunked"]
         await self._endless(writer, seal, head, unit=b"1000\r\n%s\r\n" % (b"a" * 4096))
 
+    async def _endless_paced(self, writer, seal, headers, request_id):
+        """Send 1 MB/s without end."""
+        head = ["HTTP/1.1 200 OK", "Transfer-Encoding: chunked", *seal]
+        writer.write("\r\n".join(head).encode() + b"\r\n\r\n")
+        unit = b"8000\r\n%s\r\n" % (b"a" * 32768)
+        while True:
+            writer.write(unit)
+            await writer.drain()
+            self.sent += len(unit)
+            await asyncio.sleep(len(unit) / 1e6)
+
+    async def _long(self, writer, seal, headers, request_id):
+        writer.write(response_bytes(200, b"b" * 1_000_000, seal))
+
     async def _endless_stale(self, writer, seal, headers, request_id):
         """Send a response to another request, without end."""
         head = ["HTTP/1.1 200 OK", "X-Request-Id: other"]
--- a/test/test_scheduler.py
+++ b/test/test_scheduler.py
@@ -566,7 +566,7 @@
     assert [grant.work.id for grant in grants] == ["lower"]
 
 
-# Failures that came after the ejection of one of few targets gave it full traffic again.
+# Failures after the ejection of one of few targets gave it its full traffic back.
 def test_late_failures_do_not_end_the_probing_of_an_ejected_target():
     scheduler = make_scheduler(targets=("e1", "e2"), slots=20.0)
     granted = [scheduler.offer(make_work(f"r{n}"), 1.0)[0] for n in range(20)]
