Read answers in the own runtime up to a number of bytes and a time

Cause: the timeout of its HTTP client is for one read, and nothing counted bytes; interim responses before a head were read without end. One function now reads a whole response up to a bound in bytes and time: host list, weights, store, entry hosts, operators' commands, and the platform's store, which had its own.

--- a/lovagepier/backing/_etcd.py
+++ b/lovagepier/backing/_etcd.py
@@ -11,6 +11,8 @@
 import urllib3
 
 from lovagepier.backing._port import (
+    MAX_ANSWER_BYTES,
+    MAX_ANSWER_TIMEOUTS,
     Delete,
     KeyValue,
     Put,
@@ -19,7 +21,7 @@
     TxnResult,
     register_store,
 )
-from lovagepier.http_pools import PoolManager
+from lovagepier.http_pools import PoolManager, request_whole
 
 __all__ = ["EtcdStore"]
 
@@ -90,9 +92,12 @@
         self.calls += 1
         limit = self._timeout if timeout is None else timeout
         try:
-            resp = self._http.request(
+            status, _, data = request_whole(
+                self._http,
                 "POST",
                 f"{self._url}/v3/{path}",
+                MAX_ANSWER_BYTES,
+                limit * MAX_ANSWER_TIMEOUTS,
                 body=json.dumps(body).encode(),
                 headers={"Content-Type": "application/json"},
                 timeout=urllib3.Timeout(connect=self._timeout, read=limit),
@@ -101,10 +106,10 @@
             )
         except urllib3.exceptions.HTTPError as exc:
             raise StoreError(f"the store did not answer: {type(exc).__name__}")
-        if resp.status != 200:
-            raise StoreError(f"the store answered {resp.status}")
+        if status != 200:
+            raise StoreError(f"the store answered {status}")
         try:
-            return json.loads(resp.data)
+            return json.loads(data)
         except ValueError:
             raise StoreError("the store's answer is not JSON")
 
@@ -196,6 +201,8 @@
         try:
             for chunk in resp.stream(amt=None, decode_content=False):
                 pending += chunk
+                if len(pending) > MAX_ANSWER_BYTES:
+                    raise StoreError("the watch sent an event without end")
                 *lines, pending = pending.split(b"\n")
                 for line in filter(None, lines):
                     for event in json.loads(line)["result"].get("events", []):
--- a/lovagepier/backing/_hosts.py
+++ b/lovagepier/backing/_hosts.py
@@ -5,8 +5,12 @@
 
 import urllib3
 
-from lovagepier.backing._port import StoreError
-from lovagepier.http_pools import PoolManager
+from lovagepier.backing._port import (
+    MAX_ANSWER_BYTES,
+    MAX_ANSWER_TIMEOUTS,
+    StoreError,
+)
+from lovagepier.http_pools import PoolManager, request_whole
 
 __all__ = ["HostList", "HostRecord"]
 
@@ -43,10 +47,15 @@
         if not self._url:
             return []
         try:
-            resp = self._http.request(
-                "GET", f"{self._url}/hosts", timeout=self._timeout
+            _, _, data = request_whole(
+                self._http,
+                "GET",
+                f"{self._url}/hosts",
+                MAX_ANSWER_BYTES,
+                self._timeout * MAX_ANSWER_TIMEOUTS,
+                timeout=self._timeout,
             )
-            body = json.loads(resp.data)
+            body = json.loads(data)
             return [self._record(item) for item in body["hosts"]]
         except (urllib3.exceptions.HTTPError, ValueError, KeyError, TypeError) as exc:
             raise StoreError(f"the host list can't be read: {type(exc).__name__}")
--- a/lovagepier/backing/_port.py
+++ b/lovagepier/backing/_port.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 
 __all__ = [
+    "MAX_ANSWER_BYTES",
+    "MAX_ANSWER_TIMEOUTS",
     "Compare",
     "Delete",
     "KeyValue",
@@ -14,6 +16,11 @@
     "register_store",
 ]
 
+# Longer answers of a platform service are not read. A configuration with its history
+# of patches is far shorter.
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+# An answer may last for so many times the timeout of one read.
+MAX_ANSWER_TIMEOUTS = 3.0
 _ADAPTERS = {}
 
 
--- a/lovagepier/backing/_weights.py
+++ b/lovagepier/backing/_weights.py
@@ -4,8 +4,12 @@
 
 import urllib3
 
-from lovagepier.backing._port import StoreError
-from lovagepier.http_pools import PoolManager
+from lovagepier.backing._port import (
+    MAX_ANSWER_BYTES,
+    MAX_ANSWER_TIMEOUTS,
+    StoreError,
+)
+from lovagepier.http_pools import PoolManager, request_whole
 
 __all__ = ["WeightStore"]
 
@@ -29,10 +33,15 @@
         if not self._url:
             return {}, 0.0
         try:
-            resp = self._http.request(
-                "GET", f"{self._url}/weights", timeout=self._timeout
+            _, _, data = request_whole(
+                self._http,
+                "GET",
+                f"{self._url}/weights",
+                MAX_ANSWER_BYTES,
+                self._timeout * MAX_ANSWER_TIMEOUTS,
+                timeout=self._timeout,
             )
-            body = json.loads(resp.data)
+            body = json.loads(data)
             sizes = {(w["model"], w["version"]): w["bytes"] for w in body["weights"]}
             return sizes, float(body["bytes_per_second"])
         except (urllib3.exceptions.HTTPError, ValueError, KeyError, TypeError) as exc:
--- a/lovagepier/client/_caller.py
+++ b/lovagepier/client/_caller.py
@@ -9,7 +9,7 @@
 import urllib3
 from urllib3.exceptions import ConnectTimeoutError, NewConnectionError
 
-from lovagepier.http_pools import PoolManager
+from lovagepier.http_pools import PoolManager, request_whole
 
 __all__ = ["Caller", "CallerError", "Reply"]
 
@@ -17,6 +17,8 @@
 MAX_ATTEMPTS = 5
 READ_GRACE_S = 1.0
 DEFAULT_READ_TIMEOUT_S = 60.0
+ENTRIES_TIMEOUT_S = 2.0
+MAX_ENTRIES_BYTES = 1024 * 1024
 RETRY_BACKOFF_S = 0.1
 READ_BYTES = 65536
 END_MARKER = b"data: [DONE]"
@@ -89,16 +91,21 @@
             return self._entries
         for address in [*self._entries, *self._addresses]:
             try:
-                resp = self._http.request(
+                status, _, data = request_whole(
+                    self._http,
                     "GET",
                     f"{address}/v1/entries?zone={self._zone}",
+                    MAX_ENTRIES_BYTES,
+                    CONNECT_TIMEOUT_S + ENTRIES_TIMEOUT_S,
                     headers=self._headers(),
-                    timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=2.0),
+                    timeout=urllib3.Timeout(
+                        connect=CONNECT_TIMEOUT_S, read=ENTRIES_TIMEOUT_S
+                    ),
                 )
-                body = json.loads(resp.data)
+                body = json.loads(data)
             except (urllib3.exceptions.HTTPError, ValueError):
                 continue
-            if resp.status == 200 and body["entries"]:
+            if status == 200 and body["entries"]:
                 self._entries = [entry["address"] for entry in body["entries"]]
                 self._entries_expire_at = time.monotonic() + body["ttl_seconds"]
                 return self._entries
--- a/lovagepier/commands/_client.py
+++ b/lovagepier/commands/_client.py
@@ -6,11 +6,14 @@
 import urllib3
 
 from lovagepier.errors import UserError
-from lovagepier.http_pools import PoolManager
+from lovagepier.http_pools import PoolManager, request_whole
 
 __all__ = ["OperatorClient", "add_client_options", "print_json"]
 
 TIMEOUT_S = 10.0
+# A whole answer may last for so many times the timeout of one read.
+MAX_ANSWER_TIMEOUTS = 3.0
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 
 def add_client_options(parser):
@@ -49,9 +52,12 @@
         data = None if body is None else json.dumps(body).encode()
         all_headers = {"Authorization": f"Bearer {self._key}", **(headers or {})}
         try:
-            resp = self._http.request(
+            status, _, content = request_whole(
+                self._http,
                 method,
                 f"{self._node}{path}",
+                MAX_ANSWER_BYTES,
+                TIMEOUT_S * MAX_ANSWER_TIMEOUTS,
                 body=data,
                 headers=all_headers,
                 timeout=TIMEOUT_S,
@@ -59,9 +65,9 @@
         except urllib3.exceptions.HTTPError as exc:
             raise UserError(f"{self._node} did not answer: {type(exc).__name__}")
         try:
-            answer = json.loads(resp.data)
+            answer = json.loads(content)
         except ValueError:
-            raise UserError(f"{self._node} answered {resp.status} without JSON")
-        if resp.status >= 400 and "title" in answer:
+            raise UserError(f"{self._node} answered {status} without JSON")
+        if status >= 400 and "title" in answer:
             raise UserError(f"{answer['title']}: {answer.get('detail', '')}")
         return answer
--- a/lovagepier/platform/_store.py
+++ b/lovagepier/platform/_store.py
@@ -9,7 +9,7 @@
 import urllib3
 from result import Err, Ok
 
-from lovagepier.http_pools import PoolManager
+from lovagepier.http_pools import PoolManager, ResponseTooLong, read_whole
 from lovagepier.logs import component_logger
 from lovagepier.platform._malformed import MALFORMED
 from lovagepier.platform._revisions import era_of, make_revision, number_of
@@ -74,10 +74,6 @@
         self.executed = "no" if status in (404, 410, 412, 429, 503) else "maybe"
 
 
-class _AnswerTooLong(urllib3.exceptions.ProtocolError):
-    """The body of an answer exceeds `MAX_ANSWER_BYTES`."""
-
-
 def _item(raw, era):
     return Item(
         _key(raw),
@@ -166,12 +162,11 @@
                 redirect=False,
                 preload_content=False,
             )
-            data = self._read(resp, until)
-            resp.release_conn()
+            data = read_whole(resp, MAX_ANSWER_BYTES, until)
         except urllib3.exceptions.HTTPError as exc:
             # The connection may be dead: the next call has to open a new one.
             self._http.clear()
-            is_unreadable = isinstance(exc, _AnswerTooLong)
+            is_unreadable = isinstance(exc, ResponseTooLong)
             return Err(StoreFault(0, type(exc).__name__, is_unreadable))
         if self._note_era(resp.headers.get(_ERA)) < self.era:
             return Err(StoreFault(0, "an answer of an earlier era"))
@@ -191,21 +186,6 @@
         self.era = max(era, self.era)
         return era
 
-    def _read(self, resp, until):
-        """Return the whole body; raise ProtocolError if it is too long or too slow."""
-        parts = []
-        size = 0
-        while data := resp.read1(READ_CHUNK_BYTES):
-            parts.append(data)
-            size += len(data)
-            if size > MAX_ANSWER_BYTES:
-                resp.close()
-                raise _AnswerTooLong("the answer is too long")
-            if time.monotonic() > until:
-                resp.close()
-                raise urllib3.exceptions.ProtocolError("the answer does not end")
-        return b"".join(parts)
-
     def scan(self, prefix):
         """Return Ok((items, revision)) of all keys with `prefix`.
 
--- a/lovagepier/targets/_http.py
+++ b/lovagepier/targets/_http.py
@@ -1,5 +1,7 @@
 """The adapter for plain HTTP services; base of the other HTTP adapters."""
 
+import time
+
 import urllib3
 from urllib3.exceptions import (
     ConnectTimeoutError,
@@ -8,7 +10,7 @@
     NewConnectionError,
 )
 
-from lovagepier.http_pools import PoolManager
+from lovagepier.http_pools import PoolManager, read_whole
 from lovagepier.targets._port import (
     NotDispatched,
     Stream,
@@ -17,11 +19,15 @@
     register_adapter,
 )
 
-__all__ = ["HttpAdapter"]
+__all__ = ["HttpAdapter", "is_event_stream"]
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_CONNECTIONS = 128
 READ_BYTES = 65536
+# A response that is not a stream is held whole, up to this size.
+MAX_WHOLE_BYTES = 4 * 1024 * 1024
+# A response that is ready at the end of its timeout may take this long to arrive.
+MAX_TRANSFER_S = 2.0
 # Errors that are raised before any byte of the request is sent.
 _CONNECT_ERRORS = (NewConnectionError, ConnectTimeoutError, NameResolutionError)
 
@@ -39,6 +45,12 @@
         self._pool = pools.connection_from_url(target.address)
 
     def _open(self, method, path, body, headers, timeout):
+        """Send a request; return a `Stream`.
+
+        A body that is no event stream ends soon after `timeout` and has at most
+        `MAX_WHOLE_BYTES`: whoever reads it holds it whole.
+        """
+        until = time.monotonic() + timeout + MAX_TRANSFER_S
         try:
             resp = self._pool.urlopen(
                 method,
@@ -55,7 +67,10 @@
             raise NotDispatched(f"{self.target.name}: {type(exc).__name__}")
         except HTTPError as exc:
             raise TargetBroken(f"{self.target.name}: {type(exc).__name__}")
-        return Stream(resp.status, resp.headers, _chunks(resp), _closer(resp))
+        stream = Stream(resp.status, resp.headers, _chunks(resp), _closer(resp))
+        if not is_event_stream(stream):
+            stream.chunks = _whole(resp, until)
+        return stream
 
     def dispatch(self, request, timeout):
         """Send `request`, a `TargetRequest`, once; return a `Stream`.
@@ -68,6 +83,18 @@
         )
 
 
+def is_event_stream(stream):
+    """Return whether a `Stream` is one of server-sent events."""
+    return stream.headers.get("Content-Type", "").startswith("text/event-stream")
+
+
+def _whole(resp, until):
+    try:
+        yield read_whole(resp, MAX_WHOLE_BYTES, until)
+    except (HTTPError, OSError) as exc:
+        raise TargetBroken(type(exc).__name__)
+
+
 def _chunks(resp):
     try:
         yield from resp.stream(READ_BYTES, decode_content=False)
--- a/lovagepier/targets/_openai.py
+++ b/lovagepier/targets/_openai.py
@@ -4,7 +4,7 @@
 import json
 from urllib.parse import quote
 
-from lovagepier.targets._http import HttpAdapter
+from lovagepier.targets._http import HttpAdapter, is_event_stream
 from lovagepier.targets._openai_bodies import END_MARKER, checked_json, whole_events
 from lovagepier.targets._port import (
     LoadReport,
@@ -37,7 +37,7 @@
             return stream
         if not request.streamed:
             stream.chunks = checked_json(stream.chunks)
-        elif _is_event_stream(stream):
+        elif is_event_stream(stream):
             stream.chunks = whole_events(stream.chunks)
         return stream
 
@@ -59,7 +59,7 @@
         if stream.status != 200:
             stream.close()
             raise TargetBroken(f"{self.target.name} answered {stream.status}")
-        if _is_event_stream(stream):
+        if is_event_stream(stream):
             stream.chunks = whole_events(stream.chunks, is_checked=not offset)
         else:
             stream.chunks = checked_json(stream.chunks)
@@ -118,7 +118,3 @@
     def is_complete(self, tail, streamed):
         """Return whether a streamed answer ends with the `[DONE]` event."""
         return not streamed or tail.rstrip().endswith(END_MARKER)
-
-
-def _is_event_stream(stream):
-    return stream.headers.get("Content-Type", "").startswith("text/event-stream")
