Leave the event loop to others while a target's small pieces are read

Cause: all events of a read were handled before the loop went on, up to 40,000 chunks, and each status line in a body was parsed as a head. Now a connection lets others have their turn after 32 events and after each 4 KB of a body, and a head is parsed only if it has the name of a header that marks a response. Ruled out: a parser whose time grows faster than its input.

--- a/lovagepier/entry/_targets/conn.py
+++ b/lovagepier/entry/_targets/conn.py
@@ -44,6 +44,11 @@
 MAX_STALE_BYTES = 1024 * 1024
 # Interim responses (1xx) accepted before a response.
 MAX_INTERIM_RESPONSES = 8
+# Events that are read on end before all other work has its turn. A chunk of one byte is
+# an event.
+MAX_EVENTS_A_TURN = 32
+# Bytes of a body that are handled as one event; more have to wait for their turn.
+SLICE_BYTES = 4096
 # A body that is not streamed is held in memory up to this size.
 MAX_BODY_BYTES = 4 * 1024 * 1024
 # An unneeded body is read for reuse of its connection up to this size, and for
@@ -78,6 +83,7 @@
         "_body_ended",
         "_body_size",
         "_carried_ids",
+        "_events_in_turn",
         "_failure",
         "_head_at",
         "_http",
@@ -89,6 +95,7 @@
         "_request",
         "_transport",
         "_undelimited",
+        "_unhandled",
         "_unparsed_bytes",
         "idle_since",
         "idle_timeout_s",
@@ -111,6 +118,8 @@
         self._is_chunked = False
         self._body_ended = False
         self._body_size = None
+        self._unhandled = b""
+        self._events_in_turn = 0
         self._head_at = math.inf
         self._received_at = -math.inf
         self._carried_ids = set()
@@ -206,6 +215,7 @@
 
     async def _next_event(self):
         """Return the parser's next event; raise `TargetConnectionLost`."""
+        await self._take_turn(1)
         while True:
             try:
                 event = self._http.next_event()
@@ -219,7 +229,15 @@
             self._resume()
             await self._wait_readable()
 
+    async def _take_turn(self, events):
+        """Let all other work have its turn if this connection had many events."""
+        self._events_in_turn += events
+        if self._events_in_turn > MAX_EVENTS_A_TURN:
+            self._events_in_turn = events
+            await asyncio.sleep(0)
+
     async def _wait_readable(self):
+        self._events_in_turn = 0
         self._readable = self._loop.create_future()
         try:
             await self._readable
@@ -253,6 +271,7 @@
                 self._head_at = self._loop.time()
                 self._body_size = _content_length(event)
                 self._body_ended = False
+                self._unhandled = b""
                 self._is_chunked = is_chunked(event)
                 self._undelimited = UndelimitedBody(response) if undelimited else None
                 return response
@@ -302,20 +321,30 @@
 
         Raise `TargetConnectionLost` if the body is truncated.
         """
-        while not self._body_ended:
-            event = await self._next_event()
-            self._body_ended = isinstance(event, h11.EndOfMessage)
-            data = self._read_event(event)
+        while self._unhandled or not self._body_ended:
+            if self._unhandled:
+                data = await self._next_slice()
+            else:
+                data = self._read_event(await self._next_event())
             if data:
                 return data
         return None
 
+    async def _next_slice(self):
+        """Return what is passed on of the next bytes of the body that were read."""
+        data = self._unhandled[:SLICE_BYTES]
+        if len(data) == SLICE_BYTES:
+            await self._take_turn(MAX_EVENTS_A_TURN)
+        self._unhandled = self._unhandled[len(data) :]
+        return data if self._undelimited is None else self._undelimited.feed(data)
+
     def _read_event(self, event):
-        """Return the bytes of the body that an event brings."""
+        """Return the last bytes of the body at its end; put off those of any other."""
         if isinstance(event, h11.Data):
-            data = bytes(event.data)
-            return data if self._undelimited is None else self._undelimited.feed(data)
-        if not isinstance(event, h11.EndOfMessage):
+            self._unhandled = bytes(event.data)
+            return b""
+        self._body_ended = isinstance(event, h11.EndOfMessage)
+        if not self._body_ended:
             raise TargetEnded("the body ended early")
         if self._undelimited is None:
             return b""
@@ -389,15 +418,15 @@
         `TargetConnectionLost` if it holds a second response or breaks its framing,
         as a second one inside it does.
         """
-        body = b""
+        body = bytearray()
         with contextlib.suppress(TimeoutError, TargetEnded):
             async with asyncio.timeout(DISCARD_TIMEOUT_S):
                 while (data := await self.read_data()) is not None:
                     body += data
                     if len(body) > MAX_DISCARDED_BYTES:
                         break
-        await self._check_body(body)
-        return self._body_ended
+        await self._check_body(bytes(body))
+        return self._body_ended and not self._unhandled
 
     def finish(self, response):
         """End the current request; return whether the connection can be reused.
--- a/lovagepier/entry/_targets/undelimited_body.py
+++ b/lovagepier/entry/_targets/undelimited_body.py
@@ -4,6 +4,8 @@
 can be. The head of such a response ends the body.
 """
 
+import re
+
 import h11
 import xxhash
 
@@ -11,13 +13,15 @@
 from lovagepier.entry._targets.head_search import HeadSearch
 from lovagepier.entry._targets.parsers import make_parser
 from lovagepier.logs import component_logger
-from lovagepier.platform import decode_response
+from lovagepier.platform import RESPONSE_MARKS, decode_response
 
 __all__ = ["SecondResponse", "UndelimitedBody", "is_chunked", "is_undelimited"]
 
 # Times that a response may be repeated.
 MAX_COPIES = 4
 
+_MARK = re.compile(rb"\n(?i:" + b"|".join(sorted(RESPONSE_MARKS)) + rb")[ \t]*:")
+
 _log = component_logger("targets")
 
 
@@ -172,6 +176,9 @@
 
 
 def _is_marked_head(data):
+    # Parsing takes far longer than this look.
+    if not _MARK.search(data):
+        return False
     second = _parse_head(data)
     return second is not None and second.is_marked
 
--- a/test/platform_standins.py
+++ b/test/platform_standins.py
@@ -476,6 +476,47 @@
         head = ["HTTP/1.1 200 OK", "Transfer-Encoding: chunked"]
         await self._endless(writer, seal, head, unit=b"1000\r\n%s\r\n" % (b"a" * 4096))
 
+    async def _endless_small_chunks(self, writer, seal, headers, request_id):
+        head = ["HTTP/1.1 200 OK", "Transfer-Encoding: chunked"]
+        await self._endless(writer, seal, head, unit=b"1\r\na\r\n" * 1024)
+
+    async def _endless_small_refusal(self, writer, seal, headers, request_id):
+        self.runs.pop()
+        head = [
+            "HTTP/1.1 503 Unavailable",
+            "X-Not-Executed: 1",
+            "Transfer-Encoding: chunked",
+        ]
+        await self._endless(writer, seal, head, unit=b"1\r\na\r\n" * 1024)
+
+    async def _endless_status_lines(self, writer, seal, headers, request_id):
+        unit = b"HTTP/1.1 200 OK\r\n\r\n" * 256
+        await self._endless(writer, seal, ["HTTP/1.1 200 OK"], unit=unit)
+
+    async def _endless_status_stream(self, writer, seal, headers, request_id):
+        head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
+        unit = b"HTTP/1.1 200 OK\r\n\r\n" * 256
+        await self._endless(writer, seal, head, unit=unit)
+
+    async def _endless_small_events(
+        self, writer, seal, headers, request_id, text=b"\n\n"
+    ):
+        """Stream a blank line or a comment in each chunk."""
+        head = [
+            "HTTP/1.1 200 OK",
+            "Content-Type: text/event-stream",
+            "Transfer-Encoding: chunked",
+        ]
+        unit = b"%x\r\n%s\r\n" % (len(text), text)
+        await self._endless(writer, seal, head, unit=unit * 512)
+
+    async def _endless_comments(self, writer, seal, headers, request_id):
+        await self._endless_small_events(writer, seal, headers, request_id, b":\n\n")
+
+    async def _endless_blank_lines(self, writer, seal, headers, request_id):
+        head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
+        await self._endless(writer, seal, head, unit=b"\n" * 32768)
+
     async def _endless_paced(self, writer, seal, headers, request_id):
         """Send 1 MB/s without end."""
         head = ["HTTP/1.1 200 OK", "Transfer-Encoding: chunked", *seal]
