--- a/lovagepier/decisions/rollout_plan.py
+++ b/lovagepier/decisions/rollout_plan.py
@@ -168,8 +168,8 @@
     __slots__ = (
         "_duration",
         "_is_final",
-        "_rate",
         "_open_stage",
+        "_rate",
         "_requests",
         "_resumed_at",
         "_share",
