End a rollout in a new term only with outcomes seen in it

Cause: a coordinator in a new term waited for a second, but not for outcomes. A successor whose canary budget is used up gets none of the new version, moves all traffic to it after that second and ends the rollout a tick later.

Now a term ends a rollout with MIN_OUTCOMES of the new version seen in it, the number that the switch needs, or at the time limit of the order.

--- a/lovagepier/decisions/rollout_plan.py
+++ b/lovagepier/decisions/rollout_plan.py
@@ -71,7 +71,8 @@
 # coordinator and for the store.
 MAX_END_FRACTION = 0.93
 # A coordinator that begins or resumes in the middle of a rollout lacks the outcomes of
-# the time before. It sees those of this time before it ends the rollout.
+# the time before. It waits for so long, and for `MIN_OUTCOMES` of the new version until
+# the whole time is over, before it ends the rollout.
 RESUMED_WATCH_S = 1.0
 # The stored states that may follow each stored state, None for no state yet. The
 # platform acts on the end of a rollout, so an end is never replaced.
@@ -172,6 +173,7 @@
         "_rate",
         "_requests",
         "_resumed_at",
+        "_resumed_outcomes",
         "_share",
         "_slack",
         "began",
@@ -189,6 +191,7 @@
         self._is_final = False
         self._open_stage = Stage.CANARY
         self._resumed_at = float("-inf")
+        self._resumed_outcomes = float("-inf")
         self.is_confirmed = False
         self.began = began
         self.stage = Stage.CANARY
@@ -219,12 +222,13 @@
         self.is_confirmed = True
         return True
 
-    def resume(self, now):
-        """Take back a provisional end, and end no earlier than `RESUMED_WATCH_S` later.
+    def resume(self, progress, now):
+        """Take back a provisional end; end only with outcomes seen from now on.
 
         What this host decided may be outdated: others may have had the outcomes.
         """
         self._resumed_at = now
+        self._resumed_outcomes = progress.outcomes_new
         if not self.is_confirmed and self.stage in (Stage.DONE, Stage.ROLLED_BACK):
             self.stage = self._open_stage
             self.cause = ""
@@ -238,11 +242,13 @@
         """Advance the rollout to `now` and return its stage."""
         self._learn_rate(progress, now)
         elapsed = now - self.began
-        is_current = now - self._resumed_at >= RESUMED_WATCH_S
-        if self.stage == Stage.CANARY and is_current:
+        has_watched = now - self._resumed_at >= RESUMED_WATCH_S
+        if self.stage == Stage.CANARY and has_watched:
             self._end_canary(progress, elapsed)
         elif self.stage == Stage.SWITCHED:
-            self._end_watch(progress, elapsed, is_current)
+            seen = progress.outcomes_new - self._resumed_outcomes
+            has_outcomes = seen >= MIN_OUTCOMES or elapsed >= self._duration
+            self._end_watch(progress, elapsed, has_watched and has_outcomes)
         return self.stage
 
     def _learn_rate(self, progress, now):
--- a/lovagepier/entry/_coordination/rollouts.py
+++ b/lovagepier/entry/_coordination/rollouts.py
@@ -140,7 +140,7 @@
         if rollout.has_evidence:
             return
         before = rollout.plan.stage
-        rollout.plan.resume(now)
+        rollout.plan.resume(rollout.progress, now)
         if rollout.plan.stage != before:
             self._changed.add(service)
             _log.info(
@@ -169,7 +169,7 @@
         self._read_state(rollout, now)
         if now - rollout.plan.began >= EARLIER_BEGIN_S:
             rollout.plan.assume_canary(rollout.progress)
-            rollout.plan.resume(now)
+            rollout.plan.resume(rollout.progress, now)
 
     def set_slack_fraction(self, fraction):
         """Set this host's part of the exposure slack while several coordinate."""
