Move the decisions into packages by what they decide

They are now in placement, queueing, limits, learning, rollouts, crashes and membership. Moves and imports only; the programs that tests run in landed builds import either.

--- a/lovagepier/bench/capacity.py
+++ b/lovagepier/bench/capacity.py
@@ -5,7 +5,7 @@
 
 from lovagepier.bench.control_costs import measure_costs
 from lovagepier.bench.fleet_size import Size
-from lovagepier.decisions.membership import PROBE_PERIOD_S
+from lovagepier.decisions.membership.membership import PROBE_PERIOD_S
 
 __all__ = ["main", "scale_costs"]
 
--- a/lovagepier/bench/control_costs.py
+++ b/lovagepier/bench/control_costs.py
@@ -8,19 +8,19 @@
 from dataclasses import astuple
 
 from lovagepier.config import ConfigRecord, ConfigView, check_document, empty_document
-from lovagepier.decisions.claims import Shard
-from lovagepier.decisions.membership import (
+from lovagepier.decisions.membership.claims import Shard
+from lovagepier.decisions.membership.membership import (
     MAX_UPDATES,
     PROBE_PERIOD_S,
     Membership,
     Status,
     Update,
 )
-from lovagepier.decisions.policies import POLICIES
-from lovagepier.decisions.prefixes import PrefixIndex
-from lovagepier.decisions.rendezvous import rank
-from lovagepier.decisions.scheduler import PoolScheduler, SchedulerOptions
-from lovagepier.decisions.work import Outcome, Work
+from lovagepier.decisions.placement.policies import POLICIES
+from lovagepier.decisions.placement.prefixes import PrefixIndex
+from lovagepier.decisions.placement.rendezvous import rank
+from lovagepier.decisions.placement.scheduler import PoolScheduler, SchedulerOptions
+from lovagepier.decisions.placement.work import Outcome, Work
 from lovagepier.frames import encode
 from lovagepier.node import encode_work
 from lovagepier.peers import messages
--- a/lovagepier/bench/rollout_traffic.py
+++ b/lovagepier/bench/rollout_traffic.py
@@ -3,7 +3,7 @@
 import math
 from dataclasses import dataclass
 
-from lovagepier.decisions.work import Outcome
+from lovagepier.decisions.placement.work import Outcome
 
 __all__ = ["DISTURBANCES", "FAULTS", "SMALL_SERVICE", "Service", "Traffic"]
 
--- a/lovagepier/bench/rollouts.py
+++ b/lovagepier/bench/rollouts.py
@@ -19,26 +19,30 @@
     Service,
     Traffic,
 )
-from lovagepier.decisions.capacity_hold import CapacityHold
-from lovagepier.decisions.evidence import Counts
-from lovagepier.decisions.rollback import RollbackTrigger
-from lovagepier.decisions.rollout_plan import (
+from lovagepier.decisions.placement.target_load import TargetLoads
+from lovagepier.decisions.placement.work import Work
+from lovagepier.decisions.rollouts.capacity_hold import CapacityHold
+from lovagepier.decisions.rollouts.evidence import Counts
+from lovagepier.decisions.rollouts.rollback import RollbackTrigger
+from lovagepier.decisions.rollouts.rollout_plan import (
     SLOW_QUANTILE,
     RolloutPlan,
     RolloutProgress,
     Stage,
 )
-from lovagepier.decisions.rollout_share import (
+from lovagepier.decisions.rollouts.rollout_share import (
     Rollout,
     RolloutState,
     share_at,
     state_at,
     step_at,
 )
-from lovagepier.decisions.slowness import USUAL_QUANTILE, Pace, SlownessDetector
-from lovagepier.decisions.stratified import StratifiedTest
-from lovagepier.decisions.target_load import TargetLoads
-from lovagepier.decisions.work import Work
+from lovagepier.decisions.rollouts.slowness import (
+    USUAL_QUANTILE,
+    Pace,
+    SlownessDetector,
+)
+from lovagepier.decisions.rollouts.stratified import StratifiedTest
 
 __all__ = [
     "DISTURBANCES",
--- a/lovagepier/callers/_admission.py
+++ b/lovagepier/callers/_admission.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass
 
 from lovagepier import keys
-from lovagepier.decisions.rendezvous import hash_fraction
-from lovagepier.decisions.work import Work
+from lovagepier.decisions.placement.rendezvous import hash_fraction
+from lovagepier.decisions.placement.work import Work
 from lovagepier.errors import ErrorKind, RequestError
 
 __all__ = ["Admitted", "admit", "make_work"]
--- a/lovagepier/callers/_entries.py
+++ b/lovagepier/callers/_entries.py
@@ -1,6 +1,6 @@
 """The list of entry hosts that a caller should use, with its time to live."""
 
-from lovagepier.decisions.rendezvous import rank
+from lovagepier.decisions.placement.rendezvous import rank
 from lovagepier.web import json_response
 
 __all__ = ["entries_response"]
--- a/lovagepier/callers/_models.py
+++ b/lovagepier/callers/_models.py
@@ -4,7 +4,7 @@
 
 from lovagepier.callers._admission import admit, make_work
 from lovagepier.config import DEFAULT_LINK_BURST_BYTES, DEFAULT_LINK_BYTES_PER_S
-from lovagepier.decisions.link_budget import LinkBudget
+from lovagepier.decisions.limits.link_budget import LinkBudget
 from lovagepier.errors import ErrorKind, RequestError, RunStatus
 from lovagepier.node import InFlightRequest, Relay, TargetRequest
 from lovagepier.prompts import block_hashes, prompt_text, prompt_tokens
--- a/lovagepier/callers/_records.py
+++ b/lovagepier/callers/_records.py
@@ -11,8 +11,8 @@
 import uuid
 
 from lovagepier.callers._admission import admit, make_work
-from lovagepier.decisions.claims import Verdict
-from lovagepier.decisions.rendezvous import shard_of
+from lovagepier.decisions.membership.claims import Verdict
+from lovagepier.decisions.placement.rendezvous import shard_of
 from lovagepier.errors import ErrorKind, RequestError, RunStatus
 from lovagepier.node import Relay, TargetRequest
 from lovagepier.peers import messages
--- a/lovagepier/config/_view.py
+++ b/lovagepier/config/_view.py
@@ -5,7 +5,7 @@
 
 from dataclasses import dataclass
 
-from lovagepier.decisions.rollout_share import Rollout
+from lovagepier.decisions.rollouts.rollout_share import Rollout
 
 __all__ = [
     "DEFAULT_LINK_BURST_BYTES",
--- /dev/null
+++ b/lovagepier/decisions/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash targets."""
--- a/lovagepier/decisions/trials.py
+++ b/lovagepier/decisions/crashes/trials.py
@@ -1,6 +1,6 @@
 """Trials of requests that may crash targets, and what their runs prove."""
 
-from lovagepier.decisions.poison import PoisonDetector, Run, part_key
+from lovagepier.decisions.crashes.poison import PoisonDetector, Run, part_key
 
 __all__ = ["Trials"]
 
--- /dev/null
+++ b/lovagepier/decisions/learning/__init__.py
@@ -0,0 +1,1 @@
+"""Estimates learnt from outcomes."""
--- /dev/null
+++ b/lovagepier/decisions/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on what accounts, hosts and targets send and take."""
--- /dev/null
+++ b/lovagepier/decisions/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which hosts are live, who coordinates, and who may write."""
--- /dev/null
+++ b/lovagepier/decisions/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which target runs a request."""
--- a/lovagepier/decisions/dispatch_log.py
+++ b/lovagepier/decisions/placement/dispatch_log.py
@@ -1,6 +1,6 @@
 """The request ids that a coordinator has granted: running and recently finished."""
 
-from lovagepier.decisions.work import Join, Refusal
+from lovagepier.decisions.placement.work import Join, Refusal
 from lovagepier.errors import ErrorKind
 
 __all__ = ["DispatchLog", "Running"]
--- a/lovagepier/decisions/fleet.py
+++ b/lovagepier/decisions/placement/fleet.py
@@ -4,10 +4,10 @@
 
 from sortedcontainers import SortedList
 
-from lovagepier.decisions.estimates import SpeedEstimate
-from lovagepier.decisions.limits import FixedLimit, InFlightLimit
-from lovagepier.decisions.rate_limits import RateLimit
-from lovagepier.decisions.rejections import RejectionLimit
+from lovagepier.decisions.learning.estimates import SpeedEstimate
+from lovagepier.decisions.limits.limits import FixedLimit, InFlightLimit
+from lovagepier.decisions.limits.rate_limits import RateLimit
+from lovagepier.decisions.limits.rejections import RejectionLimit
 
 __all__ = ["Fleet", "TargetState"]
 
--- a/lovagepier/decisions/partition.py
+++ b/lovagepier/decisions/placement/partition.py
@@ -1,6 +1,6 @@
 """Which slots a host may use on its own during a network partition."""
 
-from lovagepier.decisions.rendezvous import hash_fraction
+from lovagepier.decisions.placement.rendezvous import hash_fraction
 
 __all__ = ["slots_for_host"]
 
--- a/lovagepier/decisions/paths.py
+++ b/lovagepier/decisions/placement/paths.py
@@ -1,6 +1,6 @@
 """Which targets a host can't reach itself, and which hosts can connect it to them."""
 
-from lovagepier.decisions.rendezvous import rank
+from lovagepier.decisions.placement.rendezvous import rank
 
 __all__ = ["Peer", "TargetPaths"]
 
--- a/lovagepier/decisions/pool_targets.py
+++ b/lovagepier/decisions/placement/pool_targets.py
@@ -1,8 +1,8 @@
 """The targets of one pool: how they are added, restart, leave and state limits."""
 
-from lovagepier.decisions.fleet import TargetState
-from lovagepier.decisions.rate_limits import RateLimit
-from lovagepier.decisions.rejections import RejectionLimit
+from lovagepier.decisions.limits.rate_limits import RateLimit
+from lovagepier.decisions.limits.rejections import RejectionLimit
+from lovagepier.decisions.placement.fleet import TargetState
 
 __all__ = ["PoolTargets"]
 
--- a/lovagepier/decisions/scheduler.py
+++ b/lovagepier/decisions/placement/scheduler.py
@@ -2,24 +2,24 @@
 
 from itertools import islice
 
-from lovagepier.decisions.dispatch_log import DispatchLog
-from lovagepier.decisions.estimates import LengthEstimates
-from lovagepier.decisions.feasibility import Feasibility
-from lovagepier.decisions.fleet import Fleet
-from lovagepier.decisions.late_requests import LateRequests
-from lovagepier.decisions.outcome_learning import OutcomeLearning
-from lovagepier.decisions.pauses import Pauses
-from lovagepier.decisions.policies import POLICIES
-from lovagepier.decisions.pool_targets import PoolTargets
-from lovagepier.decisions.prefixes import PrefixIndex
-from lovagepier.decisions.queue_time import expected_wait, limited_wait
-from lovagepier.decisions.scheduler_options import SchedulerOptions
-from lovagepier.decisions.shedding import ShedPause
-from lovagepier.decisions.start_rates import StartRates
-from lovagepier.decisions.trials import Trials
-from lovagepier.decisions.versions import preferred_versions
-from lovagepier.decisions.waiting import WaitingRequests
-from lovagepier.decisions.work import Grant, Outcome, Refusal
+from lovagepier.decisions.crashes.trials import Trials
+from lovagepier.decisions.learning.estimates import LengthEstimates
+from lovagepier.decisions.learning.outcome_learning import OutcomeLearning
+from lovagepier.decisions.limits.pauses import Pauses
+from lovagepier.decisions.placement.dispatch_log import DispatchLog
+from lovagepier.decisions.placement.fleet import Fleet
+from lovagepier.decisions.placement.policies import POLICIES
+from lovagepier.decisions.placement.pool_targets import PoolTargets
+from lovagepier.decisions.placement.prefixes import PrefixIndex
+from lovagepier.decisions.placement.scheduler_options import SchedulerOptions
+from lovagepier.decisions.placement.versions import preferred_versions
+from lovagepier.decisions.placement.work import Grant, Outcome, Refusal
+from lovagepier.decisions.queueing.feasibility import Feasibility
+from lovagepier.decisions.queueing.late_requests import LateRequests
+from lovagepier.decisions.queueing.queue_time import expected_wait, limited_wait
+from lovagepier.decisions.queueing.shedding import ShedPause
+from lovagepier.decisions.queueing.start_rates import StartRates
+from lovagepier.decisions.queueing.waiting import WaitingRequests
 from lovagepier.errors import ErrorKind
 
 __all__ = ["PoolScheduler", "SchedulerOptions"]
--- a/lovagepier/decisions/scheduler_options.py
+++ b/lovagepier/decisions/placement/scheduler_options.py
@@ -1,6 +1,6 @@
 """Settings of a pool's scheduler."""
 
-from lovagepier.decisions.retries import RetryBudget
+from lovagepier.decisions.limits.retries import RetryBudget
 
 __all__ = ["SchedulerOptions"]
 
--- a/lovagepier/decisions/target_load.py
+++ b/lovagepier/decisions/placement/target_load.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-from lovagepier.decisions.request_rate import RequestRate
+from lovagepier.decisions.queueing.request_rate import RequestRate
 
 __all__ = ["TargetLoads"]
 
--- /dev/null
+++ b/lovagepier/decisions/queueing/__init__.py
@@ -0,0 +1,1 @@
+"""How requests wait, and which are refused while they do."""
--- a/lovagepier/decisions/capacity_hold.py
+++ b/lovagepier/decisions/rollouts/capacity_hold.py
@@ -1,6 +1,6 @@
 """Whether a rollout's advance stops because the new version lacks capacity."""
 
-from lovagepier.decisions.cusum import Cusum
+from lovagepier.decisions.rollouts.cusum import Cusum
 
 __all__ = ["CapacityHold"]
 
--- a/lovagepier/decisions/rollback.py
+++ b/lovagepier/decisions/rollouts/rollback.py
@@ -2,10 +2,10 @@
 
 import math
 
-from lovagepier.decisions.base_rates import BaseRate, upper_rate
-from lovagepier.decisions.cusum import Cusum, gains
-from lovagepier.decisions.evidence import Counts
-from lovagepier.decisions.stratified import StratifiedTest
+from lovagepier.decisions.learning.base_rates import BaseRate, upper_rate
+from lovagepier.decisions.rollouts.cusum import Cusum, gains
+from lovagepier.decisions.rollouts.evidence import Counts
+from lovagepier.decisions.rollouts.stratified import StratifiedTest
 
 __all__ = ["RollbackTrigger", "RouteComparison"]
 
--- a/lovagepier/decisions/rollout_plan.py
+++ b/lovagepier/decisions/rollouts/rollout_plan.py
@@ -9,7 +9,7 @@
 
 from dataclasses import dataclass
 
-from lovagepier.decisions.request_rate import MIN_RATE_SPAN_S, RequestRate
+from lovagepier.decisions.queueing.request_rate import MIN_RATE_SPAN_S, RequestRate
 
 __all__ = [
     "RESUMED_WATCH_S",
--- a/lovagepier/decisions/slowness.py
+++ b/lovagepier/decisions/rollouts/slowness.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 from enum import StrEnum
 
-from lovagepier.decisions.old_times import Baseline, Window
+from lovagepier.decisions.learning.old_times import Baseline, Window
 
 __all__ = ["USUAL_QUANTILE", "Pace", "SlownessDetector"]
 
--- a/lovagepier/entry/_callers/frontend.py
+++ b/lovagepier/entry/_callers/frontend.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 
-from lovagepier.decisions.durations import DurationEstimates
+from lovagepier.decisions.learning.durations import DurationEstimates
 from lovagepier.entry._build_gauges import build_gauges
 from lovagepier.entry._callers.caller_conn import BadRequest, CallerConnection
 from lovagepier.entry._callers.exchange import Exchange
--- a/lovagepier/entry/_callers/running_calls.py
+++ b/lovagepier/entry/_callers/running_calls.py
@@ -1,6 +1,6 @@
 """The calls that this host serves, and their end in its stop."""
 
-from lovagepier.decisions.queue_forecast import StartLog, too_late
+from lovagepier.decisions.queueing.queue_forecast import StartLog, too_late
 
 __all__ = ["STOPPING_RETRY_AFTER_S", "RunningCalls"]
 
--- a/lovagepier/entry/_cluster/candidates.py
+++ b/lovagepier/entry/_cluster/candidates.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from lovagepier.decisions.succession import rank_candidates
+from lovagepier.decisions.membership.succession import rank_candidates
 from lovagepier.entry._cluster.precedence import Precedence
 
 __all__ = ["Candidates"]
--- a/lovagepier/entry/_coordination/account_quotas.py
+++ b/lovagepier/entry/_coordination/account_quotas.py
@@ -1,6 +1,6 @@
 """Checks requests against the quotas of their accounts."""
 
-from lovagepier.decisions.quotas import Quotas
+from lovagepier.decisions.limits.quotas import Quotas
 from lovagepier.entry._cluster.messages import Refused
 from lovagepier.entry._coordination.budgets import make_quotas
 from lovagepier.entry._coordination.work import BANDS_PER_TIER
--- a/lovagepier/entry/_coordination/budgets.py
+++ b/lovagepier/entry/_coordination/budgets.py
@@ -1,7 +1,7 @@
 """The quotas and retry budgets of a coordinator, from the operators' bounds."""
 
-from lovagepier.decisions.quotas import Quotas
-from lovagepier.decisions.retries import RetryBudget
+from lovagepier.decisions.limits.quotas import Quotas
+from lovagepier.decisions.limits.retries import RetryBudget
 
 __all__ = ["make_quotas", "make_retry_budget"]
 
--- a/lovagepier/entry/_coordination/coordinator.py
+++ b/lovagepier/entry/_coordination/coordinator.py
@@ -5,9 +5,9 @@
 names of log fields and metrics "home" means the coordinator.
 """
 
-from lovagepier.decisions.pauses import Pauses
-from lovagepier.decisions.poison import PoisonDetector
-from lovagepier.decisions.work import Grant, Outcome, Refusal, bounded_tokens
+from lovagepier.decisions.crashes.poison import PoisonDetector
+from lovagepier.decisions.limits.pauses import Pauses
+from lovagepier.decisions.placement.work import Grant, Outcome, Refusal, bounded_tokens
 from lovagepier.entry._cluster.messages import Granted, Refused
 from lovagepier.entry._coordination.account_quotas import AccountQuotas
 from lovagepier.entry._coordination.rollouts import Rollouts
--- a/lovagepier/entry/_coordination/rollouts.py
+++ b/lovagepier/entry/_coordination/rollouts.py
@@ -8,7 +8,7 @@
 import uuid
 
 from lovagepier import platform
-from lovagepier.decisions.rollout_plan import (
+from lovagepier.decisions.rollouts.rollout_plan import (
     RESUMED_WATCH_S,
     RolloutPlan,
     RolloutProgress,
--- a/lovagepier/entry/_coordination/service_pools.py
+++ b/lovagepier/entry/_coordination/service_pools.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass, field
 
-from lovagepier.decisions.partition import slots_for_host
-from lovagepier.decisions.scheduler import PoolScheduler, SchedulerOptions
+from lovagepier.decisions.placement.partition import slots_for_host
+from lovagepier.decisions.placement.scheduler import PoolScheduler, SchedulerOptions
 from lovagepier.entry._coordination.backoffs import TargetBackoffs
 from lovagepier.entry._coordination.budgets import make_retry_budget
 from lovagepier.entry._coordination.stated_limits import StatedLimits
--- a/lovagepier/entry/_coordination/version_comparison.py
+++ b/lovagepier/entry/_coordination/version_comparison.py
@@ -3,11 +3,11 @@
 import math
 from collections import deque
 
-from lovagepier.decisions.evidence import Counts
-from lovagepier.decisions.rollback import RollbackTrigger
-from lovagepier.decisions.rollout_plan import SLOW_QUANTILE
-from lovagepier.decisions.slowness import SlownessDetector
-from lovagepier.decisions.stratified import StratifiedTest
+from lovagepier.decisions.rollouts.evidence import Counts
+from lovagepier.decisions.rollouts.rollback import RollbackTrigger
+from lovagepier.decisions.rollouts.rollout_plan import SLOW_QUANTILE
+from lovagepier.decisions.rollouts.slowness import SlownessDetector
+from lovagepier.decisions.rollouts.stratified import StratifiedTest
 
 __all__ = ["VersionComparison"]
 
--- a/lovagepier/entry/_coordination/work.py
+++ b/lovagepier/entry/_coordination/work.py
@@ -2,8 +2,8 @@
 
 import math
 
-from lovagepier.decisions.rendezvous import hash_fraction
-from lovagepier.decisions.work import Work, bounded_tokens
+from lovagepier.decisions.placement.rendezvous import hash_fraction
+from lovagepier.decisions.placement.work import Work, bounded_tokens
 from lovagepier.entry.catalog import ROUTE_TIERS
 
 __all__ = ["BANDS_PER_TIER", "OVER_QUOTA_BAND", "TIERS", "make_work"]
--- a/lovagepier/entry/_host.py
+++ b/lovagepier/entry/_host.py
@@ -10,7 +10,7 @@
 
 from lovagepier import build_name
 from lovagepier.clocks import uptime
-from lovagepier.decisions.terms import Terms
+from lovagepier.decisions.rollouts.terms import Terms
 from lovagepier.entry._callers.frontend import GRACE_MARGIN_S, Frontend
 from lovagepier.entry._cluster.cluster import Cluster
 from lovagepier.entry._cluster.links import LinkServer
--- a/lovagepier/entry/_targets/body_memory.py
+++ b/lovagepier/entry/_targets/body_memory.py
@@ -4,7 +4,7 @@
 import os
 from collections import deque
 
-from lovagepier.decisions.byte_budget import ByteBudget
+from lovagepier.decisions.limits.byte_budget import ByteBudget
 from lovagepier.logs import component_logger
 
 __all__ = ["FREE_BYTES", "BodyMemory", "Reservation", "default_capacity"]
--- a/lovagepier/entry/_targets/connector.py
+++ b/lovagepier/entry/_targets/connector.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from lovagepier.decisions.paths import Peer, TargetPaths
+from lovagepier.decisions.placement.paths import Peer, TargetPaths
 from lovagepier.entry._targets.comparison import TargetComparison
 from lovagepier.entry._targets.pool import ConnectFailed
 from lovagepier.entry._targets.tunnels import HostUnreachable, Tunnels
--- a/lovagepier/entry/call.py
+++ b/lovagepier/entry/call.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-from lovagepier.decisions.durations import call_size
+from lovagepier.decisions.learning.durations import call_size
 
 __all__ = ["Call", "fingerprint"]
 
--- a/lovagepier/entry/catalog.py
+++ b/lovagepier/entry/catalog.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from lovagepier.decisions.rendezvous import hash_fraction
+from lovagepier.decisions.placement.rendezvous import hash_fraction
 
 __all__ = ["ROUTE_TIERS", "Account", "CallerLimits", "Catalog", "Route", "Service"]
 
--- a/lovagepier/node/_ledger.py
+++ b/lovagepier/node/_ledger.py
@@ -5,7 +5,7 @@
 from dataclasses import asdict, dataclass
 
 from lovagepier.backing import Compare, Delete, Put, StoreError
-from lovagepier.decisions.claims import Claim, ClaimAnswer, Shard, Verdict
+from lovagepier.decisions.membership.claims import Claim, ClaimAnswer, Shard, Verdict
 from lovagepier.node._actors import NodeActor, Tick
 from lovagepier.peers import messages
 
--- a/lovagepier/node/_members.py
+++ b/lovagepier/node/_members.py
@@ -4,7 +4,7 @@
 import time
 from dataclasses import dataclass
 
-from lovagepier.decisions.membership import Membership, Status, Update
+from lovagepier.decisions.membership.membership import Membership, Status, Update
 from lovagepier.node._actors import NodeActor, Tick
 from lovagepier.node._roster import Roster
 from lovagepier.peers import messages
--- a/lovagepier/node/_open_rollout.py
+++ b/lovagepier/node/_open_rollout.py
@@ -2,9 +2,9 @@
 
 import math
 
-from lovagepier.decisions.capacity_hold import CapacityHold
-from lovagepier.decisions.rollback import RollbackTrigger
-from lovagepier.decisions.terms import Terms
+from lovagepier.decisions.rollouts.capacity_hold import CapacityHold
+from lovagepier.decisions.rollouts.rollback import RollbackTrigger
+from lovagepier.decisions.rollouts.terms import Terms
 
 __all__ = ["OpenRollout"]
 
--- a/lovagepier/node/_orders.py
+++ b/lovagepier/node/_orders.py
@@ -3,8 +3,8 @@
 import threading
 
 from lovagepier.backing import Compare, Put, StoreError
-from lovagepier.decisions.fencing import may_order
-from lovagepier.decisions.loading import plan_loads
+from lovagepier.decisions.membership.fencing import may_order
+from lovagepier.decisions.placement.loading import plan_loads
 from lovagepier.logs import component_logger
 from lovagepier.targets import NotDispatched, TargetBroken
 
--- a/lovagepier/node/_outcome_judge.py
+++ b/lovagepier/node/_outcome_judge.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from lovagepier.decisions.slowness import Pace, SlownessDetector
+from lovagepier.decisions.rollouts.slowness import Pace, SlownessDetector
 from lovagepier.node._rollout_loads import RolloutLoads
 
 __all__ = ["JudgedOutcome", "OutcomeJudge"]
--- a/lovagepier/node/_permits.py
+++ b/lovagepier/node/_permits.py
@@ -6,7 +6,7 @@
 import uuid
 from dataclasses import astuple
 
-from lovagepier.decisions.work import Outcome
+from lovagepier.decisions.placement.work import Outcome
 from lovagepier.errors import ErrorKind, RequestError, RunStatus
 from lovagepier.node._pool_messages import encode_work
 from lovagepier.peers import messages
--- a/lovagepier/node/_pool.py
+++ b/lovagepier/node/_pool.py
@@ -2,8 +2,8 @@
 
 import random
 
-from lovagepier.decisions.scheduler import PoolScheduler, SchedulerOptions
-from lovagepier.decisions.work import Outcome, Refusal, Work
+from lovagepier.decisions.placement.scheduler import PoolScheduler, SchedulerOptions
+from lovagepier.decisions.placement.work import Outcome, Refusal, Work
 from lovagepier.errors import ErrorKind
 from lovagepier.node._actors import NodeActor, Tick
 from lovagepier.node._known_ids import KnownIds
--- a/lovagepier/node/_pool_answers.py
+++ b/lovagepier/node/_pool_answers.py
@@ -1,6 +1,6 @@
 """The answers of a pool's coordinator to requests for permits."""
 
-from lovagepier.decisions.work import Grant, Join
+from lovagepier.decisions.placement.work import Grant, Join
 from lovagepier.peers import messages
 
 __all__ = ["PoolAnswers", "redirection"]
--- a/lovagepier/node/_pool_messages.py
+++ b/lovagepier/node/_pool_messages.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from lovagepier.decisions.work import Work
+from lovagepier.decisions.placement.work import Work
 from lovagepier.peers import messages
 
 __all__ = [
--- a/lovagepier/node/_relay.py
+++ b/lovagepier/node/_relay.py
@@ -4,7 +4,7 @@
 import time
 from dataclasses import dataclass, field
 
-from lovagepier.decisions.work import Outcome
+from lovagepier.decisions.placement.work import Outcome
 from lovagepier.errors import ErrorKind, RequestError
 from lovagepier.targets import (
     NotDispatched,
--- a/lovagepier/node/_rollout_loads.py
+++ b/lovagepier/node/_rollout_loads.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-from lovagepier.decisions.target_load import TargetLoads
+from lovagepier.decisions.placement.target_load import TargetLoads
 
 __all__ = ["RolloutLoads"]
 
--- a/lovagepier/node/_rollouts.py
+++ b/lovagepier/node/_rollouts.py
@@ -3,14 +3,19 @@
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 
-from lovagepier.decisions.evidence import Counts, Evidence, EvidenceKey, LoadCounts
-from lovagepier.decisions.rollout_share import (
+from lovagepier.decisions.rollouts.evidence import (
+    Counts,
+    Evidence,
+    EvidenceKey,
+    LoadCounts,
+)
+from lovagepier.decisions.rollouts.rollout_share import (
     RolloutState,
     share_at,
     state_at,
     step_at,
 )
-from lovagepier.decisions.slowness import Pace
+from lovagepier.decisions.rollouts.slowness import Pace
 from lovagepier.errors import RequestError
 from lovagepier.node._actors import NodeActor, Tick
 from lovagepier.node._members import PeerMessage
--- a/lovagepier/node/_roster.py
+++ b/lovagepier/node/_roster.py
@@ -1,6 +1,6 @@
 """A snapshot of the cluster's membership that assigns roles to live nodes."""
 
-from lovagepier.decisions.rendezvous import rank
+from lovagepier.decisions.placement.rendezvous import rank
 
 __all__ = ["Roster"]
 
--- a/test/brittle_model.py
+++ b/test/brittle_model.py
@@ -3,8 +3,8 @@
 from collections import deque
 from dataclasses import replace
 
-from lovagepier.decisions.partition import slots_for_host
-from lovagepier.decisions.work import Outcome
+from lovagepier.decisions.placement.partition import slots_for_host
+from lovagepier.decisions.placement.work import Outcome
 from lovagepier.entry._cluster.messages import LimitStated
 from test.builders import ended
 from test.rate_model import DETECTION_S, RateModel
--- a/test/builders.py
+++ b/test/builders.py
@@ -2,8 +2,8 @@
 
 import random
 
-from lovagepier.decisions.scheduler import PoolScheduler, SchedulerOptions
-from lovagepier.decisions.work import Outcome, Work
+from lovagepier.decisions.placement.scheduler import PoolScheduler, SchedulerOptions
+from lovagepier.decisions.placement.work import Outcome, Work
 
 __all__ = ["completion", "ended", "make_scheduler", "make_work"]
 
--- a/test/crash_model.py
+++ b/test/crash_model.py
@@ -2,7 +2,7 @@
 
 import random
 
-from lovagepier.decisions.work import Grant, Refusal
+from lovagepier.decisions.placement.work import Grant, Refusal
 from test.builders import ended, make_scheduler, make_work
 
 STEP_S = 0.02
--- a/test/format_samples.py
+++ b/test/format_samples.py
@@ -96,8 +96,12 @@
         ),
         "frame": frames.encode(cls(*values[: len(fields)])).hex(),
     }
-from lovagepier.decisions.evidence import Counts
-from lovagepier.decisions.rollback import RollbackTrigger
+try:
+    from lovagepier.decisions.rollouts.evidence import Counts
+    from lovagepier.decisions.rollouts.rollback import RollbackTrigger
+except ImportError:
+    from lovagepier.decisions.evidence import Counts
+    from lovagepier.decisions.rollback import RollbackTrigger
 trigger = RollbackTrigger()
 for number in range(60):
     trigger.observe("read", False, Counts(1, 0, 0), number / 10)
--- a/test/pause_model.py
+++ b/test/pause_model.py
@@ -5,8 +5,8 @@
 import random
 from dataclasses import replace
 
-from lovagepier.decisions.pauses import Pauses
-from lovagepier.decisions.work import Grant, Refusal
+from lovagepier.decisions.limits.pauses import Pauses
+from lovagepier.decisions.placement.work import Grant, Refusal
 from test.builders import ended, make_scheduler, make_work
 
 TARGETS = 3
--- a/test/rate_model.py
+++ b/test/rate_model.py
@@ -2,7 +2,7 @@
 
 import random
 
-from lovagepier.decisions.work import Grant
+from lovagepier.decisions.placement.work import Grant
 from lovagepier.entry._cluster.messages import LimitStated
 from lovagepier.entry._coordination.stated_limits import StatedLimits
 from test.builders import ended, make_scheduler, make_work
--- a/test/rollout_hosts.py
+++ b/test/rollout_hosts.py
@@ -3,7 +3,7 @@
 from types import SimpleNamespace
 
 from lovagepier import platform
-from lovagepier.decisions.terms import Terms
+from lovagepier.decisions.rollouts.terms import Terms
 from lovagepier.entry._coordination.rollouts import Rollouts
 from lovagepier.entry.store_types import RolloutOrder
 from lovagepier.platform import Item
--- a/test/statement_model.py
+++ b/test/statement_model.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from lovagepier.decisions.work import Grant, Outcome, Refusal
+from lovagepier.decisions.placement.work import Grant, Outcome, Refusal
 from test.builders import ended
 from test.rate_model import RateModel
 
--- a/test/test_brittle_targets.py
+++ b/test/test_brittle_targets.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from lovagepier.decisions.rejections import RejectionLimit
+from lovagepier.decisions.limits.rejections import RejectionLimit
 from test.brittle_model import CONTACT_S, BrittleModel
 from test.builders import ended, make_scheduler, make_work
 from test.entry_builders import call, config, entry_fleet, route, wait_until
--- a/test/test_capacity_hold.py
+++ b/test/test_capacity_hold.py
@@ -3,17 +3,17 @@
 import pytest
 
 from lovagepier.bench.rollouts import Service, run_rollout
-from lovagepier.decisions.capacity_hold import CapacityHold
-from lovagepier.decisions.evidence import Evidence, EvidenceKey, LoadCounts
-from lovagepier.decisions.rollout_share import (
+from lovagepier.decisions.placement.target_load import TargetLoads
+from lovagepier.decisions.rollouts.capacity_hold import CapacityHold
+from lovagepier.decisions.rollouts.evidence import Evidence, EvidenceKey, LoadCounts
+from lovagepier.decisions.rollouts.rollout_share import (
     MIN_FULL_SHARE_OUTCOMES,
     Rollout,
     RolloutState,
     share_at,
     state_at,
 )
-from lovagepier.decisions.slowness import Pace, SlownessDetector
-from lovagepier.decisions.target_load import TargetLoads
+from lovagepier.decisions.rollouts.slowness import Pace, SlownessDetector
 from test.builders import ended, make_work
 
 STEPS = ((0.0, 0.05), (0.2, 0.2), (0.4, 0.6), (0.6, 1.0))
--- a/test/test_claims.py
+++ b/test/test_claims.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from lovagepier.decisions.claims import Claim, Shard, Verdict
+from lovagepier.decisions.membership.claims import Claim, Shard, Verdict
 
 KEYS = ("k1", "k2", "k3")
 
--- a/test/test_crashes.py
+++ b/test/test_crashes.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lovagepier.decisions.poison import Run
+from lovagepier.decisions.crashes.poison import Run
 from lovagepier.entry._targets.pool import ConnectFailed
 from lovagepier.entry.call import Call, fingerprint
 from test.entry_builders import HOST, call, entry_fleet, wait_until
--- a/test/test_cuts.py
+++ b/test/test_cuts.py
@@ -10,7 +10,7 @@
 import pytest
 
 from lovagepier.client import Caller
-from lovagepier.decisions.rendezvous import choose_owner, shard_of
+from lovagepier.decisions.placement.rendezvous import choose_owner, shard_of
 from test.concurrent_tests import ConcurrentTests
 from test.faults import Traffic
 from trials.cluster import Cluster, wait_until
--- a/test/test_durations.py
+++ b/test/test_durations.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagepier.decisions.durations import DurationEstimates, call_size
+from lovagepier.decisions.learning.durations import DurationEstimates, call_size
 
 KIND = ("ledger", "file")
 
--- a/test/test_formats.py
+++ b/test/test_formats.py
@@ -11,7 +11,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagepier.decisions.rollback import RollbackTrigger
+from lovagepier.decisions.rollouts.rollback import RollbackTrigger
 from lovagepier.entry._cluster import messages
 from lovagepier.entry._cluster.older_formats import readable_progress
 from lovagepier.entry._targets import (
@@ -151,8 +151,11 @@
 _READ = """
 import sys
 import cbor2
-from lovagepier.decisions.rollback import RollbackTrigger
 from lovagepier.frames import decode
+try:
+    from lovagepier.decisions.rollouts.rollback import RollbackTrigger
+except ImportError:
+    from lovagepier.decisions.rollback import RollbackTrigger
 try:
     from lovagepier.entry._cluster import messages as _messages
     import lovagepier.entry._targets.tunnel_messages
--- a/test/test_held_bytes.py
+++ b/test/test_held_bytes.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagepier.decisions.byte_budget import ByteBudget
+from lovagepier.decisions.limits.byte_budget import ByteBudget
 from lovagepier.entry._targets.body_memory import (
     MAX_CAPACITY_BYTES,
     MIN_CAPACITY_BYTES,
--- a/test/test_held_rollouts.py
+++ b/test/test_held_rollouts.py
@@ -8,7 +8,7 @@
 
 from lovagepier.config import ConfigView
 from lovagepier.config._schema import empty_document
-from lovagepier.decisions.slowness import Pace
+from lovagepier.decisions.rollouts.slowness import Pace
 from lovagepier.frames import CodecError, decode, encode
 from lovagepier.node._members import PeerMessage
 from lovagepier.node._outcome_judge import JudgedOutcome
--- a/test/test_ledger_owners.py
+++ b/test/test_ledger_owners.py
@@ -6,7 +6,7 @@
 import pytest
 
 from lovagepier.backing import Delete, KeyValue, Put, Store, StoreError, TxnResult
-from lovagepier.decisions.claims import Verdict
+from lovagepier.decisions.membership.claims import Verdict
 from lovagepier.node._actors import Tick
 from lovagepier.node._ledger import ClaimRequested, ClaimSettled, LedgerActor
 from lovagepier.peers import messages
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagepier.decisions.membership import (
+from lovagepier.decisions.membership.membership import (
     PROBE_PERIOD_S,
     Membership,
     Status,
--- a/test/test_moves.py
+++ b/test/test_moves.py
@@ -7,9 +7,9 @@
 from hypothesis import strategies as st
 
 from lovagepier.bench.rollouts import Service, run_rollout, run_rollouts, summarize
-from lovagepier.decisions.evidence import Counts, Evidence, EvidenceKey
-from lovagepier.decisions.rollback import RollbackTrigger
-from lovagepier.decisions.rollout_share import (
+from lovagepier.decisions.rollouts.evidence import Counts, Evidence, EvidenceKey
+from lovagepier.decisions.rollouts.rollback import RollbackTrigger
+from lovagepier.decisions.rollouts.rollout_share import (
     MIN_FULL_SHARE_OUTCOMES,
     Rollout,
     RolloutState,
--- a/test/test_orders.py
+++ b/test/test_orders.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagepier.decisions.fencing import may_order
+from lovagepier.decisions.membership.fencing import may_order
 from trials.cluster import Cluster, http_json, wait_until
 
 LEASE_S = 30.0
--- a/test/test_partition.py
+++ b/test/test_partition.py
@@ -3,8 +3,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagepier.decisions.limits import FixedLimit
-from lovagepier.decisions.partition import slots_for_host
+from lovagepier.decisions.limits.limits import FixedLimit
+from lovagepier.decisions.placement.partition import slots_for_host
 
 
 @given(st.integers(2, 80), st.integers(1, 60), st.integers(1, 8))
--- a/test/test_paths.py
+++ b/test/test_paths.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagepier.decisions.paths import MAX_RETRY_S, Peer, TargetPaths
+from lovagepier.decisions.placement.paths import MAX_RETRY_S, Peer, TargetPaths
 
 REGIONS = {"a1": "a", "a2": "a", "b1": "b"}
 
--- a/test/test_pauses.py
+++ b/test/test_pauses.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from lovagepier.decisions.pauses import Pauses
+from lovagepier.decisions.limits.pauses import Pauses
 from test.builders import ended, make_scheduler, make_work
 from test.pause_model import PauseModel
 from test.statement_model import StatementModel
--- a/test/test_prefix_holders.py
+++ b/test/test_prefix_holders.py
@@ -4,8 +4,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagepier.decisions.prefixes import MAX_HOLDERS, PrefixIndex
-from lovagepier.decisions.work import Grant
+from lovagepier.decisions.placement.prefixes import MAX_HOLDERS, PrefixIndex
+from lovagepier.decisions.placement.work import Grant
 from test.builders import ended, make_scheduler, make_work
 
 TARGETS = [f"e{number}" for number in range(60)]
--- a/test/test_queue_forecast.py
+++ b/test/test_queue_forecast.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagepier.decisions.queue_forecast import StartLog, too_late
+from lovagepier.decisions.queueing.queue_forecast import StartLog, too_late
 
 
 def test_only_as_many_calls_stay_as_can_begin():
--- a/test/test_quotas.py
+++ b/test/test_quotas.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagepier.decisions.quotas import Quotas
+from lovagepier.decisions.limits.quotas import Quotas
 from lovagepier.entry._coordination.budgets import (
     QUOTA_BURST_FRACTION,
     QUOTA_DEBT_FRACTION,
--- a/test/test_rate_limits.py
+++ b/test/test_rate_limits.py
@@ -6,8 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagepier.decisions.rate_limits import RateLimit
-from lovagepier.decisions.work import Grant
+from lovagepier.decisions.limits.rate_limits import RateLimit
+from lovagepier.decisions.placement.work import Grant
 from lovagepier.errors import ErrorKind
 from test.builders import ended, make_scheduler, make_work
 from test.rate_model import RateModel
--- a/test/test_retry_budget.py
+++ b/test/test_retry_budget.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from lovagepier.decisions.retries import RetryBudget
+from lovagepier.decisions.limits.retries import RetryBudget
 from test.entry_builders import entry_fleet, wait_until
 
 CAPACITY = 40.0
--- a/test/test_rollout_eras.py
+++ b/test/test_rollout_eras.py
@@ -3,7 +3,7 @@
 from types import SimpleNamespace
 
 from lovagepier import platform
-from lovagepier.decisions.rollout_plan import Stage
+from lovagepier.decisions.rollouts.rollout_plan import Stage
 from lovagepier.entry._coordination.rollouts import RESTORE_PERIOD_S, Rollouts
 from lovagepier.entry.store_types import RolloutOrder
 from lovagepier.platform import Item, make_revision
--- a/test/test_rollout_evidence.py
+++ b/test/test_rollout_evidence.py
@@ -6,7 +6,7 @@
 import pytest
 
 from lovagepier import platform
-from lovagepier.decisions.rollout_plan import (
+from lovagepier.decisions.rollouts.rollout_plan import (
     CANARY_SHARE_FRACTION,
     CANARY_SLACK_FRACTION,
     MAX_SWITCH_SUSPICION,
--- a/test/test_rollout_plan.py
+++ b/test/test_rollout_plan.py
@@ -9,7 +9,7 @@
 
 from lovagepier.bench.rollouts import SMALL_SERVICE
 from lovagepier.bench.rollouts import run_rollout as simulate
-from lovagepier.decisions.rollout_plan import (
+from lovagepier.decisions.rollouts.rollout_plan import (
     MAX_END_FRACTION,
     RolloutPlan,
     RolloutProgress,
--- a/test/test_rollout_terms.py
+++ b/test/test_rollout_terms.py
@@ -7,13 +7,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lovagepier.decisions.rollout_plan import (
+from lovagepier.decisions.rollouts.rollout_plan import (
     MAX_END_FRACTION,
     RESUMED_WATCH_S,
     Stage,
     may_follow,
 )
-from lovagepier.decisions.terms import MAX_TICK_GAP_S, Terms
+from lovagepier.decisions.rollouts.terms import MAX_TICK_GAP_S, Terms
 from test.rollout_hosts import DURATION_S, TICK_S, RolloutHost, StateStore
 
 END_S = DURATION_S * MAX_END_FRACTION
--- a/test/test_scheduler.py
+++ b/test/test_scheduler.py
@@ -4,8 +4,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from lovagepier.decisions.late_requests import MAX_LATE_ROUNDS
-from lovagepier.decisions.work import Grant, Join, Refusal
+from lovagepier.decisions.placement.work import Grant, Join, Refusal
+from lovagepier.decisions.queueing.late_requests import MAX_LATE_ROUNDS
 from lovagepier.errors import ErrorKind
 from test.builders import ended, make_scheduler, make_work
 
--- a/test/test_small_decisions.py
+++ b/test/test_small_decisions.py
@@ -6,13 +6,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagepier.decisions.estimates import LengthEstimates
-from lovagepier.decisions.limits import InFlightLimit
-from lovagepier.decisions.link_budget import LinkBudget
-from lovagepier.decisions.loading import plan_loads
-from lovagepier.decisions.prefixes import PrefixIndex
-from lovagepier.decisions.rendezvous import choose_owner, rank
-from lovagepier.decisions.retries import RetryBudget
+from lovagepier.decisions.learning.estimates import LengthEstimates
+from lovagepier.decisions.limits.limits import InFlightLimit
+from lovagepier.decisions.limits.link_budget import LinkBudget
+from lovagepier.decisions.limits.retries import RetryBudget
+from lovagepier.decisions.placement.loading import plan_loads
+from lovagepier.decisions.placement.prefixes import PrefixIndex
+from lovagepier.decisions.placement.rendezvous import choose_owner, rank
 
 _NAMES = st.lists(
     st.sampled_from([f"n{i}" for i in range(12)]), min_size=2, unique=True
--- a/test/test_stop_answers.py
+++ b/test/test_stop_answers.py
@@ -4,7 +4,7 @@
 import os
 import signal
 
-from lovagepier.decisions.durations import MIN_SAMPLES
+from lovagepier.decisions.learning.durations import MIN_SAMPLES
 from test.entry_builders import (
     config,
     connect,
--- a/test/test_stratified.py
+++ b/test/test_stratified.py
@@ -6,8 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagepier.decisions.rollout_plan import MAX_SWITCH_SCORE, MIN_BOTH_SCORE
-from lovagepier.decisions.stratified import StratifiedTest
+from lovagepier.decisions.rollouts.rollout_plan import MAX_SWITCH_SCORE, MIN_BOTH_SCORE
+from lovagepier.decisions.rollouts.stratified import StratifiedTest
 
 RATE = 0.05
 # A bad version's rate where a test does not state another.
--- a/test/test_strikes.py
+++ b/test/test_strikes.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagepier.decisions.poison import PoisonDetector, Run
+from lovagepier.decisions.crashes.poison import PoisonDetector, Run
 from test.builders import ended, make_scheduler, make_work
 
 
--- a/test/test_succession.py
+++ b/test/test_succession.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from lovagepier import platform
-from lovagepier.decisions.succession import rank_candidates
+from lovagepier.decisions.membership.succession import rank_candidates
 from lovagepier.entry._cluster.candidates import Candidates
 from lovagepier.entry._cluster.followers import Followers
 from lovagepier.entry._cluster.links import LinkCounts
--- a/test/test_waiting.py
+++ b/test/test_waiting.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagepier.decisions.waiting import WaitingRequests
+from lovagepier.decisions.queueing.waiting import WaitingRequests
 from test.builders import make_work
 
 _WORKS = st.lists(
--- a/trials/bench.py
+++ b/trials/bench.py
@@ -9,7 +9,7 @@
 from lovagepier.bench.load import Tier, plan_arrivals, send_load
 from lovagepier.bench.measures import measure
 from lovagepier.bench.scenarios import SCENARIOS
-from lovagepier.decisions.policies import POLICIES
+from lovagepier.decisions.placement.policies import POLICIES
 from trials.cluster import Cluster
 
 __all__ = ["main", "run_scenario"]
