Evacuate zones by the operators' keys in the store

Cause: targets of a zone under op/evacuate/ZONE went on getting requests, as nothing read that key.

Change: the view has the evacuated zones; the coordinator grants nothing there, by a flag beside draining that outlasts restarts, and the entry host checks its own view right before it sends and after a connection was opened.

--- a/lovagepier/decisions/placement/fleet.py
+++ b/lovagepier/decisions/placement/fleet.py
@@ -27,13 +27,13 @@
     """One target: its running requests, speed, in-flight limit and health.
 
     `slots` is the concurrency that the target states; without it the limit is
-    learnt, starting at `limit`. A `draining` target gets no new requests, one that
-    is `down` accepts no connections, and a `probing` one runs a single request at a
-    time. `vanished` lists (`Run`, time) of requests that were lost there.
-    `prefilling` maps running requests before their first byte to the tokens of their
-    prefill. `rate_limit` and `rejection_limit` are the `RateLimit` and the
-    `RejectionLimit` that the target states. `key` is the target's place in the `Fleet`
-    index, None outside of it.
+    learnt, starting at `limit`. A `draining` target gets no new requests, nor does one
+    whose zone is `evacuated`; one that is `down` accepts no connections, and a
+    `probing` one runs a single request at a time. `vanished` lists (`Run`, time) of
+    requests that were lost there. `prefilling` maps running requests before their
+    first byte to the tokens of their prefill. `rate_limit` and `rejection_limit` are
+    the `RateLimit` and the `RejectionLimit` that the target states. `key` is the
+    target's place in the `Fleet` index, None outside of it.
     """
 
     __slots__ = (
@@ -41,6 +41,7 @@
         "draining",
         "ejected_until",
         "ejections",
+        "evacuated",
         "failures",
         "incarnation",
         "key",
@@ -70,6 +71,7 @@
         self.incarnation = incarnation
         self.draining = False
         self.down = False
+        self.evacuated = False
         self.limit = InFlightLimit(limit) if slots is None else FixedLimit(slots)
         self.speed = SpeedEstimate()
         self.running = {}
@@ -97,12 +99,17 @@
         """The target's name and current incarnation, as one string."""
         return f"{self.name}/{self.incarnation}"
 
+    @property
+    def is_out(self):
+        """Whether the target is draining, down or evacuated."""
+        return self.draining or self.down or self.evacuated
+
     def takes_work(self, now):
         """Return whether the target is healthy and may get new requests.
 
         Doesn't check for a free slot; see `has_room`.
         """
-        if self.draining or self.down:
+        if self.draining or self.down or self.evacuated:
             return False
         if now < self.ejected_until:
             return False
@@ -221,9 +228,9 @@
         return out + 1 <= max(len(self._targets) * MAX_EJECTED_FRACTION, 1.0)
 
     def has_target_besides(self, names):
-        """Return whether a target that isn't draining is not in `names`."""
+        """Return whether a target not in `names` is neither draining nor evacuated."""
         return any(
-            not state.draining and state.name not in names
+            not (state.draining or state.evacuated) and state.name not in names
             for state in self._targets.values()
         )
 
@@ -258,7 +265,7 @@
         always targets that can start the request at hand.
         """
         self._unindex(state)
-        if state.draining or state.down or not state.has_room(extra=1):
+        if state.is_out or not state.has_room(extra=1):
             return
         load = state.in_flight / max(state.limit.value, 1.0)
         pace = state.speed.token_seconds * 100 + 500 / state.speed.prefill_rate
@@ -331,7 +338,7 @@
         return best
 
     def _find_fastest(self, now):
-        able = [s for s in self._targets.values() if not s.draining and not s.down]
+        able = [s for s in self._targets.values() if not s.is_out]
         self._fastest_at = now
         self._fastest = nsmallest(2, able, key=lambda s: s.speed.token_seconds)
         self._fastest += nlargest(2, able, key=lambda s: s.speed.prefill_rate)
--- a/lovagepier/decisions/placement/pool_targets.py
+++ b/lovagepier/decisions/placement/pool_targets.py
@@ -45,13 +45,14 @@
         slots=None,
         draining=None,
         rejection_limit=None,
+        evacuated=None,
     ):
         """Add a target, or update its zone, version, incarnation or draining state.
 
         `slots` is the concurrency that a new target states, None where its limit
         has to be learnt. A new incarnation counts as a restart; `rejection_limit` is
-        the number that it starts with, None for none. With `draining` None an update
-        leaves that state as it is.
+        the number that it starts with, None for none. With `draining` or `evacuated`
+        None an update leaves that state as it is.
         """
         state = self._fleet.get(name)
         if state is None:
@@ -59,6 +60,7 @@
                 name, zone, version, incarnation, self._initial_limit, slots
             )
             state.draining = bool(draining)
+            state.evacuated = bool(evacuated)
             self._reset_stated_limits(state, rejection_limit, now)
             self._fleet.add(state)
             return
@@ -71,6 +73,8 @@
         state.zone = zone
         if draining is not None:
             state.draining = draining
+        if evacuated is not None:
+            state.evacuated = evacuated
         self._fleet.reindex(state)
 
     def _restart(self, state, incarnation):
@@ -101,6 +105,16 @@
             state.draining = draining
             self._fleet.reindex(state)
 
+    def set_evacuated(self, name, evacuated):
+        """Stop or resume granting new requests to a target, as its zone is evacuated.
+
+        Other than draining, this outlasts a restart of the target.
+        """
+        state = self._fleet.get(name)
+        if state is not None and state.evacuated != evacuated:
+            state.evacuated = evacuated
+            self._fleet.reindex(state)
+
     def on_crash(self, name, crash_id, now):
         """Record a target's crash; return the newly poisoned fingerprints."""
         state = self._fleet.get(name)
--- a/lovagepier/decisions/placement/scheduler.py
+++ b/lovagepier/decisions/placement/scheduler.py
@@ -6,6 +6,7 @@
 from lovagepier.decisions.learning.estimates import LengthEstimates
 from lovagepier.decisions.learning.outcome_learning import OutcomeLearning
 from lovagepier.decisions.limits.pauses import Pauses
+from lovagepier.decisions.placement import evacuation
 from lovagepier.decisions.placement.dispatch_log import DispatchLog
 from lovagepier.decisions.placement.fleet import Fleet
 from lovagepier.decisions.placement.policies import POLICIES
@@ -129,6 +130,8 @@
             return _refuse_poison(work)
         if not len(self.fleet):
             return Refusal(work, ErrorKind.NO_TARGET, "the pool has no targets")
+        if evacuation.has_only_evacuated(self.fleet):
+            return evacuation.refuse(work)
         if work.exclude and not self.fleet.has_target_besides(work.exclude):
             why = "no target but those that it was offered to"
             return Refusal(work, ErrorKind.NO_TARGET, why)
--- a/lovagepier/decisions/queueing/late_requests.py
+++ b/lovagepier/decisions/queueing/late_requests.py
@@ -35,7 +35,7 @@
         slots = sum(
             state.slots_within(LATE_ROUND_S)
             for state in self._fleet
-            if not state.draining
+            if not (state.draining or state.evacuated)
         )
         excess = []
         for tier in {work.tier for work in late}:
--- a/lovagepier/decisions/queueing/queue_time.py
+++ b/lovagepier/decisions/queueing/queue_time.py
@@ -11,7 +11,7 @@
     """
     rate = 0.0
     for state in fleet:
-        if state.draining or state.down:
+        if state.is_out:
             continue
         if not state.rate_limit.is_stated:
             return 0.0
@@ -33,6 +33,6 @@
             state.rate_limit.starts_within(1.0),
         )
         for state in fleet
-        if not state.draining and not state.down
+        if not state.is_out
     )
     return ahead / rate if rate else float("inf")
--- a/lovagepier/entry/_callers/exchange.py
+++ b/lovagepier/entry/_callers/exchange.py
@@ -176,6 +176,8 @@
             self._progress.excluded.add(grant.target)
             self._grants.report(grant, "returned", started_at)
             return _Outcome.NOT_EXECUTED
+        if self._frontend.view.evacuations.holds(target):
+            return self._return_evacuated(grant, started_at)
         if self._frontend.cluster.statements.is_paused(target):
             return self._return_paused(grant, target, started_at)
         try:
@@ -189,11 +191,24 @@
         except BaseException:
             self._grants.report(grant, "returned", started_at)
             raise
+        if self._frontend.view.evacuations.holds(target):
+            tconn.close()
+            return self._return_evacuated(grant, started_at)
         if self._frontend.cluster.statements.is_paused(target):
             tconn.close()
             return self._return_paused(grant, target, started_at)
         return await self._run_attempt(grant, target, tconn)
 
+    def _return_evacuated(self, grant, started_at):
+        """Return a grant for a target whose zone this host sees as evacuated.
+
+        The coordinator's view of the store, or this host's, is late by a moment.
+        """
+        self._frontend.metrics.count("evacuated_grants_returned")
+        self._progress.excluded.add_mismatched(grant.target)
+        self._grants.report(grant, "returned", started_at)
+        return _Outcome.NOT_EXECUTED
+
     def _return_paused(self, grant, target, started_at):
         """Return a grant for a target that wants a pause from this host."""
         self._progress.excluded.add(grant.target)
--- a/lovagepier/entry/_callers/frontend.py
+++ b/lovagepier/entry/_callers/frontend.py
@@ -350,6 +350,10 @@
             "unreadable_documents": self.view.undecoded_count,
             "unreadable_document_changes": self.view.undecoded_changes,
             "targets": len(self.view.targets),
+            "evacuated_zones": len(self.view.evacuations.zones),
+            "evacuated_targets": self.view.evacuations.count(
+                self.view.targets.values()
+            ),
             "hosts": len(self.view.members()),
             "callers_open": len(self._caller_conns),
             "waiting": self.coordinator.waiting_count(),
--- a/lovagepier/entry/_coordination/rollouts.py
+++ b/lovagepier/entry/_coordination/rollouts.py
@@ -442,6 +442,7 @@
             target.service == service
             and target.version == rollout.order.version
             and not target.draining
+            and not self._view.evacuations.holds(target)
             for target in self._view.targets.values()
         )
         rollout.plan.step(rollout.progress, now)
--- a/lovagepier/entry/_coordination/service_pools.py
+++ b/lovagepier/entry/_coordination/service_pools.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from lovagepier.decisions.placement.evacuation import refuse_waiting
 from lovagepier.decisions.placement.partition import slots_for_host
 from lovagepier.decisions.placement.scheduler import PoolScheduler, SchedulerOptions
 from lovagepier.entry._coordination.backoffs import TargetBackoffs
@@ -111,6 +112,7 @@
 
     def refresh(self, now):
         """Update the targets of all services from the view of the store."""
+        self._view.evacuations.log_changes(self._cfg.zones, self._view.targets.values())
         targets = targets_by_service(self._view, self._pools)
         for service in set(targets) | set(self._pools):
             self._refresh_pool(service, targets.get(service, {}), now)
@@ -139,8 +141,14 @@
         }
         for name, is_draining in draining.items():
             pool.scheduler.targets.set_draining(name, is_draining)
-        # Each update may grant waiting requests, so all draining targets are excluded
-        # before the first one.
+        evacuated = {
+            target.id: self._view.evacuations.holds(target)
+            for target in targets.values()
+        }
+        for name, is_evacuated in evacuated.items():
+            pool.scheduler.targets.set_evacuated(name, is_evacuated)
+        # Each update may grant waiting requests, so all draining and evacuated targets
+        # are excluded before the first one.
         rejection_limits = self.stated_limits["rejection_limit"]
         rejection_limit = rejection_limits.lowest(targets)
         for target in targets.values():
@@ -160,8 +168,10 @@
                 slots=slots[target.id],
                 draining=draining[target.id],
                 rejection_limit=rejection_limit,
+                evacuated=evacuated[target.id],
             )
             self._on_decisions(decisions)
+        self._on_decisions(refuse_waiting(pool.scheduler.fleet, pool.scheduler.waiting))
 
     def _drop_limits(self, target, incarnation):
         for limits in self.stated_limits.values():
--- a/lovagepier/entry/_store/view.py
+++ b/lovagepier/entry/_store/view.py
@@ -1,17 +1,15 @@
 """This host's copy of the platform's store, decoded for look-ups."""
 
-import json
 from dataclasses import replace
 
 from lovagepier import platform
 from lovagepier.entry._coordination.verdicts import POISON_PREFIX, decode_verdict
-from lovagepier.entry.store_types import HostRecord
-from lovagepier.frames import FORMAT
+from lovagepier.entry._store.evacuations import Evacuations
+from lovagepier.entry._store.host_entries import HOST_PREFIX, decode_host, encode_host
 from lovagepier.logs import component_logger
 
 __all__ = ["HOST_PREFIX", "StoreView", "encode_host"]
 
-HOST_PREFIX = "lovagepier/hosts/"
 # Targets whose entries expired during an outage of the store are kept this long. The
 # platform promises that live targets register again within 2 s after the outage; the
 # rest is for the watch.
@@ -22,47 +20,12 @@
 LEFT_RETENTION_S = 120.0
 # Incarnations remembered as leaving; the ones that were marked last stay.
 MAX_LEAVING = 2000
-# No host states a higher capacity score.
-MAX_CAPACITY_SCORE = 1000
-# No build has a higher format.
-MAX_FORMAT = 999_999
 # Characters of what a document holds that a line of the log repeats.
 MAX_LOGGED_CHARS = 200
 
 _log = component_logger("config")
 
 
-def encode_host(name, peer_address, capacity_score=0):
-    """Return the value of the store entry that registers an entry host."""
-    return json.dumps(
-        {
-            "name": name,
-            "peers": peer_address,
-            "power": capacity_score,
-            "format": FORMAT,
-        }
-    ).encode()
-
-
-def _decode_host(item):
-    raw = platform.load_document(item.value)
-    name, _, boot = item.key[len(HOST_PREFIX) :].rpartition(".")
-    if platform.read_text(raw, "name") != platform.read_name(name):
-        raise platform.DocumentError("names another host than its key")
-    host, port = platform.decode_address(raw["peers"])
-    if ":" in host:
-        raise platform.DocumentError("links are opened to IPv4 addresses only")
-    return HostRecord(
-        name=name,
-        peer_address=f"{host}:{port}",
-        create_revision=item.create_revision,
-        capacity_score=platform.read_whole(raw, "power", 0, MAX_CAPACITY_SCORE),
-        boot=platform.read_name(boot),
-        # Builds up to format 4 don't state theirs.
-        format=platform.read_whole({"format": 0, **raw}, "format", 0, MAX_FORMAT),
-    )
-
-
 def _printable(text):
     """Return the start of a text of any writer as ASCII, for a line of the log."""
     return text[:MAX_LOGGED_CHARS].encode("ascii", "backslashreplace").decode()
@@ -87,6 +50,7 @@
 
     `leaving` are the incarnations of targets that said so themselves, oldest first.
     They are draining whatever the store shows. The list is replaced when it changes.
+    `evacuations` are the `Evacuations`.
     """
 
     def __init__(self):
@@ -100,6 +64,7 @@
         self.orders = {}
         self.states = {}
         self.poisoned = {}
+        self.evacuations = Evacuations()
         self.restored_at = None
         self.leaving = []
         self._era_began = 0
@@ -209,9 +174,11 @@
             if key.startswith(platform.TARGET_PREFIX):
                 self._put_target(key, item, now)
             elif key.startswith(HOST_PREFIX):
-                self.hosts[key] = _decode_host(item)
+                self.hosts[key] = decode_host(item)
             elif key.startswith(POISON_PREFIX):
                 self.poisoned[key] = decode_verdict(key, item.value)
+            elif platform.is_evacuation(key):
+                self.evacuations.put(item)
             elif platform.rollout_service(key):
                 self._put_order(platform.rollout_service(key), item)
             elif platform.is_rollout_state(key):
@@ -340,6 +307,8 @@
             self.hosts.pop(key, None)
         elif key.startswith(POISON_PREFIX):
             self.poisoned.pop(key, None)
+        elif platform.is_evacuation(key):
+            self.evacuations.remove(key)
         elif platform.rollout_service(key):
             self.orders.pop(platform.rollout_service(key), None)
 
--- a/lovagepier/entry/_targets/tunnel_server.py
+++ b/lovagepier/entry/_targets/tunnel_server.py
@@ -165,6 +165,8 @@
             return TunnelClosed(number, "unknown target")
         if target.draining:
             return TunnelClosed(number, "the target is draining")
+        if self._view.evacuations.holds(target):
+            return TunnelClosed(number, "the target's zone is evacuated")
         if self._is_paused(target):
             return TunnelClosed(number, "the target wants nothing from this host")
         if self.is_stopping:
--- a/lovagepier/platform/_documents.py
+++ b/lovagepier/platform/_documents.py
@@ -32,6 +32,8 @@
     "decode_rollout_state",
     "decode_target",
     "encode_rollout_state",
+    "evacuated_zone",
+    "is_evacuation",
     "is_rollout_state",
     "rollout_service",
     "rollout_state_key",
@@ -40,6 +42,7 @@
 
 CONFIG_KEY = "op/config"
 TARGET_PREFIX = "servers/"
+_EVACUATION_PREFIX = "op/evacuate/"
 _ROLLOUT_PREFIX = "op/rollout/"
 _ROLLOUT_STATE_PREFIX = "status/rollout/"
 # Quota cost of a call without token counts if the account names none.
@@ -245,6 +248,19 @@
         raise DocumentError(f"is malformed: {type(exc).__name__} {exc}")
 
 
+def is_evacuation(key):
+    """Return whether a key stands for the evacuation of a zone."""
+    return key.startswith(_EVACUATION_PREFIX)
+
+
+def evacuated_zone(key):
+    """Return the zone that an evacuation's key names; raise `DocumentError`."""
+    zone = key[len(_EVACUATION_PREFIX) :]
+    if not zone:
+        raise DocumentError("names no zone")
+    return zone
+
+
 def rollout_service(key):
     """Return the service whose rollout order has this key, or None."""
     return key[len(_ROLLOUT_PREFIX) :] if key.startswith(_ROLLOUT_PREFIX) else None
