Serve requests only in the regions that their route and account allow

Cause: the configuration's allowed_regions were ignored. On the code before, 6 of 8 requests that only region a may serve ran at a target in region b (test_residence_path.py), as placement knows no regions.

Change: allowed_regions are decoded for routes and accounts; a value that is no list of names allows no region. decisions/placement/residence.py decides what may go where: at the coordinator (DispatchRequest.regions since format 7), in the choice of hosts for tunnels, in the directory, and once more at the entry host for each grant, which also covers coordinators of older builds. Restricted requests wait in lanes of their own, so any number of them stops no other request. Refusals have the kind "residence", 503 with Retry-After.

--- a/lovagepier/decisions/placement/fleet.py
+++ b/lovagepier/decisions/placement/fleet.py
@@ -8,6 +8,8 @@
 from lovagepier.decisions.limits.limits import FixedLimit, InFlightLimit
 from lovagepier.decisions.limits.rate_limits import RateLimit
 from lovagepier.decisions.limits.rejections import RejectionLimit
+from lovagepier.decisions.placement.regional_index import RegionalIndex
+from lovagepier.decisions.placement.residence import may_go
 
 __all__ = ["Fleet", "TargetState"]
 
@@ -33,7 +35,7 @@
     `prefilling` maps running requests before their first byte to the tokens of their
     prefill. `rate_limit` and `rejection_limit` are the `RateLimit` and the
     `RejectionLimit` that the target states. `key` is the target's place in the `Fleet`
-    index, None outside of it.
+    index, None outside of it. `region` is that of its zone, "" if it is unknown.
     """
 
     __slots__ = (
@@ -51,6 +53,7 @@
         "probing",
         "queued_prefill",
         "rate_limit",
+        "region",
         "rejection_limit",
         "reported",
         "reported_at",
@@ -62,10 +65,18 @@
     )
 
     def __init__(
-        self, name, zone="", version="", incarnation="", limit=8.0, slots=None
+        self,
+        name,
+        zone="",
+        version="",
+        incarnation="",
+        limit=8.0,
+        slots=None,
+        region="",
     ):
         self.name = name
         self.zone = zone
+        self.region = region
         self.version = version
         self.incarnation = incarnation
         self.draining = False
@@ -189,13 +200,18 @@
 
 
 class Fleet:
-    """Targets indexed by version and by how soon each could finish a request."""
+    """Targets indexed by version and by how soon each could finish a request.
 
-    __slots__ = ("_fastest", "_fastest_at", "_order", "_targets")
+    Methods with `regions` consider only targets in these, all if there are none. The
+    first of their calls that names regions builds the `RegionalIndex`.
+    """
+
+    __slots__ = ("_fastest", "_fastest_at", "_order", "_regional", "_targets")
 
     def __init__(self):
         self._targets = {}
         self._order = {}
+        self._regional = None
         self._fastest = []
         self._fastest_at = float("-inf")
 
@@ -220,10 +236,19 @@
         out = sum(other.probing or now < other.ejected_until for other in others)
         return out + 1 <= max(len(self._targets) * MAX_EJECTED_FRACTION, 1.0)
 
-    def has_target_besides(self, names):
+    @property
+    def regional(self):
+        """The `RegionalIndex` of these targets."""
+        if self._regional is None:
+            self._regional = RegionalIndex(self._targets.values())
+        return self._regional
+
+    def has_target_besides(self, names, regions=()):
         """Return whether a target that isn't draining is not in `names`."""
         return any(
-            not state.draining and state.name not in names
+            not state.draining
+            and state.name not in names
+            and may_go(regions, state.region)
             for state in self._targets.values()
         )
 
@@ -242,6 +267,8 @@
         self._fastest_at = float("-inf")
         if state is not None:
             self._unindex(state)
+            if self._regional is not None:
+                self._regional.drop(name)
         return state
 
     def _unindex(self, state):
@@ -258,6 +285,11 @@
         always targets that can start the request at hand.
         """
         self._unindex(state)
+        self._index(state)
+        if self._regional is not None:
+            self._regional.put(state)
+
+    def _index(self, state):
         if state.draining or state.down or not state.has_room(extra=1):
             return
         load = state.in_flight / max(state.limit.value, 1.0)
@@ -268,9 +300,13 @@
         order = self._order.setdefault(index, SortedList())
         order.add(key)
 
-    def versions(self):
+    def versions(self, regions=()):
         """Return the versions of all targets."""
-        return {state.version for state in self._targets.values()}
+        return {
+            state.version
+            for state in self._targets.values()
+            if not regions or may_go(regions, state.region)
+        }
 
     def has_room(self, now):
         """Return whether any healthy target has a free slot."""
@@ -281,20 +317,39 @@
             for _, name in order
         )
 
-    def is_full(self, version, may_overbook=False):
+    def is_full(self, version, may_overbook=False, regions=()):
         """Return whether no target of `version` has room for a request."""
+        if regions:
+            return not any(
+                any(self.regional.orders(regions, (version, full)))
+                for full in ((False, True) if may_overbook else (False,))
+            )
         if self._order.get((version, False)):
             return False
         return not (may_overbook and self._order.get((version, True)))
 
-    def soonest(self, version, count, now, may_overbook=False):
+    def soonest(self, version, count, now, may_overbook=False, regions=()):
         """Yield up to `count` healthy targets of `version`, soonest finish first.
 
         With `may_overbook`, full targets at which a request may wait for the next
-        slot come after those with a free one.
+        slot come after those with a free one. With `regions`, the targets of each one
+        are in a row, up to `count` of each.
         """
-        for full in (False, True) if may_overbook else (False,):
-            for _, name in self._order.get((version, full), ()):
+        fulls = (False, True) if may_overbook else (False,)
+        if not regions:
+            orders = [self._order.get((version, full), ()) for full in fulls]
+            yield from self._first_healthy(orders, count, now)
+        for region in regions:
+            orders = [
+                order
+                for full in fulls
+                for order in self.regional.orders((region,), (version, full))
+            ]
+            yield from self._first_healthy(orders, count, now)
+
+    def _first_healthy(self, orders, count, now):
+        for order in orders:
+            for _, name in order:
                 state = self._targets[name]
                 # Ejected targets stay indexed, as no event marks the end of an
                 # ejection; idle ones would come first.
--- a/lovagepier/decisions/placement/paths.py
+++ b/lovagepier/decisions/placement/paths.py
@@ -1,6 +1,7 @@
 """Which targets a host can't reach itself, and which hosts can connect it to them."""
 
 from lovagepier.decisions.placement.rendezvous import rank
+from lovagepier.decisions.placement.residence import may_go
 
 __all__ = ["Peer", "TargetPaths"]
 
@@ -15,13 +16,17 @@
 
 
 class Peer:
-    """A live entry host that may open tunnels; `is_cut_off` is what it last said."""
+    """A live entry host that may open tunnels; `is_cut_off` is what it last said.
 
-    __slots__ = ("is_cut_off", "name", "zone")
+    `region` is empty if it is unknown.
+    """
+
+    __slots__ = ("is_cut_off", "name", "region", "zone")
 
-    def __init__(self, name, zone, is_cut_off=False):
+    def __init__(self, name, zone, is_cut_off=False, region=""):
         self.name = name
         self.zone = zone
+        self.region = region
         self.is_cut_off = is_cut_off
 
 
@@ -106,13 +111,17 @@
         """Record that a host could not connect this one to a target."""
         self._paused[name, incarnation] = now + PEER_PAUSE_S
 
-    def rank_peers(self, peers, target_zone, incarnation, now):
+    def rank_peers(self, peers, target_zone, incarnation, now, regions=()):
         """Return the names of `peers` in the order in which to ask them.
 
-        The ones nearest to both ends come first, by rendezvous hashing among equals, so
-        that hosts of a zone spread over the hosts of another. Hosts that are cut off
-        themselves or have just failed are the last.
+        A request's bytes pass through the host that is asked, so only those where a
+        request with `regions` may go are returned. The ones nearest to both ends come
+        first, by rendezvous hashing among equals, so that hosts of a zone spread over
+        the hosts of another. Hosts that are cut off themselves or have just failed are
+        the last.
         """
+        if regions:
+            peers = [peer for peer in peers if may_go(regions, peer.region)]
         self._paused = {key: at for key, at in self._paused.items() if at > now}
         order = {
             name: place
--- a/lovagepier/decisions/placement/policies.py
+++ b/lovagepier/decisions/placement/policies.py
@@ -1,10 +1,13 @@
 """Placement policies: finish-time, the default, and baselines to compare it with."""
 
+from lovagepier.decisions.placement.residence import may_go
+
 __all__ = ["POLICIES", "Policy", "policy"]
 
 POLICIES = {}
 
-# Targets taken from the index for one request; see `FinishTimePolicy`.
+# Targets taken from the index for one request, or for each region that a restricted
+# one may go to; see `FinishTimePolicy`.
 MAX_CONSIDERED = 4
 # When targets are compared, a cached prefix counts as at most this much saved prefill
 # time.
@@ -67,6 +70,7 @@
         for state in fleet
         if state.version == version
         and state.name not in work.exclude
+        and may_go(work.regions, state.region)
         and state.takes_work(now)
     ]
 
@@ -134,7 +138,7 @@
         elsewhere.
         """
         work.awaits_cache = False
-        if fleet.is_full(version, _may_overbook(work)):
+        if fleet.is_full(version, _may_overbook(work), work.regions):
             return None
         best = None
         held = 0.0
@@ -177,10 +181,14 @@
         if hits:
             for name, depth in hits.items():
                 state = fleet.get(name)
-                if state is not None and state.version == version:
+                if state is None or state.version != version:
+                    continue
+                if not work.regions or may_go(work.regions, state.region):
                     yield state, work.hit_tokens(depth)
         count = MAX_CONSIDERED + len(work.exclude)
-        for state in fleet.soonest(version, count, now, _may_overbook(work)):
+        for state in fleet.soonest(
+            version, count, now, _may_overbook(work), work.regions
+        ):
             if state.name not in hits:
                 yield state, work.hit_tokens(prefixes.depth(state.name, work.blocks))
 
--- a/lovagepier/decisions/placement/pool_targets.py
+++ b/lovagepier/decisions/placement/pool_targets.py
@@ -23,12 +23,14 @@
         "_fleet",
         "_initial_limit",
         "_prefixes",
+        "_region_of",
         "_trials",
         "rate_share",
     )
 
     def __init__(self, options, fleet, prefixes, trials, dispatched):
         self._initial_limit = options.initial_limit
+        self._region_of = options.region_of
         self._fleet = fleet
         self._prefixes = prefixes
         self._trials = trials
@@ -56,7 +58,13 @@
         state = self._fleet.get(name)
         if state is None:
             state = TargetState(
-                name, zone, version, incarnation, self._initial_limit, slots
+                name,
+                zone,
+                version,
+                incarnation,
+                self._initial_limit,
+                slots,
+                self._region_of(zone),
             )
             state.draining = bool(draining)
             self._reset_stated_limits(state, rejection_limit, now)
@@ -69,6 +77,8 @@
         if state.version != version:
             state.version = version
         state.zone = zone
+        # The settings may have been reloaded since.
+        state.region = self._region_of(zone)
         if draining is not None:
             state.draining = draining
         self._fleet.reindex(state)
--- a/lovagepier/decisions/placement/scheduler.py
+++ b/lovagepier/decisions/placement/scheduler.py
@@ -1,7 +1,5 @@
 """The scheduler of one pool: dispatch, queueing, admission and load shedding."""
 
-from itertools import islice
-
 from lovagepier.decisions.crashes.trials import Trials
 from lovagepier.decisions.learning.estimates import LengthEstimates
 from lovagepier.decisions.learning.outcome_learning import OutcomeLearning
@@ -11,11 +9,13 @@
 from lovagepier.decisions.placement.policies import POLICIES
 from lovagepier.decisions.placement.pool_targets import PoolTargets
 from lovagepier.decisions.placement.prefixes import PrefixIndex
+from lovagepier.decisions.placement.residence import why_full, why_nowhere
 from lovagepier.decisions.placement.scheduler_options import SchedulerOptions
 from lovagepier.decisions.placement.versions import preferred_versions
 from lovagepier.decisions.placement.work import Grant, Outcome, Refusal
 from lovagepier.decisions.queueing.feasibility import Feasibility
 from lovagepier.decisions.queueing.late_requests import LateRequests
+from lovagepier.decisions.queueing.queue_scan import QueueScan
 from lovagepier.decisions.queueing.queue_time import expected_wait, limited_wait
 from lovagepier.decisions.queueing.shedding import ShedPause
 from lovagepier.decisions.queueing.start_rates import StartRates
@@ -42,6 +42,7 @@
     serve. During a rollout `share` is {new version: fraction of new requests}.
     `last_shed` is (tier, time) of the last request shed for lack of a slot. `pauses`
     are what targets want from single entry hosts; several pools may share them.
+    `residence_left_out` counts targets that requests may not go to for their residence.
     `targets` are the `PoolTargets` of `fleet`, `learning` is the `OutcomeLearning`.
     """
 
@@ -62,6 +63,7 @@
         self._start_rates = StartRates(options.tiers)
         self._pause = ShedPause(options.shed_pause_s)
         self.last_shed = None
+        self.residence_left_out = 0
         self._sequence = 0
         self.targets = PoolTargets(
             options, self.fleet, self.prefixes, self._trials, self._dispatched
@@ -105,9 +107,9 @@
             kind = ErrorKind.DEADLINE_INFEASIBLE
             why = "an idle target could not finish by the deadline"
             return [Refusal(work, kind, why, retry_after=0)]
-        excess_s = (
-            now + limited_wait(self.fleet, self._ahead(work.tier)) - work.latest_start
-        )
+        ahead = self.waiting.ahead_of(work)
+        wait_s = limited_wait(self.fleet, ahead, work.regions)
+        excess_s = now + wait_s - work.latest_start
         if self.policy.sheds and excess_s > 0:
             kind = ErrorKind.DEADLINE_WAITING
             why = "the rate limits of all targets leave it no time"
@@ -129,7 +131,13 @@
             return _refuse_poison(work)
         if not len(self.fleet):
             return Refusal(work, ErrorKind.NO_TARGET, "the pool has no targets")
-        if work.exclude and not self.fleet.has_target_besides(work.exclude):
+        if work.regions:
+            left_out = self.fleet.regional.count_outside(work.regions)
+            self.residence_left_out += left_out
+            if left_out == len(self.fleet):
+                return Refusal(work, ErrorKind.RESIDENCE, why_nowhere(work.regions))
+        excluded = work.exclude
+        if excluded and not self.fleet.has_target_besides(excluded, work.regions):
             why = "no target but those that it was offered to"
             return Refusal(work, ErrorKind.NO_TARGET, why)
         if work.attempt == 0:
@@ -181,6 +189,11 @@
         if not self.fleet.has_room(now):
             self._pause.on_shed(work.tier, now)
             self.last_shed = (work.tier, now)
+        elif work.regions and kind == ErrorKind.DEADLINE_WAITING:
+            ahead = self.waiting.ahead_of(work)
+            tokens = self.lengths.typical()
+            wait = expected_wait(self.fleet, ahead, tokens, work.regions)
+            return Refusal(work, ErrorKind.RESIDENCE, why_full(work.regions), wait)
         return Refusal(work, kind, why)
 
     def pause_below(self, tier, now):
@@ -202,9 +215,9 @@
         return decisions
 
     def _start_next(self, now):
-        passed_over = 0
-        for work in islice(self.waiting.candidates(), MAX_SCANNED):
-            if passed_over >= MAX_PASSED_OVER or self._pause.is_paused(work.tier, now):
+        scan = QueueScan(self.waiting, MAX_SCANNED, MAX_PASSED_OVER)
+        for work in scan:
+            if self._pause.is_paused(work.tier, now):
                 return None
             if self._trials.awaits_trial(work, now):
                 continue
@@ -213,9 +226,8 @@
                 self.waiting.take(work, self._cost(work, grant))
                 return grant
             # Later requests may overtake only one that a free slot can't help.
-            if not self._may_be_passed_over(work, now):
+            if not scan.goes_on(work, self._may_be_passed_over(work, now)):
                 return None
-            passed_over += 1
         return None
 
     def _may_be_passed_over(self, work, now):
@@ -231,6 +243,8 @@
         return max(state.finish_seconds(work, grant.hit_tokens), 1e-3)
 
     def _place(self, work, now):
+        if work.regions and not self.fleet.regional.has_room(work.regions):
+            return None
         excluded = work.exclude
         work.exclude = excluded | self.pauses.avoided(work.entry, self.fleet, now)
         if self._trials.is_suspect(work):
@@ -242,7 +256,7 @@
 
     def _place_on_any(self, work, now):
         versions = preferred_versions(
-            self.fleet, self.old_version, self.share, work.draw
+            self.fleet, self.old_version, self.share, work.draw, work.regions
         )
         for version in versions:
             chosen = self.policy.choose(
--- a/lovagepier/decisions/placement/versions.py
+++ b/lovagepier/decisions/placement/versions.py
@@ -6,14 +6,16 @@
 MIN_SHARE_IN_FLIGHT = 3.0
 
 
-def preferred_versions(fleet, old_version, share, draw):
+def preferred_versions(fleet, old_version, share, draw, regions=()):
     """Return the versions that a request may go to, preferred first.
 
     Without an `old_version` targets of every version serve. `share` is {new version:
-    fraction of new requests}, `draw` the request's number in [0, 1).
+    fraction of new requests}, `draw` the request's number in [0, 1), `regions` where
+    it may go. The shares hold in any region: a request whose version has no target in
+    its regions waits, so that no more than the share goes to a new version.
     """
     if old_version is None:
-        return sorted(fleet.versions())
+        return sorted(fleet.versions(regions))
     drawn = _drawn_version(old_version, share, draw)
     if drawn == old_version:
         return [drawn]
--- a/lovagepier/decisions/placement/work.py
+++ b/lovagepier/decisions/placement/work.py
@@ -36,6 +36,7 @@
     - `weight`: of its account in fair queueing.
     - `draw`: a number in [0, 1) that selects the version during a rollout.
     - `exclude`: names of targets that must not get it.
+    - `regions`: where its targets must be, empty for any region; see `residence`.
     - `may_overbook`: whether it may wait at a full target for the next slot, as
       tier 0 may.
     - `awaits_cache`: it is queued for a target that has its prefix cached.
@@ -87,6 +88,7 @@
     cost: float = 0.0
     late_tier: int = 0
     abandoned_at: float = float("inf")
+    regions: tuple = ()
 
     def hit_tokens(self, depth):
         """Return the prompt tokens in the first `depth` blocks."""
--- a/lovagepier/decisions/queueing/waiting.py
+++ b/lovagepier/decisions/queueing/waiting.py
@@ -1,4 +1,10 @@
-"""The queue of one pool, ordered by tier, fair share of accounts and latest start."""
+"""The queue of one pool, ordered by tier, fair share of accounts and latest start.
+
+Load pattern: requests that may go to some regions only, any number of them, wait for
+room there in front of requests that could start elsewhere.
+"""
+
+from heapq import heapify, heappop, heappush
 
 from sortedcontainers import SortedList
 
@@ -9,33 +15,50 @@
     """The queued requests of one account in one tier.
 
     `virtual_time` counts the service that it got in this tier, in seconds divided by
-    its weight.
+    its weight. `lanes` holds its requests by their regions, `size` is their number.
     """
 
-    __slots__ = ("cost", "name", "virtual_time", "works")
+    __slots__ = ("cost", "lanes", "name", "size", "virtual_time")
 
     def __init__(self, name, virtual_time):
         self.name = name
         self.virtual_time = virtual_time
         self.cost = 0.0
-        self.works = SortedList(key=_latest_start_key)
+        self.lanes = {(): SortedList(key=_latest_start_key)}
+        self.size = 0
+
+    def lane(self, regions):
+        """Return the queued requests with these regions."""
+        lane = self.lanes.get(regions)
+        if lane is None:
+            lane = self.lanes[regions] = SortedList(key=_latest_start_key)
+        return lane
 
 
 class _Tier:
-    """The accounts of one tier; `order` holds (virtual time, name) of queued ones.
+    """The accounts of one tier.
 
-    `floor` is the tier's virtual time. An account that was idle starts there at the
-    earliest, so it earns no credit while idle.
+    A lane holds the requests that may go to the same regions, `()` for any. `orders`
+    holds by lane the (virtual time, name) of the accounts that have requests there.
+    `floor` is the tier's virtual time. An account that was idle
+    starts there at the earliest, so it earns no credit while idle.
     """
 
-    __slots__ = ("accounts", "floor", "order", "size")
+    __slots__ = ("accounts", "floor", "orders", "size")
 
     def __init__(self):
         self.accounts = {}
-        self.order = SortedList()
+        self.orders = {(): SortedList()}
         self.floor = 0.0
         self.size = 0
 
+    def order(self, regions):
+        """Return the order of the accounts in a lane."""
+        order = self.orders.get(regions)
+        if order is None:
+            order = self.orders[regions] = SortedList()
+        return order
+
 
 def _latest_start_key(work):
     return (work.latest_start, work.sequence)
@@ -45,6 +68,44 @@
     return (work.latest_on_time_start, work.sequence)
 
 
+def _first(account):
+    """Return the request of an account with the earliest latest start."""
+    works = [lane[0] for lane in account.lanes.values() if lane]
+    return min(works, key=_latest_start_key)
+
+
+def _lane(tier, regions, order):
+    """Yield ((depth, virtual time, name), request) of one lane in service order."""
+    deeper = []
+    for virtual_time, name in order:
+        lane = tier.accounts[name].lanes[regions]
+        yield (0, virtual_time, name), lane[0]
+        deeper.append((virtual_time, name, lane))
+    depth = 1
+    while deeper:
+        deeper = [item for item in deeper if len(item[2]) > depth]
+        for virtual_time, name, lane in deeper:
+            yield (depth, virtual_time, name), lane[depth]
+        depth += 1
+
+
+def _merged(lanes, closed):
+    """Yield the requests of several lanes in service order until each is closed."""
+    heads = []
+    for lane in lanes:
+        key, work = next(lane)
+        heads.append((key, work.latest_start, work.sequence, work, lane))
+    heapify(heads)
+    while heads:
+        *_, work, lane = heappop(heads)
+        if work.regions in closed:
+            continue
+        yield work
+        if work.regions not in closed and (item := next(lane, None)) is not None:
+            key, after = item
+            heappush(heads, (key, after.latest_start, after.sequence, after, lane))
+
+
 class WaitingRequests:
     """A bounded queue of `Work` with strict priority between tiers.
 
@@ -53,11 +114,19 @@
     request with the earliest latest start. Adding and removing take O(log n).
     """
 
-    __slots__ = ("_by_id", "_by_latest_start", "_by_on_time_start", "_tiers", "limit")
+    __slots__ = (
+        "_by_id",
+        "_by_latest_start",
+        "_by_on_time_start",
+        "_restricted",
+        "_tiers",
+        "limit",
+    )
 
     def __init__(self, tiers, limit):
         self._tiers = [_Tier() for _ in range(tiers)]
         self._by_id = {}
+        self._restricted = {}
         self._by_latest_start = SortedList(key=_latest_start_key)
         self._by_on_time_start = SortedList(key=_on_time_start_key)
         self.limit = limit
@@ -76,6 +145,20 @@
         """Return the number of queued requests per tier, highest tier first."""
         return [tier.size for tier in self._tiers]
 
+    def ahead_of(self, work):
+        """Return how many requests of its tier or a higher one wait for its targets.
+
+        While restricted requests are queued these are the ones with the same regions:
+        the others may start elsewhere, or wait for other targets.
+        """
+        if not self._restricted:
+            return sum(self.sizes()[: work.tier + 1])
+        return sum(
+            len(tier.accounts[name].lanes[work.regions])
+            for tier in self._tiers[: work.tier + 1]
+            for _, name in tier.orders.get(work.regions, ())
+        )
+
     def add(self, work):
         """Add `work`; return the request evicted from a full queue, or None.
 
@@ -94,11 +177,17 @@
         if account is None:
             account = _Account(work.account, tier.floor)
             tier.accounts[work.account] = account
-        if not account.works:
+        if not account.size:
             account.virtual_time = max(account.virtual_time, tier.floor)
-            tier.order.add((account.virtual_time, account.name))
-        account.works.add(work)
+        lane = account.lane(work.regions)
+        if not lane:
+            tier.order(work.regions).add((account.virtual_time, account.name))
+        lane.add(work)
+        account.size += 1
         tier.size += 1
+        if work.regions:
+            count = self._restricted.get(work.regions, 0)
+            self._restricted[work.regions] = count + 1
         self._by_id[work.id] = work
         self._by_latest_start.add(work)
         self._by_on_time_start.add(work)
@@ -110,11 +199,16 @@
         share in the lowest tier.
         """
         tier = next(tier for tier in reversed(self._tiers) if tier.size)
-        greedy = max(
-            (tier.accounts[name] for _, name in tier.order),
-            key=lambda account: len(account.works) / account.works[0].weight,
+        greedy = min(
+            (account for account in tier.accounts.values() if account.size),
+            key=lambda account: (
+                -account.size / _first(account).weight,
+                account.virtual_time,
+                account.name,
+            ),
         )
-        return greedy.works[-1]
+        works = [lane[-1] for lane in greedy.lanes.values() if lane]
+        return max(works, key=_latest_start_key)
 
     def remove(self, request_id):
         """Remove and return the request with an id, or None."""
@@ -125,11 +219,18 @@
         self._by_on_time_start.remove(work)
         tier = self._tiers[work.tier]
         account = tier.accounts[work.account]
-        account.works.remove(work)
+        lane = account.lanes[work.regions]
+        lane.remove(work)
+        account.size -= 1
         tier.size -= 1
-        if not account.works:
-            tier.order.remove((account.virtual_time, account.name))
-            self._drop_if_settled(tier, account)
+        if not lane:
+            tier.orders[work.regions].remove((account.virtual_time, account.name))
+            if not account.size:
+                self._drop_if_settled(tier, account)
+        if work.regions:
+            self._restricted[work.regions] -= 1
+            if not self._restricted[work.regions]:
+                del self._restricted[work.regions]
         return work
 
     def _drop_if_settled(self, tier, account):
@@ -137,33 +238,37 @@
         if account.virtual_time <= tier.floor:
             del tier.accounts[account.name]
 
-    def candidates(self):
+    @property
+    def restricted(self):
+        """The number of queued requests by their regions, of those that have any."""
+        return self._restricted
+
+    def candidates(self, closed=frozenset()):
         """Yield queued requests in service order without removing them.
 
         Within a tier the first request of each account comes first, then the second
-        one of each, and so on.
+        one of each, and so on. Requests whose regions are in `closed`, also if they are
+        added meanwhile, are left out at no cost for each.
         """
         for tier in self._tiers:
-            deeper = []
-            for _, name in tier.order:
-                account = tier.accounts[name]
-                yield account.works[0]
-                deeper.append(account)
-            depth = 1
-            while deeper:
-                deeper = [a for a in deeper if len(a.works) > depth]
-                for account in deeper:
-                    yield account.works[depth]
-                depth += 1
+            if self._restricted:
+                lanes = [_lane(tier, *item) for item in tier.orders.items() if item[1]]
+                yield from _merged(lanes, closed)
+                continue
+            for _, work in _lane(tier, (), tier.orders[()]):
+                yield work
 
     def take(self, work, cost):
         """Remove `work` for service and charge its account `cost` seconds."""
         tier = self._tiers[work.tier]
         account = tier.accounts[work.account]
-        tier.order.remove((account.virtual_time, account.name))
+        orders = [tier.orders[each] for each, lane in account.lanes.items() if lane]
+        for order in orders:
+            order.remove((account.virtual_time, account.name))
         tier.floor = max(tier.floor, account.virtual_time)
         account.virtual_time += cost / max(work.weight, 1e-6)
-        tier.order.add((account.virtual_time, account.name))
+        for order in orders:
+            order.add((account.virtual_time, account.name))
         return self.remove(work.id)
 
     def expired(self, now):
@@ -195,7 +300,8 @@
 
     def most_urgent(self, tier):
         """Return the request of a tier with the earliest latest start, or None."""
-        works = [a.works[0] for a in self._tiers[tier].accounts.values() if a.works]
+        accounts = self._tiers[tier].accounts.values()
+        works = [_first(account) for account in accounts if account.size]
         return min(works, key=_latest_start_key, default=None)
 
     def first_expiry(self):
--- a/lovagepier/entry/_callers/exchange.py
+++ b/lovagepier/entry/_callers/exchange.py
@@ -159,7 +159,8 @@
 
     async def _may_ask_again(self, refusal):
         """Return whether targets may be granted that were excluded before."""
-        if refusal is None or refusal.kind != ErrorKind.NO_TARGET:
+        kinds = (ErrorKind.NO_TARGET, ErrorKind.RESIDENCE)
+        if refusal is None or refusal.kind not in kinds:
             return False
         return await self._progress.excluded.wait_for_views()
 
@@ -176,6 +177,11 @@
             self._progress.excluded.add(grant.target)
             self._grants.report(grant, "returned", started_at)
             return _Outcome.NOT_EXECUTED
+        if self._frontend.residence.forbids(self.call, target):
+            excluded = self._progress.excluded
+            self._frontend.residence.on_forbidden(self.call, target, excluded)
+            self._grants.report(grant, "returned", started_at)
+            return _Outcome.NOT_EXECUTED
         if self._frontend.cluster.statements.is_paused(target):
             return self._return_paused(grant, target, started_at)
         try:
@@ -208,7 +214,8 @@
                 return tconn
         # A call that must not run twice gets a new connection: an idle one may hold
         # a late response to another request or be about to be closed by the target.
-        return await self._frontend.connector.open(target)
+        regions = self._frontend.residence.regions(self.call)
+        return await self._frontend.connector.open(target, regions)
 
     async def _run_attempt(self, grant, target, tconn):
         started_at = self._loop.time()
--- a/lovagepier/entry/_callers/frontend.py
+++ b/lovagepier/entry/_callers/frontend.py
@@ -4,9 +4,11 @@
 import math
 
 from lovagepier.decisions.learning.durations import DurationEstimates
+from lovagepier.decisions.placement.residence import nameable_hosts, region_finder
 from lovagepier.entry._build_gauges import build_gauges
 from lovagepier.entry._callers.caller_conn import BadRequest, CallerConnection
 from lovagepier.entry._callers.exchange import Exchange
+from lovagepier.entry._callers.residence_check import ResidenceCheck
 from lovagepier.entry._callers.running_calls import (
     STOPPING_RETRY_AFTER_S,
     RunningCalls,
@@ -101,6 +103,7 @@
         )
         self.body_memory = BodyMemory()
         self.metrics = Metrics()
+        self.residence = ResidenceCheck(cfg, view, self.metrics)
         self.running_calls = RunningCalls()
         self.durations = DurationEstimates()
         self.stops_at = None
@@ -325,14 +328,15 @@
         """Return addresses of live hosts, only of the caller's region if it has enough.
 
         A body that is sent to a host in another region may cross regions twice,
-        and each crossing is paid for: caller to host and host to target.
+        and each crossing is paid for: caller to host and host to target. Where the
+        configuration has a residence, see `nameable_hosts`.
         """
         rows = [row[:4] for row in self.cluster.live_hosts() if not row[3]]
-        in_region = [
-            row for row in rows if self.cfg.zones.get(row[2].lower()) == region
-        ]
-        if len(in_region) >= MIN_REGION_HOSTS:
-            rows = in_region
+        catalog = self.view.catalog
+        common = catalog.common_regions if catalog else ()
+        rows = nameable_hosts(
+            rows, region, region_finder(self.cfg), common, MIN_REGION_HOSTS
+        )
         return [address for _, address, _, _ in rows]
 
     async def _handle_metrics(self, conn, call):
@@ -353,6 +357,7 @@
             "hosts": len(self.view.members()),
             "callers_open": len(self._caller_conns),
             "waiting": self.coordinator.waiting_count(),
+            "residence_targets_left_out": self.coordinator.residence_left_out(),
             # Whether this host is the coordinator.
             "is_home": int(self.cluster.coordinator_name == self.cfg.host_name),
             "target_connections_opened": self.target_connections.opened,
--- a/lovagepier/entry/_callers/grants.py
+++ b/lovagepier/entry/_callers/grants.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 
+from lovagepier.decisions.placement.residence import NOWHERE, why_nowhere
 from lovagepier.entry._cluster.messages import (
     DispatchRequest,
     DispatchResult,
@@ -70,7 +71,10 @@
             exclude=progress.excluded.names(),
             cost=account.cost(call) if account and is_first else 0.0,
             patience_s=progress.patience_left(now),
+            regions=list(self._frontend.residence.regions(call)),
         )
+        if tuple(req.regions) == NOWHERE:
+            return Refused(req.id, ErrorKind.RESIDENCE, why_nowhere(NOWHERE), 1.0)
         if self._frontend.cluster.is_poisoned(req.fingerprint):
             why = "targets died each time this body ran"
             return Refused(req.id, ErrorKind.SUSPECT_REQUEST, why, 0.0)
--- a/lovagepier/entry/_cluster/messages.py
+++ b/lovagepier/entry/_cluster/messages.py
@@ -101,7 +101,8 @@
     `attempt` counts the dispatches of this request that reached a target.
     `cost` is what the request counts against the account's quota, 0 if it was
     counted before. `patience_s` are the seconds until the caller abandons a request
-    without a first event, 0 if it waits until the deadline.
+    without a first event, 0 if it waits until the deadline. `regions` are the names of
+    those in which its target must be, empty for any.
     """
 
     id: str
@@ -120,6 +121,7 @@
     exclude: list
     cost: float
     patience_s: float = 0.0
+    regions: list = since(7, default_factory=list)
 
 
 @message("e.grant")
--- a/lovagepier/entry/_coordination/coordinator.py
+++ b/lovagepier/entry/_coordination/coordinator.py
@@ -254,6 +254,11 @@
         """Return the number of requests that wait in queues."""
         return sum(len(pool.scheduler.waiting) for pool in self._pools.values())
 
+    def residence_left_out(self):
+        """Return how many targets requests could not go to because of residence."""
+        pools = self._pools.values()
+        return sum(pool.scheduler.residence_left_out for pool in pools)
+
     # Decisions
 
     def _send_decisions(self, decisions):
--- a/lovagepier/entry/_coordination/service_pools.py
+++ b/lovagepier/entry/_coordination/service_pools.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from lovagepier.decisions.placement.partition import slots_for_host
+from lovagepier.decisions.placement.residence import region_finder
 from lovagepier.decisions.placement.scheduler import PoolScheduler, SchedulerOptions
 from lovagepier.entry._coordination.backoffs import TargetBackoffs
 from lovagepier.entry._coordination.budgets import make_retry_budget
@@ -100,6 +101,7 @@
             shed_pause_s=SHED_PAUSE_S,
             finished_retention_s=FINISHED_RETENTION_S,
             make_retry_budget=lambda: make_retry_budget(self._cfg, self._quota_share),
+            region_of=region_finder(self._cfg),
         )
         pool = _Pool(PoolScheduler(options, self._rng))
         pool.scheduler.poison_detector = self._poison_detector
--- a/lovagepier/entry/_coordination/work.py
+++ b/lovagepier/entry/_coordination/work.py
@@ -3,6 +3,7 @@
 import math
 
 from lovagepier.decisions.placement.rendezvous import hash_fraction
+from lovagepier.decisions.placement.residence import read_regions
 from lovagepier.decisions.placement.work import Work, bounded_tokens
 from lovagepier.entry.catalog import ROUTE_TIERS
 
@@ -48,4 +49,5 @@
         retry_reserve=RETRY_RESERVE_FRACTION * (req.tier % ROUTE_TIERS),
         may_overbook=req.tier % ROUTE_TIERS == 0,
         cost=req.cost,
+        regions=read_regions(req.regions),
     )
--- a/lovagepier/entry/_targets/connector.py
+++ b/lovagepier/entry/_targets/connector.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from lovagepier.decisions.placement.paths import Peer, TargetPaths
+from lovagepier.decisions.placement.residence import region_finder
 from lovagepier.entry._targets.comparison import TargetComparison
 from lovagepier.entry._targets.pool import ConnectFailed
 from lovagepier.entry._targets.tunnels import HostUnreachable, Tunnels
@@ -37,6 +38,7 @@
         self._cluster = cluster
         self._connections = connections
         self._loop = asyncio.get_running_loop()
+        self._region_of = region_finder(cfg)
         self._paths = TargetPaths(cfg.host_name, cfg.host_zone, make_zone_cost(cfg))
         self._comparison = TargetComparison(view, connections, self._paths.is_broken)
         self._tunnels = Tunnels(
@@ -57,20 +59,21 @@
             return None
         return self._connections.take_idle(target, request_id)
 
-    async def open(self, target):
+    async def open(self, target, regions=()):
         """Return a new connection to `target`; raise `ConnectFailed`.
 
         If this host can't connect, another one is asked: it connects, or tells whether
         the fault is the target's. If none can tell, it is the target's as long as this
-        host reaches others of the service.
+        host reaches others of the service. Only hosts in `regions` are asked, all if
+        there are none.
         """
         if self._paths.is_broken(target.incarnation):
-            return await self._open_tunnel(target)
+            return await self._open_tunnel(target, regions)
         tasks = [self._loop.create_task(self._connections.open(target))]
         try:
             await asyncio.wait(tasks, timeout=HEDGE_DELAY_S)
             if not _has_opened(tasks[0]) and self._has_peers():
-                tasks.append(self._loop.create_task(self._open_tunnel(target)))
+                tasks.append(self._loop.create_task(self._open_tunnel(target, regions)))
             await self._wait_for_any(tasks)
         except BaseException:
             for task in tasks:
@@ -131,7 +134,7 @@
 
     # Tunnels
 
-    async def _open_tunnel(self, target):
+    async def _open_tunnel(self, target, regions):
         """Return a connection through another host; raise `ConnectFailed`.
 
         Hosts are asked in turn until one has connected or is sure that it is the
@@ -139,7 +142,7 @@
         """
         incarnation = target.incarnation
         ranked = self._paths.rank_peers(
-            self._peers(), target.zone, incarnation, self._loop.time()
+            self._peers(), target.zone, incarnation, self._loop.time(), regions
         )
         failures = []
         for name in ranked[:MAX_ASKED_PEERS]:
@@ -170,7 +173,7 @@
         rows = [row for row in self._cluster.live_hosts() if not row[3]]
         # A coordinator of an earlier version sends rows without the last column.
         live = [
-            Peer(row[0], row[2], row[4:5] == [True])
+            Peer(row[0], row[2], row[4:5] == [True], self._region_of(row[2]))
             for row in rows
             if row[0] != own and row[0] in members
         ]
--- a/lovagepier/entry/catalog.py
+++ b/lovagepier/entry/catalog.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from lovagepier.decisions.placement.rendezvous import hash_fraction
+from lovagepier.decisions.placement.residence import common_regions
 
 __all__ = ["ROUTE_TIERS", "Account", "CallerLimits", "Catalog", "Route", "Service"]
 
@@ -19,7 +20,8 @@
     that follows the one before it by more than `max_event_gap_s`. Callers abandon a
     stream after `patience_s` without an event, 0 if they wait to the end. `retryable`
     calls may run more than once. A broken stream of a `resumable` route may be
-    continued on another target.
+    continued on another target. `allowed_regions` are where calls may be served, empty
+    for any region; see `decisions.placement.residence`.
     """
 
     name: str
@@ -36,6 +38,7 @@
     services: tuple
     max_attempts: int
     public: bool
+    allowed_regions: tuple = ()
 
     def service_for(self, request_id):
         """Return the service of a request, chosen by weight from a hash of its id.
@@ -66,7 +69,7 @@
 
     `rate` (per second) and `burst` count tokens if `counts_tokens`, requests
     otherwise; a rate of 0 means no quota. `default_cost` is the cost of a call
-    without token counts.
+    without token counts. `allowed_regions` are as in a `Route`; both bind.
     """
 
     name: str
@@ -76,6 +79,7 @@
     burst: float
     counts_tokens: bool
     default_cost: float
+    allowed_regions: tuple = ()
 
     def cost(self, call):
         """Return what `call` counts against the quota, in tokens or requests."""
@@ -95,12 +99,17 @@
 
 
 class Catalog:
-    """Routes by host and longest prefix, services by name, accounts by key."""
+    """Routes by host and longest prefix, services by name, accounts by key.
+
+    `common_regions` are allowed by every route and account, empty without any
+    restriction.
+    """
 
     __slots__ = (
         "_account_by_key",
         "_routes_by_host",
         "accounts",
+        "common_regions",
         "limits",
         "routes",
         "service_names",
@@ -118,6 +127,9 @@
         self.limits = limits
         self.accounts = {account.name: account for account in accounts}
         self._account_by_key = {key: each for each in accounts for key in each.keys}
+        self.common_regions = common_regions(
+            each.allowed_regions for each in (*routes, *accounts)
+        )
         self._routes_by_host = {}
         for route in routes:
             self._routes_by_host.setdefault(route.host, {})[route.prefix] = route
--- a/lovagepier/errors.py
+++ b/lovagepier/errors.py
@@ -17,7 +17,8 @@
     """Every error that callers and operators can get.
 
     NO_HOME means that no coordinator of the pool answers, ANSWER_LOST that
-    the response was lost or that it is unknown whether the request ran before.
+    the response was lost or that it is unknown whether the request ran before, and
+    RESIDENCE that no target in the allowed regions can serve it in time.
     """
 
     BAD_REQUEST = "bad-request"
@@ -40,6 +41,7 @@
     OVER_QUOTA = "over-quota"
     SUSPECT_REQUEST = "suspect-request"
     NO_TARGET = "no-target"
+    RESIDENCE = "residence"
     NO_HOME = "no-home"
     LEDGER_UNAVAILABLE = "ledger-unavailable"
     CONFIG_UNAVAILABLE = "config-unavailable"
@@ -105,6 +107,9 @@
         422, RunStatus.NO, "This request crashed targets"
     ),
     ErrorKind.NO_TARGET: ErrorSpec(503, RunStatus.NO, "No target is in service", 1),
+    ErrorKind.RESIDENCE: ErrorSpec(
+        503, RunStatus.NO, "No target in the allowed regions can serve it", 1
+    ),
     ErrorKind.NO_HOME: ErrorSpec(503, RunStatus.NO, "No node answers for the pool", 1),
     ErrorKind.LEDGER_UNAVAILABLE: ErrorSpec(
         503, RunStatus.NO, "No claim can be written", 1
--- a/lovagepier/platform/_documents.py
+++ b/lovagepier/platform/_documents.py
@@ -4,6 +4,7 @@
 import json
 import math
 
+from lovagepier.decisions.placement.residence import read_regions
 from lovagepier.entry.catalog import (
     Account,
     CallerLimits,
@@ -143,6 +144,7 @@
         services=_services_of(raw),
         max_attempts=max(_whole(raw.get("max_attempts", 1)), 1),
         public=bool(raw.get("public", False)),
+        allowed_regions=read_regions(raw.get("allowed_regions", [])),
     )
 
 
@@ -165,6 +167,7 @@
         default_cost=float(
             _clamped(raw.get("plain_tokens") or _DEFAULT_COST, MAX_AMOUNT)
         ),
+        allowed_regions=read_regions(raw.get("allowed_regions", [])),
     )
 
 
