--- a/lovagepier/decisions/placement/evacuation.py
+++ b/lovagepier/decisions/placement/evacuation.py
@@ -5,6 +5,7 @@
 callers would learn only then that they should come back later.
 """
 
+from lovagepier.decisions.placement.residence import may_go
 from lovagepier.decisions.placement.work import Refusal
 from lovagepier.errors import ErrorKind
 
@@ -14,13 +15,15 @@
 RETRY_AFTER_S = 1.0
 
 
-def has_only_evacuated(fleet):
-    """Return whether evacuations leave a pool no target.
+def has_only_evacuated(fleet, regions=()):
+    """Return whether evacuations leave no target to requests with `regions`.
 
     Without one that is evacuated, targets that drain are about to be replaced.
     """
     has_evacuated = False
     for state in fleet:
+        if not may_go(regions, state.region):
+            continue
         if state.evacuated:
             has_evacuated = True
         elif not state.draining:
@@ -35,10 +38,16 @@
 
 
 def refuse_waiting(fleet, waiting):
-    """Remove and refuse all queued requests if evacuations leave a pool no target."""
-    if not has_only_evacuated(fleet):
+    """Remove and refuse the queued requests to which evacuations leave no target."""
+    if not any(state.evacuated for state in fleet):
         return []
     works = list(waiting.works())
-    for work in works:
+    without_target = {
+        regions
+        for regions in {work.regions for work in works}
+        if has_only_evacuated(fleet, regions)
+    }
+    refused = [work for work in works if work.regions in without_target]
+    for work in refused:
         waiting.remove(work.id)
-    return [refuse(work) for work in works]
+    return [refuse(work) for work in refused]
--- a/test/test_evacuations.py
+++ b/test/test_evacuations.py
@@ -119,8 +119,8 @@
         host = fleet.hosts[0]
         opening = host.frontend.connector.open
 
-        async def open_late(target):
-            conn = await opening(target)
+        async def open_late(target, regions=()):
+            conn = await opening(target, regions)
             if target.id == "w1":
                 await evacuate(fleet, "a1")
             return conn
