Pace of targets that start or recover

Cause: a target that started, restarted or came back got its full share at once, or next to nothing. Requests lost in a restart ejected the new process, slow first answers let placement avoid it for good, and an ejected target ran one request at a time until a whole one had succeeded.

Change: TargetState.pace bounds what such a target runs. It grows by one with each answer as fast as on warm targets, halves with slow ones, and starts again after a refusal. Waiting requests open it. Half-open targets get no urgent request and none that may run once while another has room. Setting [scheduling] pace, off by default; counters are kept either way.

--- a/lovagepier/decisions/learning/estimates.py
+++ b/lovagepier/decisions/learning/estimates.py
@@ -125,6 +125,11 @@
         self.token_seconds = self._pace.value
         self.prefill_rate = max(self._rate.value, _MIN_TOKENS_PER_S)
 
+    def assume(self, prefill_rate, token_seconds):
+        """Replace the estimates until further outcomes correct them."""
+        self._rate.value = self.prefill_rate = prefill_rate
+        self._pace.value = self.token_seconds = token_seconds
+
     def service_seconds(self, prefill_tokens, decode_tokens):
         """Return the expected seconds of one request on a free slot."""
         prefill = prefill_tokens / self.prefill_rate
--- a/lovagepier/decisions/learning/outcome_learning.py
+++ b/lovagepier/decisions/learning/outcome_learning.py
@@ -7,16 +7,18 @@
     """Updates the estimates of one pool by the outcomes of its requests.
 
     `targets` are its `PoolTargets`, `trials` its `Trials`, `lengths` its
-    `LengthEstimates`. `has_outcomes` tells whether any estimate rests on an outcome.
+    `LengthEstimates`, `paces` its `PoolPaces`. `has_outcomes`
+    tells whether any estimate rests on an outcome.
     """
 
-    __slots__ = ("_fleet", "_lengths", "_targets", "_trials", "has_outcomes")
+    __slots__ = ("_fleet", "_lengths", "_paces", "_targets", "_trials", "has_outcomes")
 
-    def __init__(self, fleet, targets, trials, lengths):
+    def __init__(self, fleet, targets, trials, lengths, paces):
         self._fleet = fleet
         self._targets = targets
         self._trials = trials
         self._lengths = lengths
+        self._paces = paces
         self.has_outcomes = False
 
     def learn_first(self, state, request_id, seconds, now):
@@ -38,6 +40,7 @@
 
         `pauses` are the `Pauses` of the targets.
         """
+        self._paces.on_outcome(state, running, outcome, now)
         if outcome.first_seconds is not None:
             self.learn_first(state, outcome.id, outcome.first_seconds, now)
         state.finish(outcome.id)
@@ -71,7 +74,13 @@
             # The target refused what exceeded a limit that was not known here yet.
             return
         elif outcome.status in ("failed", "not-run", "vanished"):
-            state.on_failure(now, self._fleet.may_eject(now, state))
+            self._learn_failure(state, running, now)
+
+    def _learn_failure(self, state, running, now):
+        if self._paces.is_stale(state, running):
+            return
+        if state.on_failure(now, self._fleet.may_eject(now, state)):
+            self._paces.begin(state, "ejection", now, state.ejected_until)
 
     def _learn_crash(self, state, running, outcome, now):
         """Record what an outcome tells of its target's crash.
--- a/lovagepier/decisions/placement/fleet.py
+++ b/lovagepier/decisions/placement/fleet.py
@@ -29,10 +29,12 @@
     `slots` is the concurrency that the target states; without it the limit is
     learnt, starting at `limit`. A `draining` target gets no new requests, one that
     is `down` accepts no connections, and a `probing` one runs a single request at a
-    time. `vanished` lists (`Run`, time) of requests that were lost there.
+    time, or what its pace allows. `vanished` lists (`Run`, time) of requests that
+    were lost there.
     `prefilling` maps running requests before their first byte to the tokens of their
     prefill. `rate_limit` and `rejection_limit` are the `RateLimit` and the
-    `RejectionLimit` that the target states. `key` is the target's place in the `Fleet`
+    `RejectionLimit` that the target states. `pace` is its `Pace` while it starts or
+    recovers, else None. `key` is the target's place in the `Fleet`
     index, None outside of it.
     """
 
@@ -47,6 +49,7 @@
         "last_start_at",
         "limit",
         "name",
+        "pace",
         "prefilling",
         "probing",
         "queued_prefill",
@@ -85,6 +88,7 @@
         self.vanished = []
         self.rate_limit = RateLimit()
         self.rejection_limit = RejectionLimit()
+        self.pace = None
         self.key = None
 
     @property
@@ -106,13 +110,15 @@
             return False
         if now < self.ejected_until:
             return False
-        if self.probing and self.running:
+        if self.probing and self.running and self.pace is None:
             return False
         if self.rejection_limit.is_stated and not self.rejection_limit.allows(
             self.in_flight, now
         ):
             return False
-        return not self.rate_limit.is_stated or self.rate_limit.allows(now)
+        if self.rate_limit.is_stated and not self.rate_limit.allows(now):
+            return False
+        return self.pace is None or self.pace.allows(self.in_flight, now)
 
     def has_room(self, extra=0):
         """Return whether one more request fits.
@@ -120,7 +126,7 @@
         With `extra` set to 1 the limit may be exceeded by its `overbook_slots`, unless
         the target falls over when it must reject requests.
         """
-        if self.probing:
+        if self.probing and self.pace is None:
             return not self.running
         if self.rejection_limit.is_stated:
             extra = 0
--- a/lovagepier/decisions/placement/pool_targets.py
+++ b/lovagepier/decisions/placement/pool_targets.py
@@ -14,25 +14,28 @@
     """Applies what is learnt about targets to the `Fleet` of one pool.
 
     `prefixes` is the pool's `PrefixIndex`, `trials` its `Trials`, `dispatched` its
-    `DispatchLog`. `rate_share` is the fraction of the limits that targets state for
-    all hosts that this one may use. Methods take the time `now` in seconds.
+    `DispatchLog`, `paces` its `PoolPaces`. `rate_share` is the
+    fraction of the limits that targets state for all hosts that this one may use.
+    Methods take the time `now` in seconds.
     """
 
     __slots__ = (
         "_dispatched",
         "_fleet",
         "_initial_limit",
+        "_paces",
         "_prefixes",
         "_trials",
         "rate_share",
     )
 
-    def __init__(self, options, fleet, prefixes, trials, dispatched):
+    def __init__(self, options, fleet, prefixes, trials, dispatched, paces):
         self._initial_limit = options.initial_limit
         self._fleet = fleet
         self._prefixes = prefixes
         self._trials = trials
         self._dispatched = dispatched
+        self._paces = paces
         self.rate_share = 1.0
 
     def set(
@@ -61,24 +64,26 @@
             state.draining = bool(draining)
             self._reset_stated_limits(state, rejection_limit, now)
             self._fleet.add(state)
+            self._paces.on_added(state, now)
             return
         if state.incarnation != incarnation and incarnation:
             self._count_restart(state, now)
-            self._restart(state, incarnation)
+            self._restart(state, incarnation, now)
             self._reset_stated_limits(state, rejection_limit, now)
         if state.version != version:
             state.version = version
         state.zone = zone
         if draining is not None:
-            state.draining = draining
+            self._apply_draining(state, draining, now)
         self._fleet.reindex(state)
 
-    def _restart(self, state, incarnation):
+    def _restart(self, state, incarnation, now):
         state.incarnation = incarnation
         state.draining = False
         state.down = False
         state.limit.restart()
         self._prefixes.forget(state.name)
+        self._paces.begin(state, "restart", now)
 
     def _reset_stated_limits(self, state, rejection_limit, now):
         state.rate_limit = RateLimit(self.rate_share)
@@ -94,13 +99,25 @@
         if not state.down:
             self._trials.on_crash(state, state.incarnation_id, now)
 
-    def set_draining(self, name, draining):
-        """Stop or resume granting new requests to a target."""
+    def set_draining(self, name, draining, now=None):
+        """Stop or resume granting new requests to a target.
+
+        No pace begins without `now`.
+        """
         state = self._fleet.get(name)
         if state is not None and state.draining != draining:
-            state.draining = draining
+            self._apply_draining(state, draining, now)
             self._fleet.reindex(state)
 
+    def _apply_draining(self, state, draining, now):
+        was_draining, state.draining = state.draining, draining
+        if now is None:
+            return
+        if draining:
+            self._paces.end(state, "draining", now)
+        elif was_draining:
+            self._paces.begin(state, "draining", now)
+
     def on_crash(self, name, crash_id, now):
         """Record a target's crash; return the newly poisoned fingerprints."""
         state = self._fleet.get(name)
@@ -108,6 +125,7 @@
             return []
         state.down = True
         state.limit.restart()
+        self._paces.end(state, "crash", now)
         self._prefixes.forget(name)
         self._fleet.reindex(state)
         return self._trials.on_crash(state, crash_id, now)
@@ -142,15 +160,18 @@
             state.rate_limit.set_share(share, now)
             state.rejection_limit.set_share(share, now)
 
-    def begin_probing(self, name):
+    def begin_probing(self, name, now=None):
         """Return a target that was down to service with one request at a time.
 
-        The restriction ends with its first successful request.
+        The restriction ends with its first successful request. No pace begins without
+        `now`.
         """
         state = self._fleet.get(name)
         if state is not None and state.down:
             state.down = False
             state.probing = True
+            if now is not None:
+                self._paces.begin(state, "crash", now)
             self._fleet.reindex(state)
 
     def remove(self, name, now):
@@ -161,6 +182,7 @@
         state = self._fleet.remove(name)
         if state is not None:
             self._count_restart(state, now)
+            self._paces.remove(state, now)
         self._prefixes.forget(name)
 
     def report(self, name, running, waiting, now, incarnation=""):
@@ -173,7 +195,7 @@
             return
         if incarnation and state.incarnation != incarnation:
             self._count_restart(state, now)
-            self._restart(state, incarnation)
+            self._restart(state, incarnation, now)
             self._reset_stated_limits(state, None, now)
         state.down = False
         state.reported = running + waiting
--- a/lovagepier/decisions/placement/scheduler.py
+++ b/lovagepier/decisions/placement/scheduler.py
@@ -9,6 +9,7 @@
 from lovagepier.decisions.placement.dispatch_log import DispatchLog
 from lovagepier.decisions.placement.fleet import Fleet
 from lovagepier.decisions.placement.policies import POLICIES
+from lovagepier.decisions.placement.pool_paces import PoolPaces
 from lovagepier.decisions.placement.pool_targets import PoolTargets
 from lovagepier.decisions.placement.prefixes import PrefixIndex
 from lovagepier.decisions.placement.scheduler_options import SchedulerOptions
@@ -42,7 +43,8 @@
     serve. During a rollout `share` is {new version: fraction of new requests}.
     `last_shed` is (tier, time) of the last request shed for lack of a slot. `pauses`
     are what targets want from single entry hosts; several pools may share them.
-    `targets` are the `PoolTargets` of `fleet`, `learning` is the `OutcomeLearning`.
+    `targets` are the `PoolTargets` of `fleet`, `paces` its `PoolPaces`, `learning` is
+    the `OutcomeLearning`.
     """
 
     def __init__(self, options, rng):
@@ -63,11 +65,11 @@
         self._pause = ShedPause(options.shed_pause_s)
         self.last_shed = None
         self._sequence = 0
-        self.targets = PoolTargets(
-            options, self.fleet, self.prefixes, self._trials, self._dispatched
-        )
+        self.paces = PoolPaces(self.fleet, options.pace)
+        parts = (self.fleet, self.prefixes, self._trials, self._dispatched, self.paces)
+        self.targets = PoolTargets(options, *parts)
         self.learning = OutcomeLearning(
-            self.fleet, self.targets, self._trials, self.lengths
+            self.fleet, self.targets, self._trials, self.lengths, self.paces
         )
         self._feasibility = Feasibility(
             self.fleet, self.lengths, self.learning, options.demote_late
@@ -150,6 +152,7 @@
 
     def tick(self, now):
         """Refuse requests that can't meet their deadline; start those that can."""
+        self.paces.expire(now)
         return self._drain(now)
 
     def next_event(self):
@@ -196,6 +199,8 @@
                 decisions.append(self._shed(work, now, kind, why))
         while len(self.waiting):
             started = self._start_next(now)
+            if started is None and self.paces.open(self.waiting, now):
+                started = self._start_next(now)
             if started is None:
                 break
             decisions.append(started)
@@ -235,8 +240,14 @@
         work.exclude = excluded | self.pauses.avoided(work.entry, self.fleet, now)
         if self._trials.is_suspect(work):
             work.exclude |= self._trials.targets_with_suspects()
+        avoided = work.exclude
         try:
-            return self._place_on_any(work, now)
+            work.exclude = avoided | self.paces.spared(work)
+            grant = self._place_on_any(work, now)
+            if grant is None and work.exclude != avoided and not work.awaits_cache:
+                work.exclude = avoided
+                grant = self._place_on_any(work, now)
+            return grant
         finally:
             work.exclude = excluded
 
@@ -260,6 +271,7 @@
         state.rate_limit.spend(now)
         state.rejection_limit.on_start(work.id, state.in_flight, now)
         state.last_start_at = now
+        self.paces.on_start(state, now)
         self.fleet.reindex(state)
         on_trial = self._trials.is_suspect(work)
         self._dispatched.begin(work, state.name, state.version, now, on_trial)
@@ -280,6 +292,7 @@
         if state is None:
             return
         state.rejection_limit.on_accepted(request_id)
+        self.paces.on_first(state, running, seconds, now)
         self.learning.learn_first(state, request_id, seconds, now)
         self.fleet.reindex(state)
 
@@ -312,6 +325,7 @@
         self._dispatched.begin(work, target, version, now)
         if state is not None:
             state.start(work, 0)
+            self.paces.on_adopted(state)
             self.fleet.reindex(state)
 
     def forget_entry(self, entry, now):
--- a/lovagepier/decisions/placement/scheduler_options.py
+++ b/lovagepier/decisions/placement/scheduler_options.py
@@ -22,7 +22,8 @@
     `make_retry_budget` creates the pool's `RetryBudget`. `zone_cost(zone, zone)`
     returns the cost in seconds of dispatching to another zone. With `demote_late` a
     request that will miss its soft deadline moves to its `late_tier`: a late response
-    is worth little, so it must not make the next one late as well.
+    is worth little, so it must not make the next one late as well. With `pace` targets
+    that start or recover get a `Pace`.
     """
 
     __slots__ = (
@@ -32,6 +33,7 @@
         "lost_after_s",
         "make_retry_budget",
         "max_waiting",
+        "pace",
         "policy",
         "shed_pause_s",
         "tiers",
@@ -50,6 +52,7 @@
         demote_late=False,
         zone_cost=None,
         lost_after_s=LOST_AFTER_S,
+        pace=False,
     ):
         self.tiers = tiers
         self.max_waiting = max_waiting
@@ -61,3 +64,4 @@
         self.demote_late = demote_late
         self.zone_cost = zone_cost
         self.lost_after_s = lost_after_s
+        self.pace = pace
--- a/lovagepier/decisions/placement/work.py
+++ b/lovagepier/decisions/placement/work.py
@@ -38,6 +38,7 @@
     - `exclude`: names of targets that must not get it.
     - `may_overbook`: whether it may wait at a full target for the next slot, as
       tier 0 may.
+    - `runs_once`: whether it must not run a second time.
     - `awaits_cache`: it is queued for a target that has its prefix cached.
     - `sequence`: its number in order of arrival.
 
@@ -87,6 +88,7 @@
     cost: float = 0.0
     late_tier: int = 0
     abandoned_at: float = float("inf")
+    runs_once: bool = False
 
     def hit_tokens(self, depth):
         """Return the prompt tokens in the first `depth` blocks."""
--- a/lovagepier/entry/_callers/frontend.py
+++ b/lovagepier/entry/_callers/frontend.py
@@ -358,6 +358,7 @@
             "target_connections_opened": self.target_connections.opened,
             "body_bytes_reserved": self.body_memory.held,
             "bodies_waiting": self.body_memory.waiting_count,
+            **self.coordinator.pace_gauges(),
             **build_gauges(self.cluster.live_hosts(), self.cluster.link_counts),
         }
 
--- a/lovagepier/entry/_coordination/coordinator.py
+++ b/lovagepier/entry/_coordination/coordinator.py
@@ -10,6 +10,7 @@
 from lovagepier.decisions.placement.work import Grant, Outcome, Refusal, bounded_tokens
 from lovagepier.entry._cluster.messages import Granted, Refused
 from lovagepier.entry._coordination.account_quotas import AccountQuotas
+from lovagepier.entry._coordination.pace_records import log_paces, pace_gauges
 from lovagepier.entry._coordination.rollouts import Rollouts
 from lovagepier.entry._coordination.service_pools import ServicePools
 from lovagepier.entry._coordination.work import OVER_QUOTA_BAND, make_work
@@ -126,8 +127,13 @@
         work = make_work(entry, req, now)
         if self._account_quotas.is_over_base(req, now):
             work.tier += OVER_QUOTA_BAND
+        work.runs_once = self._may_run_once(req.route)
         self._send_decisions(pool.scheduler.offer(work, now))
 
+    def _may_run_once(self, route):
+        catalog = self._view.catalog
+        return catalog is not None and route in catalog.once_routes
+
     def on_first_event(self, entry, event, now):
         """Record the time to the first event of a response."""
         work_id = f"{entry}/{event.id}"
@@ -239,13 +245,18 @@
         for service, pool in self._pools.items():
             self._pools.apply_rollout(service, pool, now)
             for name in pool.backoffs.take_due(now):
-                pool.scheduler.targets.begin_probing(name)
+                pool.scheduler.targets.begin_probing(name, now)
             self._send_decisions(pool.scheduler.release_lost((), now))
             self._send_decisions(pool.scheduler.tick(now))
+            log_paces(service, pool.scheduler.paces, is_coordinator)
 
     def _running_on_old_version(self, service):
         return self._pool(service).scheduler.fleet.in_flight("old")
 
+    def pace_gauges(self):
+        """Return gauges of the targets that start or recover, by name."""
+        return pace_gauges(self._pools.schedulers())
+
     def has_waiting(self):
         """Return whether any request waits in a queue."""
         return self.waiting_count() > 0
--- a/lovagepier/entry/_coordination/service_pools.py
+++ b/lovagepier/entry/_coordination/service_pools.py
@@ -97,6 +97,7 @@
             zone_cost=make_zone_cost(self._cfg),
             lost_after_s=LOST_AFTER_S,
             max_waiting=self._cfg.scheduling_max_waiting,
+            pace=self._cfg.scheduling_pace == "on",
             shed_pause_s=SHED_PAUSE_S,
             finished_retention_s=FINISHED_RETENTION_S,
             make_retry_budget=lambda: make_retry_budget(self._cfg, self._quota_share),
@@ -138,7 +139,7 @@
             for target in targets.values()
         }
         for name, is_draining in draining.items():
-            pool.scheduler.targets.set_draining(name, is_draining)
+            pool.scheduler.targets.set_draining(name, is_draining, now)
         # Each update may grant waiting requests, so all draining targets are excluded
         # before the first one.
         rejection_limits = self.stated_limits["rejection_limit"]
--- a/lovagepier/entry/catalog.py
+++ b/lovagepier/entry/catalog.py
@@ -102,6 +102,7 @@
         "_routes_by_host",
         "accounts",
         "limits",
+        "once_routes",
         "routes",
         "service_names",
         "services",
@@ -116,6 +117,7 @@
             name for route in routes for name, _ in route.services
         )
         self.limits = limits
+        self.once_routes = frozenset(r.name for r in routes if not r.retryable)
         self.accounts = {account.name: account for account in accounts}
         self._account_by_key = {key: each for each in accounts for key in each.keys}
         self._routes_by_host = {}
--- a/review/standins.py
+++ b/review/standins.py
@@ -11,6 +11,7 @@
 import json
 import os
 import random
+import re
 import shutil
 import signal
 import socket
@@ -502,6 +503,11 @@
     start, end = "{{#zones}}", "{{/zones}}"
     before, _, rest = template.partition(start)
     text = before + rows + rest.partition(end)[2].lstrip("\n")
+    text = re.sub(
+        r"(?s)\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}",
+        lambda match: match[2] if match[1] in values else "",
+        text,
+    )
     for name, value in values.items():
         text = text.replace("{{" + name + "}}", str(value))
     return text
--- a/test/test_entry_settings.py
+++ b/test/test_entry_settings.py
@@ -60,13 +60,16 @@
     """Fill in a template as the platform does, as far as this template needs."""
 
     def section(match):
-        rows = fields[match[1]].items()
+        values = fields.get(match[1], {})
+        if isinstance(values, str):
+            return match[2]
+        rows = values.items()
         return "".join(
             match[2].replace("{{@}}", key).replace("{{.}}", value)
             for key, value in rows
         )
 
-    text = re.sub(r"(?s)\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}", section, text)
+    text = re.sub(r"(?s)\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", section, text)
     return re.sub(r"\{\{([\w.]+)\}\}", lambda match: fields[match[1]], text)
 
 
@@ -79,6 +82,15 @@
     assert cfg.budgets_quota_slack == 110000
 
 
+@pytest.mark.parametrize("bounds, pace", [({}, "off"), ({"cold_overage": "1.5"}, "on")])
+def test_targets_that_start_have_a_pace_where_the_platform_bounds_cold_ones(
+    bounds, pace
+):
+    fields = FIELDS | {f"bounds.{name}": value for name, value in bounds.items()}
+    cfg = parse_entry_settings(render(TEMPLATE.read_text(), fields))
+    assert cfg.scheduling_pace == pace
+
+
 @pytest.mark.parametrize(
     "old, new, message",
     [
