--- a/lovagepier/decisions/placement/scheduler_options.py
+++ b/lovagepier/decisions/placement/scheduler_options.py
@@ -23,7 +23,8 @@
     returns the cost in seconds of dispatching to another zone. With `demote_late` a
     request that will miss its soft deadline moves to its `late_tier`: a late response
     is worth little, so it must not make the next one late as well. `region_of(zone)`
-    returns a zone's region, "" if it is unknown; without it no zone has one.
+    returns a zone's region, "" if it is unknown; without it no zone has one. With
+    `pace` targets that start or recover get a `Pace`.
     """
 
     __slots__ = (
@@ -33,6 +34,7 @@
         "lost_after_s",
         "make_retry_budget",
         "max_waiting",
+        "pace",
         "policy",
         "region_of",
         "shed_pause_s",
@@ -53,6 +55,7 @@
         zone_cost=None,
         lost_after_s=LOST_AFTER_S,
         region_of=None,
+        pace=False,
     ):
         self.tiers = tiers
         self.max_waiting = max_waiting
@@ -65,3 +68,4 @@
         self.zone_cost = zone_cost
         self.lost_after_s = lost_after_s
         self.region_of = region_of or (lambda zone: "")
+        self.pace = pace
--- a/lovagepier/decisions/placement/work.py
+++ b/lovagepier/decisions/placement/work.py
@@ -39,6 +39,7 @@
     - `regions`: where its targets must be, empty for any region; see `residence`.
     - `may_overbook`: whether it may wait at a full target for the next slot, as
       tier 0 may.
+    - `runs_once`: whether it must not run a second time.
     - `awaits_cache`: it is queued for a target that has its prefix cached.
     - `sequence`: its number in order of arrival.
 
@@ -89,6 +90,7 @@
     late_tier: int = 0
     abandoned_at: float = float("inf")
     regions: tuple = ()
+    runs_once: bool = False
 
     def hit_tokens(self, depth):
         """Return the prompt tokens in the first `depth` blocks."""
--- a/lovagepier/entry/catalog.py
+++ b/lovagepier/entry/catalog.py
@@ -111,6 +111,7 @@
         "accounts",
         "common_regions",
         "limits",
+        "once_routes",
         "routes",
         "service_names",
         "services",
@@ -125,6 +126,7 @@
             name for route in routes for name, _ in route.services
         )
         self.limits = limits
+        self.once_routes = frozenset(r.name for r in routes if not r.retryable)
         self.accounts = {account.name: account for account in accounts}
         self._account_by_key = {key: each for each in accounts for key in each.keys}
         self.common_regions = common_regions(
--- a/test/test_evacuations.py
+++ b/test/test_evacuations.py
@@ -208,7 +208,7 @@
 
 def test_a_pool_grants_nothing_in_an_evacuated_zone():
     scheduler = make_scheduler(("w1", "w2"))
-    scheduler.targets.set_evacuated("w1", True)
+    scheduler.targets.set_evacuated("w1", True, 0.0)
     scheduler.set_target("w3", "a1", "v1", "i1", 0.0, slots=4, evacuated=True)
     # A restart under the same id ends draining, but no evacuation.
     scheduler.set_target("w1", "a1", "v1", "i2", 0.0)
@@ -218,7 +218,7 @@
         for decision in scheduler.offer(make_work(f"r{number}"), 0.0)
     }
     assert granted == {"w2"}
-    scheduler.targets.set_evacuated("w1", False)
+    scheduler.targets.set_evacuated("w1", False, 0.0)
     assert scheduler.fleet.get("w1").takes_work(0.0)
 
 
@@ -227,7 +227,7 @@
     scheduler.offer(make_work("r1"), 0.0)
     scheduler.offer(make_work("r2"), 0.0)
     assert refuse_waiting(scheduler.fleet, scheduler.waiting) == []
-    scheduler.targets.set_evacuated("w1", True)
+    scheduler.targets.set_evacuated("w1", True, 0.0)
     (refusal,) = refuse_waiting(scheduler.fleet, scheduler.waiting)
     assert isinstance(refusal, Refusal)
     assert refusal.retry_after > 0
