Bound what cold targets get from all hosts together

Cause: a target that starts has all its slots free, so it was given as many requests as fit; it crashes well above the rate that it takes while cold.

Granted says whether a grant was counted (format 7); entry hosts return uncounted, late and bunched grants for cold targets. A test of evacuations waited for chance until a target was chosen (up to 119 s); it now leaves no other.

--- a/lovagepier/decisions/placement/fleet.py
+++ b/lovagepier/decisions/placement/fleet.py
@@ -32,11 +32,13 @@
     `probing` one runs a single request at a time. `vanished` lists (`Run`, time) of
     requests that were lost there. `prefilling` maps running requests before their
     first byte to the tokens of their prefill. `rate_limit` and `rejection_limit` are
-    the `RateLimit` and the `RejectionLimit` that the target states. `key` is the
-    target's place in the `Fleet` index, None outside of it.
+    the `RateLimit` and the `RejectionLimit` that the target states, `cold_limit` is its
+    `ColdLimit`, None without such a bound. `key` is the target's place in the `Fleet`
+    index, None outside of it.
     """
 
     __slots__ = (
+        "cold_limit",
         "down",
         "draining",
         "ejected_until",
@@ -87,6 +89,7 @@
         self.vanished = []
         self.rate_limit = RateLimit()
         self.rejection_limit = RejectionLimit()
+        self.cold_limit = None
         self.key = None
 
     @property
@@ -119,7 +122,9 @@
             self.in_flight, now
         ):
             return False
-        return not self.rate_limit.is_stated or self.rate_limit.allows(now)
+        if self.rate_limit.is_stated and not self.rate_limit.allows(now):
+            return False
+        return self.cold_limit is None or self.cold_limit.allows(now)
 
     def has_room(self, extra=0):
         """Return whether one more request fits.
--- a/lovagepier/decisions/placement/pool_targets.py
+++ b/lovagepier/decisions/placement/pool_targets.py
@@ -46,13 +46,15 @@
         draining=None,
         rejection_limit=None,
         evacuated=None,
+        cold_limit=None,
     ):
         """Add a target, or update its zone, version, incarnation or draining state.
 
         `slots` is the concurrency that a new target states, None where its limit
         has to be learnt. A new incarnation counts as a restart; `rejection_limit` is
         the number that it starts with, None for none. With `draining` or `evacuated`
-        None an update leaves that state as it is.
+        None an update leaves that state as it is. `cold_limit` is the `ColdLimit`, None
+        without one.
         """
         state = self._fleet.get(name)
         if state is None:
@@ -61,6 +63,7 @@
             )
             state.draining = bool(draining)
             state.evacuated = bool(evacuated)
+            state.cold_limit = cold_limit
             self._reset_stated_limits(state, rejection_limit, now)
             self._fleet.add(state)
             return
@@ -75,6 +78,7 @@
             state.draining = draining
         if evacuated is not None:
             state.evacuated = evacuated
+        state.cold_limit = cold_limit
         self._fleet.reindex(state)
 
     def _restart(self, state, incarnation):
--- a/lovagepier/decisions/placement/scheduler.py
+++ b/lovagepier/decisions/placement/scheduler.py
@@ -261,6 +261,7 @@
     def _start(self, work, state, hit, why, now):
         state.start(work, hit)
         state.rate_limit.spend(now)
+        paced = state.cold_limit.spend(now) if state.cold_limit else None
         state.rejection_limit.on_start(work.id, state.in_flight, now)
         state.last_start_at = now
         self.fleet.reindex(state)
@@ -269,7 +270,7 @@
         self._start_rates.on_start(work.tier, now)
         if work.blocks:
             self.prefixes.add(state.name, work.blocks)
-        return Grant(work, state.name, state.version, hit, why)
+        return Grant(work, state.name, state.version, hit, why, paced)
 
     # Outcomes
 
--- a/lovagepier/decisions/placement/work.py
+++ b/lovagepier/decisions/placement/work.py
@@ -101,7 +101,9 @@
 class Grant:
     """Permission to dispatch one request to one target.
 
-    `hit_tokens` are the prompt tokens expected in the target's cache.
+    `hit_tokens` are the prompt tokens expected in the target's cache. `paced` tells
+    whether it was counted as one for a cold target, None if the target has no such
+    bound.
     """
 
     work: Work
@@ -109,6 +111,7 @@
     version: str
     hit_tokens: int = 0
     why: str = ""
+    paced: bool | None = None
 
 
 @dataclass(slots=True)
--- a/lovagepier/entry/_callers/exchange.py
+++ b/lovagepier/entry/_callers/exchange.py
@@ -197,6 +197,11 @@
         if self._frontend.cluster.statements.is_paused(target):
             tconn.close()
             return self._return_paused(grant, target, started_at)
+        now = self._loop.time()
+        cold_targets = self._frontend.coordinator.cold_targets
+        if not cold_targets.may_send(target, grant.paced, now - started_at, now):
+            tconn.close()
+            return self._return_cold(grant, started_at)
         return await self._run_attempt(grant, target, tconn)
 
     def _return_evacuated(self, grant, started_at):
@@ -209,6 +214,15 @@
         self._grants.report(grant, "returned", started_at)
         return _Outcome.NOT_EXECUTED
 
+    def _return_cold(self, grant, started_at):
+        """Return a grant that would exceed the bound of a cold target."""
+        self._frontend.metrics.count("cold_grants_returned")
+        if not grant.paced:
+            # The coordinator does not know yet that the target is cold.
+            self._progress.excluded.add_mismatched(grant.target)
+        self._grants.report(grant, "returned", started_at)
+        return _Outcome.NOT_EXECUTED
+
     def _return_paused(self, grant, target, started_at):
         """Return a grant for a target that wants a pause from this host."""
         self._progress.excluded.add(grant.target)
--- a/lovagepier/entry/_callers/frontend.py
+++ b/lovagepier/entry/_callers/frontend.py
@@ -354,6 +354,7 @@
             "evacuated_targets": self.view.evacuations.count(
                 self.view.targets.values()
             ),
+            "cold_targets": self.coordinator.cold_targets.count(now),
             "hosts": len(self.view.members()),
             "callers_open": len(self._caller_conns),
             "waiting": self.coordinator.waiting_count(),
--- a/lovagepier/entry/_cluster/cluster.py
+++ b/lovagepier/entry/_cluster/cluster.py
@@ -381,5 +381,5 @@
         starting = self._is_starting() and self._cfg.host_first_start != "true"
         now = self._loop.time()
         self._coordinator.set_share(
-            *self._capacity.compute(host_count, starting, now), now
+            *self._capacity.compute(host_count, starting, now), now, bool(host_count)
         )
--- a/lovagepier/entry/_cluster/messages.py
+++ b/lovagepier/entry/_cluster/messages.py
@@ -125,13 +125,18 @@
 @message("e.grant")
 @dataclass(slots=True)
 class Granted:
-    """Permission to dispatch to one incarnation of a target."""
+    """Permission to dispatch to one incarnation of a target.
+
+    `paced` tells whether the coordinator counted it as one for a cold target, None if
+    the target has no such bound there.
+    """
 
     id: str
     target: str
     incarnation: str
     version: str
     why: str
+    paced: bool | None = since(7, None)
 
 
 @message("e.refuse")
--- a/lovagepier/entry/_coordination/coordinator.py
+++ b/lovagepier/entry/_coordination/coordinator.py
@@ -56,6 +56,7 @@
             self.poison_detector,
             self._send_decisions,
         )
+        self.cold_targets = self._pools.cold_targets
         self.stated_limits = self._pools.stated_limits
         self.rate_limits = self.stated_limits["rate_limit"]
         self.rejection_limits = self.stated_limits["rejection_limit"]
@@ -86,11 +87,14 @@
                 poisoned=crash.poisoned,
             )
 
-    def set_share(self, share, quota_share, now):
-        """Set the fractions of all targets and quotas that this host hands out."""
+    def set_share(self, share, quota_share, now, is_used=True):
+        """Set the fractions of all targets and quotas that this host hands out.
+
+        `is_used` tells whether any host uses this coordinator.
+        """
         self.quotas.set_share(quota_share, now)
         self.rollouts.set_slack_fraction(quota_share)
-        self._pools.set_share(share, quota_share, now)
+        self._pools.set_share(share, quota_share, now, is_used)
 
     def take_over(self, now, quota_levels=None, retry_levels=None):
         """Start to decide for hosts that used another coordinator until now.
@@ -240,6 +244,7 @@
             self._pools.apply_rollout(service, pool, now)
             for name in pool.backoffs.take_due(now):
                 pool.scheduler.targets.begin_probing(name)
+                self.cold_targets.on_return(name, service, now)
             self._send_decisions(pool.scheduler.release_lost((), now))
             self._send_decisions(pool.scheduler.tick(now))
 
@@ -266,7 +271,8 @@
                 self._send_refusal(work, request_id, decision)
             else:
                 # The request was sent again because the first grant got lost.
-                self._send_grant(work, request_id, Grant(work, decision.target, "", 0))
+                again = Grant(work, decision.target, "", 0, paced=False)
+                self._send_grant(work, request_id, again)
 
     def _send_grant(self, work, request_id, grant):
         target = self._view.target(grant.target)
@@ -275,7 +281,14 @@
             self.rollouts.count_new(target.service)
         self._send(
             work.entry,
-            Granted(request_id, grant.target, incarnation, grant.version, grant.why),
+            Granted(
+                request_id,
+                grant.target,
+                incarnation,
+                grant.version,
+                grant.why,
+                grant.paced,
+            ),
         )
 
     def _send_refusal(self, work, request_id, refusal):
--- a/lovagepier/entry/_coordination/service_pools.py
+++ b/lovagepier/entry/_coordination/service_pools.py
@@ -7,6 +7,7 @@
 from lovagepier.decisions.placement.scheduler import PoolScheduler, SchedulerOptions
 from lovagepier.entry._coordination.backoffs import TargetBackoffs
 from lovagepier.entry._coordination.budgets import make_retry_budget
+from lovagepier.entry._coordination.cold_targets import ColdTargets
 from lovagepier.entry._coordination.stated_limits import StatedLimits
 from lovagepier.entry._coordination.target_groups import targets_by_service
 from lovagepier.entry._coordination.work import BANDS_PER_TIER, TIERS
@@ -39,8 +40,8 @@
 
     `rollouts` are the coordinator's `Rollouts`; the schedulers share `pauses` and
     `poison_detector`. `on_decisions(decisions)` gets what the schedulers decide when
-    targets change. `stated_limits` are the `StatedLimits` by kind, `share` is the
-    fraction of all targets that this host hands out.
+    targets change. `stated_limits` are the `StatedLimits` by kind, `cold_targets` the
+    `ColdTargets`; `share` is the fraction of all targets that this host hands out.
     """
 
     def __init__(self, cfg, view, rng, rollouts, pauses, poison_detector, on_decisions):
@@ -57,6 +58,7 @@
             kind: StatedLimits(kind, self.schedulers)
             for kind in ("rate_limit", "rejection_limit")
         }
+        self.cold_targets = ColdTargets(cfg, view)
         self.share = 1.0
 
     def __iter__(self):
@@ -130,6 +132,7 @@
             pool.scheduler.targets.remove(name, now)
             self._drop_limits(name, pool.incarnations.pop(name))
             self._pauses.drop(name)
+            self.cold_targets.drop(name)
         slots = self._usable_slots(targets.values())
         labels = {
             target.id: self._rollouts.version_label(target)
@@ -148,7 +151,11 @@
         for name, is_evacuated in evacuated.items():
             pool.scheduler.targets.set_evacuated(name, is_evacuated)
         # Each update may grant waiting requests, so all draining and evacuated targets
-        # are excluded before the first one.
+        # are excluded before the first one, and it is known which ones are cold.
+        cold_limits = {
+            target.id: self.cold_targets.limit(target, evacuated[target.id], now)
+            for target in targets.values()
+        }
         rejection_limits = self.stated_limits["rejection_limit"]
         rejection_limit = rejection_limits.lowest(targets)
         for target in targets.values():
@@ -169,6 +176,7 @@
                 draining=draining[target.id],
                 rejection_limit=rejection_limit,
                 evacuated=evacuated[target.id],
+                cold_limit=cold_limits[target.id],
             )
             self._on_decisions(decisions)
         self._on_decisions(refuse_waiting(pool.scheduler.fleet, pool.scheduler.waiting))
@@ -193,9 +201,13 @@
 
     # Shares of this host
 
-    def set_share(self, share, quota_share, now):
-        """Set the fractions of all targets and quotas that this host hands out."""
+    def set_share(self, share, quota_share, now, is_used=True):
+        """Set the fractions of all targets and quotas that this host hands out.
+
+        `is_used` tells whether any host uses its coordinator.
+        """
         self._quota_share = quota_share
+        self.cold_targets.share.set(quota_share if is_used else 0.0, now)
         for pool in self._pools.values():
             pool.scheduler.retry_budget.set_share(quota_share, now)
             pool.scheduler.targets.set_rate_share(quota_share, now)
--- a/lovagepier/entry/_settings.py
+++ b/lovagepier/entry/_settings.py
@@ -32,6 +32,10 @@
     return number
 
 
+def _parse_optional_amount(text):
+    return None if text in ("", "off") else _parse_amount(text)
+
+
 def _duration(default=None):
     return Option(
         parse_duration, "a time with unit ms, s, m or h, such as 500ms", default
@@ -50,6 +54,12 @@
     return Option(_parse_amount, "a number that isn't negative", default)
 
 
+def _optional_amount():
+    return Option(
+        _parse_optional_amount, "a number that isn't negative, off or nothing", "off"
+    )
+
+
 _SCHEMA = {
     "host": {
         "name": Option(parse_name, "a name of letters, digits, '.', '_' or '-'"),
@@ -83,6 +93,10 @@
         "quota_slack": _amount("0"),
         "quota_window": _duration("8s"),
     },
+    "targets": {
+        "cold_overage": _optional_amount(),
+        "cold_slack": _optional_amount(),
+    },
     "moves": {
         "exposure_share": _fraction("0.1"),
         "exposure_slack": _amount("50"),
--- a/lovagepier/entry/catalog.py
+++ b/lovagepier/entry/catalog.py
@@ -54,10 +54,16 @@
 
 @dataclass(slots=True, frozen=True)
 class Service:
-    """A named group of targets; one event of its streams holds `tokens_per_event`."""
+    """A named group of targets; one event of its streams holds `tokens_per_event`.
+
+    A target is cold for `cold_start_s` after it starts, and takes `cold_per_s` requests
+    a second then; 0 in one of them means that there is no such bound.
+    """
 
     name: str
     tokens_per_event: int
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/lovagepier/entry/store_types.py
+++ b/lovagepier/entry/store_types.py
@@ -11,7 +11,7 @@
 
     `started_at_ms` (Unix time) changes when a target restarts under the same
     id. `slots` is the number of requests that it runs at once. A `draining`
-    target takes no new work.
+    target takes no new work. `cold_left_s` is how long it stays cold, by itself.
     """
 
     id: str
@@ -23,6 +23,7 @@
     slots: int
     draining: bool
     started_at_ms: int
+    cold_left_s: float = 0.0
 
     @property
     def incarnation(self):
--- a/lovagepier/platform/_documents.py
+++ b/lovagepier/platform/_documents.py
@@ -98,6 +98,11 @@
     return _clamped(raw.get(name, default), MAX_DURATION_S) / 1000.0
 
 
+def _amount(raw, name):
+    """Return a number that may be missing, 0 then."""
+    return float(_clamped(raw.get(name) or 0, MAX_AMOUNT))
+
+
 def _whole(value, most=MAX_AMOUNT):
     return int(_clamped(value, most))
 
@@ -154,6 +159,8 @@
     return Service(
         name=_name(raw, "name"),
         tokens_per_event=max(_whole(engine.get("stride", 1), MAX_STRIDE), 1),
+        cold_start_s=_amount(raw, "cold_start_s"),
+        cold_per_s=_amount(raw, "cold_per_s"),
     )
 
 
@@ -228,8 +235,8 @@
         state = read_text(raw, "state")
         if state not in ("ready", "draining"):
             raise ValueError(f"state {state!r}")
-        # Not used here, but what states nonsense in one field may in others.
         check_number(raw, "cold_left_ms", MAX_UNIX_MS)
+        # Not used here, but what states nonsense in one field may in others.
         check_number(raw, "seq", MAX_COUNT)
         return Target(
             id=read_name(key[len(TARGET_PREFIX) :]),
@@ -243,6 +250,7 @@
             started_at_ms=read_whole(raw, "born", 0, MAX_UNIX_MS)
             if "born" in raw
             else 0,
+            cold_left_s=raw.get("cold_left_ms", 0) / 1000.0,
         )
     except MALFORMED as exc:
         raise DocumentError(f"is malformed: {type(exc).__name__} {exc}")
--- a/review/standins.py
+++ b/review/standins.py
@@ -532,6 +532,8 @@
             "bounds.canary_share": 0.1,
             "bounds.canary_slack": 50,
             "bounds.grace_s": 8,
+            "bounds.cold_overage": "",
+            "bounds.cold_slack": "",
             **dict(bounds),
         }
         self.log_folder = self.folder / "logs"
--- a/test/format_samples.py
+++ b/test/format_samples.py
@@ -42,7 +42,7 @@
         *([], "boot", [], {"ledger": 3.0}, _LIMITS, ["w1.1"], _LIMITS),
     ],
     "e.ask": _ASK,
-    "e.grant": ["q1", "w1", "w1.1", "new", "why"],
+    "e.grant": ["q1", "w1", "w1.1", "new", "why", True],
     "e.refuse": ["q1", "over-quota", "why", 1.5],
     "e.first": ["q1", 0.1],
     "e.done": ["q1", "w1", "ok", 0.1, 0.4, 7],
--- a/test/platform_standins.py
+++ b/test/platform_standins.py
@@ -243,6 +243,7 @@
         self.cancelled = []
         self.sent = 0
         self.born = 1
+        self.cold_left_ms = 0
 
     def entry(self, state="ready"):
         return {
@@ -252,7 +253,7 @@
             "version": self.version,
             "slots": self.slots,
             "state": state,
-            "cold_left_ms": 0,
+            "cold_left_ms": self.cold_left_ms,
             "seq": 1,
             "born": self.born,
         }
--- a/test/test_entry_settings.py
+++ b/test/test_entry_settings.py
@@ -53,6 +53,8 @@
     "bounds.canary_slack": "50",
     "bounds.rollback_ms": "5000",
     "bounds.grace_s": "8",
+    "bounds.cold_overage": "1.5",
+    "bounds.cold_slack": "5",
 }
 
 
@@ -77,6 +79,14 @@
     assert cfg.peers_seeds == [("10.1.0.25", 8229), ("10.2.0.17", 8229)]
     assert cfg.store_lease_least == 1.0
     assert cfg.budgets_quota_slack == 110000
+    assert (cfg.targets_cold_overage, cfg.targets_cold_slack) == (1.5, 5.0)
+
+
+def test_bounds_that_a_deployment_does_not_have_are_off():
+    fields = {**FIELDS, "bounds.cold_overage": "", "bounds.cold_slack": ""}
+    cfg = parse_entry_settings(render(TEMPLATE.read_text(), fields))
+    assert cfg.targets_cold_overage is None
+    assert cfg.targets_cold_slack is None
 
 
 @pytest.mark.parametrize(
--- a/test/test_evacuations.py
+++ b/test/test_evacuations.py
@@ -58,9 +58,12 @@
     return [len(fleet.targets[name].arrivals) for name in names]
 
 
-async def call_until_served(fleet, name):
-    while not fleet.targets[name].arrivals:
-        await call_all(fleet, count=1)
+async def check_served_by_w1(fleet):
+    """Check that w1 gets requests, once there is no other target."""
+    await fleet.store.write("servers/w2", fleet.targets["w2"].entry("draining"))
+    await up_to_date(fleet)
+    await call_all(fleet, count=1)
+    assert counts(fleet, "w1") == [len(fleet.hosts)]
 
 
 @pytest.mark.parametrize("value", [b"{}", b"\xff no JSON", b"x" * 40_000])
@@ -70,7 +73,7 @@
         await call_all(fleet)
         assert counts(fleet, "w1") == [0]
         await fleet.store.remove(KEY + "a1")
-        await call_until_served(fleet, "w1")
+        await check_served_by_w1(fleet)
 
     run_scenario(scenario)
 
@@ -140,7 +143,9 @@
         follower = fleet.hosts[1]
         follower.cluster.should_watch = lambda: False
         follower._set_watching()
-        await asyncio.sleep(0.1)
+        # Any change ends the watch that is still open.
+        await fleet.store.write("any", {})
+        await up_to_date(fleet)
         await evacuate(fleet, "a1")
         fleet.hosts[0].coordinator.refresh = lambda now: None
         await call_all(fleet)
@@ -183,7 +188,7 @@
             await call_all(fleet)
             assert counts(fleet, "w1") == [0]
         else:
-            await call_until_served(fleet, "w1")
+            await check_served_by_w1(fleet)
 
     run_scenario(scenario)
 
