--- a/lovagepier/decisions/placement/fleet.py
+++ b/lovagepier/decisions/placement/fleet.py
@@ -35,12 +35,13 @@
     lists (`Run`, time) of requests that were lost there. `prefilling` maps running
     requests before their first byte to the tokens of their prefill. `rate_limit` and
     `rejection_limit` are the `RateLimit` and the `RejectionLimit` that the target
-    states. `pace` is its `Pace` while it starts or recovers, else None. `key` is the
-    target's place in the `Fleet` index, None outside of it. `region` is that of its
-    zone, "" if it is unknown.
+    states, `cold_limit` is its `ColdLimit`, None without such a bound. `pace` is its
+    `Pace` while it starts or recovers, else None. `key` is the target's place in the
+    `Fleet` index, None outside of it. `region` is that of its zone, "" if unknown.
     """
 
     __slots__ = (
+        "cold_limit",
         "down",
         "draining",
         "ejected_until",
@@ -101,6 +102,7 @@
         self.vanished = []
         self.rate_limit = RateLimit()
         self.rejection_limit = RejectionLimit()
+        self.cold_limit = None
         self.pace = None
         self.key = None
 
@@ -136,6 +138,8 @@
             return False
         if self.rate_limit.is_stated and not self.rate_limit.allows(now):
             return False
+        if self.cold_limit is not None and not self.cold_limit.allows(now):
+            return False
         return self.pace is None or self.pace.allows(self.in_flight, now)
 
     def has_room(self, extra=0):
--- a/lovagepier/decisions/placement/pool_targets.py
+++ b/lovagepier/decisions/placement/pool_targets.py
@@ -51,13 +51,15 @@
         draining=None,
         rejection_limit=None,
         evacuated=None,
+        cold_limit=None,
     ):
         """Add a target, or update its zone, version, incarnation or draining state.
 
         `slots` is the concurrency that a new target states, None where its limit
         has to be learnt. A new incarnation counts as a restart; `rejection_limit` is
         the number that it starts with, None for none. With `draining` or `evacuated`
-        None an update leaves that state as it is.
+        None an update leaves that state as it is. `cold_limit` is the `ColdLimit`, None
+        without one.
         """
         state = self._fleet.get(name)
         if state is None:
@@ -72,6 +74,7 @@
             )
             state.draining = bool(draining)
             state.evacuated = bool(evacuated)
+            state.cold_limit = cold_limit
             self._reset_stated_limits(state, rejection_limit, now)
             self._fleet.add(state)
             self._paces.on_added(state, now)
@@ -89,6 +92,7 @@
             self._apply_draining(state, draining, now)
         if evacuated is not None:
             self._apply_evacuated(state, evacuated, now)
+        state.cold_limit = cold_limit
         self._fleet.reindex(state)
 
     def _restart(self, state, incarnation, now):
--- a/lovagepier/entry/_settings.py
+++ b/lovagepier/entry/_settings.py
@@ -32,6 +32,13 @@
     return number
 
 
+def _parse_optional_amount(text):
+    # A platform that does not know a field may leave its placeholder in the template.
+    if text in ("", "off") or text.startswith("{{"):
+        return None
+    return _parse_amount(text)
+
+
 def _duration(default=None):
     return Option(
         parse_duration, "a time with unit ms, s, m or h, such as 500ms", default
@@ -50,6 +57,12 @@
     return Option(_parse_amount, "a number that isn't negative", default)
 
 
+def _optional_amount():
+    return Option(
+        _parse_optional_amount, "a number that isn't negative, off or nothing", "off"
+    )
+
+
 _SCHEMA = {
     "host": {
         "name": Option(parse_name, "a name of letters, digits, '.', '_' or '-'"),
@@ -83,6 +96,10 @@
         "quota_slack": _amount("0"),
         "quota_window": _duration("8s"),
     },
+    "targets": {
+        "cold_overage": _optional_amount(),
+        "cold_slack": _optional_amount(),
+    },
     "moves": {
         "exposure_share": _fraction("0.1"),
         "exposure_slack": _amount("50"),
@@ -92,7 +109,7 @@
         "max_waiting": Option(
             parse_count(1, 100_000), "a whole number from 1 to 100000", "2000"
         ),
-        "pace": Option(parse_one_of("on", "off"), "on or off", "off"),
+        "pace": Option(parse_one_of("on", "off", "auto"), "on, off or auto", "auto"),
     },
     "logs": {
         "level": Option(
@@ -125,6 +142,13 @@
         for name, value in values.items():
             setattr(self, name, value)
 
+    @property
+    def paces_targets(self):
+        """Whether targets that start have a pace; "auto" follows the cold bound."""
+        if self.scheduling_pace == "auto":
+            return self.targets_cold_overage is not None
+        return self.scheduling_pace == "on"
+
 
 def parse_entry_settings(text, source="settings"):
     """Parse INI `text`; raise `SettingsError` for the first fault found.
