--- a/lovagepier/decisions/placement/residence.py
+++ b/lovagepier/decisions/placement/residence.py
@@ -14,6 +14,7 @@
     "nameable_hosts",
     "read_regions",
     "region_finder",
+    "why_bound",
     "why_full",
     "why_nowhere",
 ]
@@ -81,6 +82,11 @@
     return f"residence: no room in the allowed regions {_listed(regions)}"
 
 
+def why_bound(regions):
+    """Return how a residence bound a request that was refused for another reason."""
+    return f"residence: only the regions {_listed(regions)} are allowed"
+
+
 def _listed(regions):
     return ", ".join(filter(None, regions)) or "(none)"
 
@@ -102,7 +108,7 @@
     if every restriction allows them and the caller's region has less than `min_hosts`.
     If there is no such host, all are named: requests without a residence can be served.
     """
-    own = [row for row in rows if region_of(row[2]) == region]
+    own = [row for row in rows if region and region_of(row[2]) == region]
     if len(own) >= min_hosts:
         return own
     if not common:
--- a/lovagepier/entry/_callers/caller_response.py
+++ b/lovagepier/entry/_callers/caller_response.py
@@ -121,14 +121,13 @@
         A status that says that the call was not executed becomes 502 if a target
         may have executed it.
         """
+        call = self._progress.call
+        retry_after, why = self._frontend.residence.explain(
+            call, kind, retry_after, why
+        )
         status = error_spec(kind).status
         if status in (429, 503, 408, 421) and self._progress.maybe_executed:
             status = 502
         self.is_reusable = self._frontend.send_error(
-            self._conn,
-            self._progress.call.request_id,
-            kind,
-            status,
-            retry_after,
-            why,
+            self._conn, call.request_id, kind, status, retry_after, why
         )
--- a/lovagepier/entry/_callers/exchange.py
+++ b/lovagepier/entry/_callers/exchange.py
@@ -177,9 +177,7 @@
             self._progress.excluded.add(grant.target)
             self._grants.report(grant, "returned", started_at)
             return _Outcome.NOT_EXECUTED
-        if self._frontend.residence.forbids(self.call, target):
-            excluded = self._progress.excluded
-            self._frontend.residence.on_forbidden(self.call, target, excluded)
+        if not self._frontend.residence.accepts(self._progress, target):
             self._grants.report(grant, "returned", started_at)
             return _Outcome.NOT_EXECUTED
         if self._frontend.cluster.statements.is_paused(target):
--- a/lovagepier/entry/_callers/frontend.py
+++ b/lovagepier/entry/_callers/frontend.py
@@ -4,7 +4,6 @@
 import math
 
 from lovagepier.decisions.learning.durations import DurationEstimates
-from lovagepier.decisions.placement.residence import nameable_hosts, region_finder
 from lovagepier.entry._build_gauges import build_gauges
 from lovagepier.entry._callers.caller_conn import BadRequest, CallerConnection
 from lovagepier.entry._callers.exchange import Exchange
@@ -332,11 +331,7 @@
         configuration has a residence, see `nameable_hosts`.
         """
         rows = [row[:4] for row in self.cluster.live_hosts() if not row[3]]
-        catalog = self.view.catalog
-        common = catalog.common_regions if catalog else ()
-        rows = nameable_hosts(
-            rows, region, region_finder(self.cfg), common, MIN_REGION_HOSTS
-        )
+        rows = self.residence.nameable_hosts(rows, region, MIN_REGION_HOSTS)
         return [address for _, address, _, _ in rows]
 
     async def _handle_metrics(self, conn, call):
--- a/lovagepier/entry/_callers/residence_check.py
+++ b/lovagepier/entry/_callers/residence_check.py
@@ -3,12 +3,23 @@
 from lovagepier.decisions.placement.residence import (
     allowed_regions,
     may_go,
+    nameable_hosts,
     region_finder,
+    why_bound,
 )
+from lovagepier.errors import ErrorKind, error_spec
 from lovagepier.logs import component_logger
 
 __all__ = ["ResidenceCheck"]
 
+# Refusals of calls for which no target was found in time.
+_NO_TARGET_KINDS = (
+    ErrorKind.DEADLINE_WAITING,
+    ErrorKind.NO_TARGET,
+    ErrorKind.RESIDENCE,
+    ErrorKind.TARGET_REFUSED,
+)
+
 _log = component_logger("callers")
 
 
@@ -39,17 +50,16 @@
         account = catalog.account_for_key(call.key) or call.account
         return allowed_regions(route, account)
 
-    def forbids(self, call, target):
-        """Return whether a call must not be sent to a target."""
-        return not may_go(self.regions(call), self._region_of(target.zone))
-
-    def on_forbidden(self, call, target, excluded):
-        """Exclude the targets of a service that a call was wrongly granted one of.
+    def accepts(self, progress, target):
+        """Return whether a call may be sent to the target that it was granted.
 
-        All of them are excluded at once: a coordinator of format 6 or older knows no
-        regions and would grant the next forbidden one.
+        If not, all such targets of the service are excluded at once: a coordinator of
+        format 6 or older knows no regions and would grant the next one.
         """
+        call = progress.call
         regions = self.regions(call)
+        if self._may_go(regions, target):
+            return True
         self._metrics.count("residence_grants_returned", call.route.tier)
         _log.warning(
             "returned a grant that residence forbids",
@@ -61,7 +71,33 @@
             version=self._view.version,
         )
         for other in self._view.targets.values():
-            if other.service == target.service and not may_go(
-                regions, self._region_of(other.zone)
-            ):
-                excluded.add(other.id)
+            if other.service == target.service and not self._may_go(regions, other):
+                progress.excluded.add(other.id)
+        return False
+
+    def _may_go(self, regions, target):
+        return not regions or may_go(regions, self._region_of(target.zone))
+
+    def explain(self, call, kind, retry_after, why):
+        """Return the seconds of Retry-After and the cause of the refusal of a call.
+
+        The cause names the residence of a call that has one and found no target.
+        """
+        regions = self.regions(call)
+        if not regions or kind not in _NO_TARGET_KINDS:
+            return retry_after, why
+        if kind != ErrorKind.RESIDENCE:
+            why = "; ".join(filter(None, (why, why_bound(regions))))
+        if retry_after is None:
+            retry_after = error_spec(kind).retry_after
+        return retry_after, why
+
+    def nameable_hosts(self, rows, region, min_hosts):
+        """Return the rows of the hosts that the directory names, see `residence`."""
+        catalog = self._view.catalog
+        common = catalog.common_regions if catalog else ()
+        named = nameable_hosts(rows, region, self._region_of, common, min_hosts)
+        if common:
+            left_out = len(rows) - len(named)
+            self._metrics.count("residence_hosts_left_out", by=left_out)
+        return named
--- a/lovagepier/entry/_targets/connector.py
+++ b/lovagepier/entry/_targets/connector.py
@@ -145,6 +145,12 @@
             self._peers(), target.zone, incarnation, self._loop.time(), regions
         )
         failures = []
+        if regions and not ranked:
+            _log.info(
+                "no host in the allowed regions can connect to a target",
+                target=target.id,
+                allowed=regions,
+            )
         for name in ranked[:MAX_ASKED_PEERS]:
             try:
                 return await self._tunnels.open(name, target)
