Bound late requests by the lane that they wait in

Cause: late requests that wait for a full region counted towards the bound of their whole tier, so late requests that could start elsewhere were refused.

Change: the bound holds for each lane, by the slots in its regions.

--- a/lovagepier/decisions/queueing/late_requests.py
+++ b/lovagepier/decisions/queueing/late_requests.py
@@ -1,5 +1,7 @@
 """The bound on queued late requests, which the scheduler refuses beyond it."""
 
+from lovagepier.decisions.placement.residence import may_go
+
 __all__ = ["LateRequests"]
 
 # Bound on queued late requests, in multiples of all slots. More of them would only
@@ -14,6 +16,9 @@
 class LateRequests:
     """Moves late requests to their late tiers, each of which has a bound of its own.
 
+    So has each lane of restricted requests, by the slots in its regions: late ones that
+    wait for a full region must not have others refused.
+
     `waiting` are the pool's `WaitingRequests`, `start_rates` its `StartRates`.
     """
 
@@ -32,25 +37,28 @@
         late = self._waiting.demote_late(now)
         if not late:
             return []
-        slots = sum(
+        excess = []
+        for tier, regions in {(work.tier, work.regions) for work in late}:
+            excess += self._remove_excess(tier, regions, now)
+        return excess
+
+    def _slots(self, regions):
+        return sum(
             state.slots_within(LATE_ROUND_S)
             for state in self._fleet
-            if not state.draining
+            if not state.draining and (not regions or may_go(regions, state.region))
         )
-        excess = []
-        for tier in {work.tier for work in late}:
-            excess += self._remove_excess(tier, slots, now)
-        return excess
 
-    def _remove_excess(self, tier, slots, now):
+    def _remove_excess(self, tier, regions, now):
+        slots = self._slots(regions)
         # Without work ahead the next free slots are theirs, whatever ran there.
         is_next = self._waiting.highest_waiting_tier() == tier
         rate = float("inf")
         if self._start_rates.is_known(now):
             rate = self._start_rates.rate_from(0 if is_next else tier, now)
         removed = []
-        while size := self._waiting.sizes()[tier]:
-            work = self._waiting.most_urgent(tier)
+        while size := self._waiting.lane_size(tier, regions):
+            work = self._waiting.most_urgent(tier, regions)
             if size <= _room(slots, rate, work.latest_start - now):
                 break
             self._waiting.remove(work.id)
--- a/lovagepier/decisions/queueing/waiting.py
+++ b/lovagepier/decisions/queueing/waiting.py
@@ -153,10 +153,16 @@
         """
         if not self._restricted:
             return sum(self.sizes()[: work.tier + 1])
+        return sum(self.lane_size(tier, work.regions) for tier in range(work.tier + 1))
+
+    def lane_size(self, number, regions):
+        """Return how many requests of one tier wait with these regions."""
+        tier = self._tiers[number]
+        if not self._restricted:
+            return 0 if regions else tier.size
         return sum(
-            len(tier.accounts[name].lanes[work.regions])
-            for tier in self._tiers[: work.tier + 1]
-            for _, name in tier.orders.get(work.regions, ())
+            len(tier.accounts[name].lanes[regions])
+            for _, name in tier.orders.get(regions, ())
         )
 
     def add(self, work):
@@ -298,10 +304,13 @@
             late.append(work)
         return late
 
-    def most_urgent(self, tier):
-        """Return the request of a tier with the earliest latest start, or None."""
-        accounts = self._tiers[tier].accounts.values()
-        works = [_first(account) for account in accounts if account.size]
+    def most_urgent(self, number, regions=()):
+        """Return the request of a lane with the earliest latest start, or None."""
+        tier = self._tiers[number]
+        works = [
+            tier.accounts[name].lanes[regions][0]
+            for _, name in tier.orders.get(regions, ())
+        ]
         return min(works, key=_latest_start_key, default=None)
 
     def first_expiry(self):
--- a/lovagepier/entry/_callers/residence_check.py
+++ b/lovagepier/entry/_callers/residence_check.py
@@ -14,6 +14,7 @@
 
 # Refusals of calls for which no target was found in time.
 _NO_TARGET_KINDS = (
+    ErrorKind.DEADLINE_INFEASIBLE,
     ErrorKind.DEADLINE_WAITING,
     ErrorKind.NO_TARGET,
     ErrorKind.RESIDENCE,
--- a/test/test_residence.py
+++ b/test/test_residence.py
@@ -214,6 +214,19 @@
     assert kinds["r6"] == ErrorKind.DEADLINE_WAITING
 
 
+def test_late_requests_that_wait_for_a_full_region_refuse_no_others():
+    # Four rounds of two slots may wait late in all, four rounds of one in region a.
+    scheduler = pool({"e1": "a1", "e2": "b1"}, slots=1, demote_late=True, tiers=6)
+    late = {"soft_deadline": 1.5, "late_tier": 2, "deadline": 60.0}
+    for number in range(7):
+        offer(scheduler, f"r{number}", ("a",), **late)
+    offer(scheduler, "x1", ())
+    offer(scheduler, "x2", (), soft_deadline=1.5, late_tier=2, deadline=50.0)
+    refused = [each.work.id for each in scheduler.tick(2.0)]
+    assert refused == ["r1", "r2"]
+    assert "x2" in scheduler.waiting
+
+
 def test_leaving_targets_of_a_region_may_still_be_replaced_in_time():
     scheduler = pool({"e1": "a1", "e3": "b1"})
     scheduler.targets.set_draining("e1", True)
