--- a/test/test_residence.py
+++ b/test/test_residence.py
@@ -128,8 +128,9 @@
     for number in range(1, 150):
         retried = frozenset(["e9"]) if number % 2 else frozenset()
         assert offer(scheduler, f"r{number}", exclude=retried) == []
-    assert grants(offer(scheduler, "free", (), now=1.1)) == {"free": "e2"}
-    assert offer(scheduler, "other", ("b",), now=1.2) == []
+    free = offer(scheduler, "free", (), now=1.1, tier=2)
+    assert grants(free) == {"free": "e2"}
+    assert offer(scheduler, "other", ("b",), now=1.2, tier=2) == []
     # The region's own queue stays in order.
     free = make_work("free")
     assert grants(scheduler.finish(ended(free, "e2"), 1.3)) == {"other": "e2"}
@@ -213,6 +214,19 @@
     assert kinds["r6"] == ErrorKind.DEADLINE_WAITING
 
 
+def test_late_requests_that_wait_for_a_full_region_refuse_no_others():
+    # Four rounds of two slots may wait late in all, four rounds of one in region a.
+    scheduler = pool({"e1": "a1", "e2": "b1"}, slots=1, demote_late=True, tiers=6)
+    late = {"soft_deadline": 1.5, "late_tier": 2, "deadline": 60.0}
+    for number in range(7):
+        offer(scheduler, f"r{number}", ("a",), **late)
+    offer(scheduler, "x1", ())
+    offer(scheduler, "x2", (), soft_deadline=1.5, late_tier=2, deadline=50.0)
+    refused = [each.work.id for each in scheduler.tick(2.0)]
+    assert refused == ["r1", "r2"]
+    assert "x2" in scheduler.waiting
+
+
 def test_leaving_targets_of_a_region_may_still_be_replaced_in_time():
     scheduler = pool({"e1": "a1", "e3": "b1"})
     scheduler.targets.set_draining("e1", True)
@@ -256,7 +270,8 @@
         ("a1 b1", "a", residence.NOWHERE, "a1"),
         ("b1 c9", "a", ("b",), "b1"),
         ("b1 c9", "a", ("a",), "b1 c9"),
-        ("a1 c9", "", ("a",), "a1 c9"),
+        ("a1 c9 c9", "", ("a",), "a1"),
+        ("a1 c9 c9", "", (), "a1 c9 c9"),
     ],
 )
 def test_the_directory_names_hosts_of_the_callers_or_of_allowed_regions(
