Start the whole fleet over the seeds

Cause: after a loss of all hosts, 84 hosts scanned and watched the store at once, closed and dialed links with each registration, and got a list of all hosts with each one that joined. The link between the regions was full, and one coordinator was found 2.4 s after the store was back.

--- a/lovagepier/entry/_cluster/cluster.py
+++ b/lovagepier/entry/_cluster/cluster.py
@@ -181,6 +181,7 @@
     # Choice of the coordinator
 
     def _on_roster(self, link, roster):
+        self._outgoing.rename(link, roster.coordinator)
         self.replication.request_if_behind(link, roster)
         link.store_answered_at = self._loop.time() - roster.store_age
         if roster.hosts is not None:
@@ -212,6 +213,8 @@
 
     def should_watch(self):
         """Return whether this host must watch the store itself."""
+        if self._reads_from_peers():
+            return False
         if self.coordinator_name is None or self._is_coordinator():
             return True
         if (
@@ -224,6 +227,23 @@
             in self.candidates.names(self._roster)[:MAX_WATCHING_HOSTS]
         )
 
+    def _reads_from_peers(self):
+        """Return whether a restarted host leaves reading the store to the seeds.
+
+        After a loss of all hosts, 84 scans and watches at once filled the link
+        between regions for more than a second, and no host could join another one.
+        """
+        if not self.starts_with_peers:
+            return False
+        return self._is_starting() and self._outgoing.has_any_up()
+
+    @property
+    def starts_with_peers(self):
+        """Whether this host, after a restart, asks the seeds before the store."""
+        seeds = self._cfg.peers_seeds
+        is_restart = self._cfg.host_first_start != "true"
+        return is_restart and bool(seeds) and self._cfg.peers_listen not in seeds
+
     def _is_coordinator(self):
         return self.coordinator_name == self._cfg.host_name
 
@@ -312,6 +332,7 @@
                 return
             await asyncio.sleep(STARTUP_REDIAL_INTERVAL_S)
             self._run_guarded(self._dial_peers)
+            self._run_guarded(self._send_delta)
         await asyncio.sleep(until - self._loop.time())
 
     def _dial_peers(self):
@@ -336,7 +357,10 @@
         self._rounds += 1
         for name, link in list(self._outgoing.links.items()):
             if name not in wanted and not link.in_use:
-                link.close()
+                # The order of the candidates changes with each registration after
+                # a loss of all hosts.
+                if not self._is_starting():
+                    link.close()
             elif link.in_use or self._rounds % STANDBY_HEARTBEAT_ROUNDS == 0:
                 link.send(self._heartbeat(link.in_use))
         self.update_shares()
--- a/lovagepier/entry/_cluster/followers.py
+++ b/lovagepier/entry/_cluster/followers.py
@@ -11,6 +11,9 @@
 
 # Evidence of crashes is sent at once, but not more often than this.
 MIN_PUSH_INTERVAL_S = 0.05
+# Hosts that join or leave are sent at most this often. When 84 hosts joined within half
+# a second, a list of all hosts to each of them filled the link between regions.
+MIN_LIST_INTERVAL_S = 0.25
 
 _log = component_logger("members")
 
@@ -35,6 +38,7 @@
         self._sent_hosts = {}
         self._sent = {}
         self._rosters_due = False
+        self._list_due = False
         self._pushed_at = float("-inf")
         self._push = None
         self.links = {}
@@ -86,7 +90,9 @@
         self._rows[heartbeat.name] = row
         if row != known:
             self._host_rows = None
-        if known is None or row[3:5] != known[3:5]:
+        if known is None:
+            self._list_due = True
+        elif row[3:5] != known[3:5]:
             self._rosters_due = True
 
     def _register_link(self, link, name):
@@ -108,7 +114,7 @@
         self._host_rows = None
         self._coordinator.on_entry_lost(link.peer, self._loop.time())
         _log.info("the link from an entry host ended", host=link.peer)
-        self._rosters_due = True
+        self._list_due = True
 
     def on_joined(self, name):
         """Send all state again to a host that has begun to use this coordinator.
@@ -191,11 +197,14 @@
         self.push_rosters()
 
     def push_rosters(self):
-        """Send rosters at once if a host joined, left or began to drain."""
+        """Send rosters at once if a host began to drain, soon if one joined or left."""
+        now = self._loop.time()
+        if self._list_due and now - self._pushed_at >= MIN_LIST_INTERVAL_S:
+            self._rosters_due = True
         if not self._rosters_due:
             return
-        self._rosters_due = False
-        self._pushed_at = self._loop.time()
+        self._rosters_due = self._list_due = False
+        self._pushed_at = now
         for link in self.links.values():
             link.send(self.roster(link))
 
--- a/lovagepier/entry/_cluster/outgoing.py
+++ b/lovagepier/entry/_cluster/outgoing.py
@@ -48,6 +48,25 @@
         """Return whether a host is up and has stated its incarnation."""
         return self.is_up(name) and self.links[name].boot is not None
 
+    def has_any_up(self):
+        """Return whether any link is up."""
+        return any(self.is_up(name) for name in self.links)
+
+    def rename(self, link, name):
+        """Register a link that was dialed as a seed under its host's name.
+
+        Closing it to dial the host by name would cost a starting host another
+        handshake with each seed.
+        """
+        if self.links.get(link.peer) is not link or name == link.peer:
+            return
+        del self.links[link.peer]
+        link.peer = name
+        if name in self.links:
+            link.close()
+        else:
+            self.links[name] = link
+
     def use(self, name):
         """Mark the link to the coordinator as in use and all others as standby."""
         for each, link in self.links.items():
@@ -71,8 +90,8 @@
             self._on_open(link)
 
         def on_close(link):
-            if self.links.get(name) is link:
-                del self.links[name]
+            if self.links.get(link.peer) is link:
+                del self.links[link.peer]
             self._on_change()
 
         try:
--- a/lovagepier/entry/_host.py
+++ b/lovagepier/entry/_host.py
@@ -45,6 +45,8 @@
 MIN_DRAIN_S = 2.2
 # The longest lease that the store grants.
 VERDICT_LEASE_S = 600.0
+# A restarted host asks the store only if it has no link to another host by then.
+PEERS_FIRST_S = 0.12
 # The settings file may change without a signal, so it is also polled.
 SETTINGS_POLL_S = 5.0
 # Settings that take effect only at a start: names and addresses in use.
@@ -128,7 +130,8 @@
         self._registrar = None
         self._stopping = asyncio.Event()
         self._watching = threading.Event()
-        self._watching.set()
+        if not self.cluster.starts_with_peers:
+            self._watching.set()
 
     # Start and stop
 
@@ -141,6 +144,7 @@
         signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
         self._loop.set_exception_handler(_log_unhandled)
         self._start_actors()
+        self._loop.call_later(PEERS_FIRST_S, self._set_watching)
         self._loop_monitor.start()
         try:
             await self._serve()
@@ -294,7 +298,11 @@
 
     def _on_snapshot(self, items, as_of):
         self.cluster.replication.discard_changes()
+        had_catalog = self.view.catalog is not None
         self._on_changed_keys(self.view.on_scan(items, as_of, self._loop.time()))
+        if not had_catalog:
+            # Hosts that started with this one wait for its view of the store.
+            self.cluster.followers.push_rosters_soon(at_once=True)
 
     def _on_events(self, events, as_of):
         after = self.view.as_of
