--- a/lovagepier/entry/_cluster/candidates.py
+++ b/lovagepier/entry/_cluster/candidates.py
@@ -34,6 +34,13 @@
         self._draining = {}
         self.precedence = Precedence(cfg.host_name, view, outgoing, followers)
 
+    @property
+    def starts_with_peers(self):
+        """Whether this host, after a restart, asks the seeds before the store."""
+        seeds = self._cfg.peers_seeds
+        is_restart = self._cfg.host_first_start != "true"
+        return is_restart and bool(seeds) and self._cfg.peers_listen not in seeds
+
     def names(self, roster):
         """Return the hosts that may be coordinator, most senior first.
 
