Look up calls that may run once only where targets have a pace

Change: the field is read only with [scheduling] pace = on. The coordinator's steps get names of their own, for a command that explains decisions.

--- a/lovagepier/entry/_coordination/coordinator.py
+++ b/lovagepier/entry/_coordination/coordinator.py
@@ -5,6 +5,8 @@
 names of log fields and metrics "home" means the coordinator.
 """
 
+import copy
+
 from lovagepier.decisions.crashes.poison import PoisonDetector
 from lovagepier.decisions.limits.pauses import Pauses
 from lovagepier.decisions.placement.work import Grant, Outcome, Refusal, bounded_tokens
@@ -42,6 +44,7 @@
     def __init__(self, cfg, view, rng, send, write_state):
         self._view = view
         self._send = send
+        self._has_pace = cfg.scheduling_pace == "on"
         self.pauses = Pauses()
         self.poison_detector = PoisonDetector()
         self.crash_reports = 0
@@ -124,15 +127,25 @@
         pool = self._pools.get_filled(req.service, now)
         if req.attempt == 0:
             self.rollouts.count_sent(req.service)
+        work = self.make_work(self._account_quotas, entry, req, now)
+        self._send_decisions(pool.scheduler.offer(work, now))
+
+    def make_work(self, account_quotas, entry, req, now):
+        """Return the `Work` of a request that has passed its account's quota."""
         work = make_work(entry, req, now)
-        if self._account_quotas.is_over_base(req, now):
+        if account_quotas.is_over_base(req, now):
             work.tier += OVER_QUOTA_BAND
-        work.runs_once = self._may_run_once(req.route)
-        self._send_decisions(pool.scheduler.offer(work, now))
+        if self._has_pace and self._view.catalog is not None:
+            work.runs_once = req.route in self._view.catalog.once_routes
+        return work
+
+    def copy_quotas(self):
+        """Return a copy of the `AccountQuotas`, to try a request on."""
+        return copy.deepcopy(self._account_quotas, {id(self._view): self._view})
 
-    def _may_run_once(self, route):
-        catalog = self._view.catalog
-        return catalog is not None and route in catalog.once_routes
+    def scheduler_of(self, service):
+        """Return the `PoolScheduler` of a service, None if it had no request yet."""
+        return self._pools[service].scheduler if service in self._pools else None
 
     def on_first_event(self, entry, event, now):
         """Record the time to the first event of a response."""
@@ -291,7 +304,11 @@
 
     def _send_refusal(self, work, request_id, refusal):
         self._account_quotas.refund(work)
+        self._send(work.entry, self.refusal_message(refusal, request_id))
+
+    def refusal_message(self, refusal, request_id=""):
+        """Return what the entry host of a refused request is sent."""
         wait = min(
             max(refusal.retry_after or 0.0, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S
         )
-        self._send(work.entry, Refused(request_id, refusal.kind, refusal.why, wait))
+        return Refused(request_id, refusal.kind, refusal.why, wait)
