Command lovagepier explain: where a request would go now, and why

Cause: operators could see what was decided only after a request was sent. Change: GET /explain of a host's metrics listener decides on a described request with copies of the quotas and of the scheduler, and names each target with its estimate or the reason why it is left out. The command prints a table or JSON. A host that isn't the coordinator says so and answers by its own view.

--- a/lovagepier/commands/_main.py
+++ b/lovagepier/commands/_main.py
@@ -7,6 +7,7 @@
 from lovagepier.commands import (  # noqa: F401  each registers itself
     _bench,
     _config,
+    _explain,
     _move,
     _node,
     _send,
--- a/lovagepier/decisions/placement/dispatch_log.py
+++ b/lovagepier/decisions/placement/dispatch_log.py
@@ -50,6 +50,16 @@
     def __len__(self):
         return len(self._running)
 
+    def __deepcopy__(self, memo):
+        """Return a log with the same entries, to try requests on; see `dry_run`.
+
+        Granting a request adds entries and changes none, so they are shared.
+        """
+        log = DispatchLog(self._keep_seconds)
+        log._running = dict(self._running)
+        log._finished = dict(self._finished)
+        return log
+
     def values(self):
         """Return all `Running` entries."""
         return self._running.values()
--- a/lovagepier/entry/_callers/frontend.py
+++ b/lovagepier/entry/_callers/frontend.py
@@ -7,6 +7,7 @@
 from lovagepier.entry._build_gauges import build_gauges
 from lovagepier.entry._callers.caller_conn import BadRequest, CallerConnection
 from lovagepier.entry._callers.exchange import Exchange
+from lovagepier.entry._callers.explain import EXPLAIN_PATH, answer_explain
 from lovagepier.entry._callers.running_calls import (
     STOPPING_RETRY_AFTER_S,
     RunningCalls,
@@ -336,6 +337,8 @@
         return [address for _, address, _, _ in rows]
 
     async def _handle_metrics(self, conn, call):
+        if call.path == EXPLAIN_PATH:
+            return answer_explain(self, conn, call)
         text = self.metrics.text(self._gauges())
         kind = (b"content-type", b"text/plain; version=0.0.4")
         return conn.send_response(200, [kind], text.encode())
--- a/lovagepier/entry/_callers/grants.py
+++ b/lovagepier/entry/_callers/grants.py
@@ -13,12 +13,40 @@
 from lovagepier.errors import ErrorKind
 from lovagepier.logs import component_logger
 
-__all__ = ["FailedOver", "Grants"]
+__all__ = ["FailedOver", "Grants", "dispatch_request"]
 
 _log = component_logger("callers")
 _ids = itertools.count(1)
 
 
+def dispatch_request(frontend, progress, dispatch_id, charges, now):
+    """Return the `DispatchRequest` for the next dispatch of a call.
+
+    `charges` tells whether its cost counts against its account's quota.
+    """
+    call = progress.call
+    route = call.route
+    account = call.account
+    return DispatchRequest(
+        id=dispatch_id,
+        service=route.service_for(call.request_id),
+        account=account.name if account else "",
+        route=route.name,
+        tier=frontend.tier_of(call),
+        remaining_s=progress.deadline - now,
+        soft_deadline_s=call.arrived_at + route.latency_objective_s - now,
+        prefill_tokens=call.prompt_tokens,
+        decode_tokens=call.output_tokens,
+        prefix_blocks=[list(part) for part in call.prefix_blocks],
+        fingerprint=fingerprint(call),
+        zone=frontend.cfg.host_zone,
+        attempt=progress.attempts,
+        exclude=progress.excluded.names(),
+        cost=account.cost(call) if account and charges else 0.0,
+        patience_s=progress.patience_left(now),
+    )
+
+
 class FailedOver(Exception):
     """Another target takes over from one that did not respond in time."""
 
@@ -46,30 +74,14 @@
         return decision
 
     async def _request(self):
-        progress = self._progress
-        call = progress.call
-        route = call.route
-        account = call.account
-        now = self._loop.time()
         is_first = not self._cost_charged
         self._cost_charged = True
-        req = DispatchRequest(
-            id=f"{call.request_id}#{next(_ids)}",
-            service=route.service_for(call.request_id),
-            account=account.name if account else "",
-            route=route.name,
-            tier=self._frontend.tier_of(call),
-            remaining_s=progress.deadline - now,
-            soft_deadline_s=call.arrived_at + route.latency_objective_s - now,
-            prefill_tokens=call.prompt_tokens,
-            decode_tokens=call.output_tokens,
-            prefix_blocks=[list(part) for part in call.prefix_blocks],
-            fingerprint=fingerprint(call),
-            zone=self._frontend.cfg.host_zone,
-            attempt=progress.attempts,
-            exclude=progress.excluded.names(),
-            cost=account.cost(call) if account and is_first else 0.0,
-            patience_s=progress.patience_left(now),
+        req = dispatch_request(
+            self._frontend,
+            self._progress,
+            f"{self._progress.call.request_id}#{next(_ids)}",
+            is_first,
+            self._loop.time(),
         )
         if self._frontend.cluster.is_poisoned(req.fingerprint):
             why = "targets died each time this body ran"
--- a/lovagepier/entry/_cluster/cluster.py
+++ b/lovagepier/entry/_cluster/cluster.py
@@ -117,6 +117,12 @@
                 LimitStated(grant.id, grant.target, grant.incarnation, per_second, kind)
             )
 
+    def coordinator_view_age(self, now):
+        """Return the seconds since the store last answered the coordinator in use."""
+        if self._is_coordinator():
+            return self._view.store_age(now)
+        return self._coordinator_store_age
+
     def live_hosts(self):
         """Return the rows of the live hosts, see `Roster`."""
         if self._is_coordinator():
