Space the questions of lovagepier explain

Cause: copying a large scheduler holds up the event loop for 98 ms. Change: one question at a time, and the next one after ten times what the last one took.

--- a/lovagepier/entry/_callers/explain.py
+++ b/lovagepier/entry/_callers/explain.py
@@ -3,6 +3,7 @@
 Nothing is sent, and nothing is changed by asking.
 """
 
+import asyncio
 import json
 import time
 from urllib.parse import parse_qs
@@ -13,9 +14,10 @@
 from lovagepier.entry.call import Call
 from lovagepier.platform import number_of
 
-__all__ = ["EXPLAIN_PATH", "answer_explain"]
+__all__ = ["EXPLAIN_PATH", "Explainer"]
 
 EXPLAIN_PATH = "/explain"
+PAUSE_FACTOR = 10.0
 # The id of a described request, where the description has none. The id selects the
 # service of a route with several, and the version during a rollout.
 DEFAULT_ID = "explain"
@@ -39,18 +41,41 @@
     """The description can't be read, or names something that does not exist."""
 
 
-def answer_explain(frontend, conn, call):
-    """Answer with the decision on the request that the query string describes."""
-    now = call.arrived_at
+class Explainer:
+    """Answers one question at a time.
+
+    Copying a large scheduler takes some 100 ms of the event loop, so a question waits
+    until `PAUSE_FACTOR` times what the last one took has passed.
+    """
+
+    __slots__ = ("_free_at", "_frontend", "_lock", "_loop")
+
+    def __init__(self, frontend):
+        self._frontend = frontend
+        self._loop = asyncio.get_running_loop()
+        self._lock = asyncio.Lock()
+        self._free_at = 0.0
+
+    async def answer(self, conn, call):
+        """Answer with the decision on the request that the query string describes."""
+        async with self._lock:
+            await asyncio.sleep(self._free_at - self._loop.time())
+            now = self._loop.time()
+            status, answer = _answer(self._frontend, call.target, now)
+            seconds = self._loop.time() - now
+            self._free_at = now + seconds * PAUSE_FACTOR
+        body = json.dumps(answer).encode()
+        return conn.send_response(
+            status, [(b"content-type", b"application/json")], body
+        )
+
+
+def _answer(frontend, target, now):
     try:
-        described = _read(frontend.view.catalog, call.target, now)
-        answer = _explain(frontend, described, now)
-        status = 200
+        described = _read(frontend.view.catalog, target, now)
+        return 200, _explain(frontend, described, now)
     except _Unknown as exc:
-        answer = {"title": "can't explain", "detail": str(exc)}
-        status = 404
-    body = json.dumps(answer).encode()
-    return conn.send_response(status, [(b"content-type", b"application/json")], body)
+        return 404, {"title": "can't explain", "detail": str(exc)}
 
 
 def _explain(frontend, call, now):
--- a/lovagepier/entry/_callers/frontend.py
+++ b/lovagepier/entry/_callers/frontend.py
@@ -7,7 +7,7 @@
 from lovagepier.entry._build_gauges import build_gauges
 from lovagepier.entry._callers.caller_conn import BadRequest, CallerConnection
 from lovagepier.entry._callers.exchange import Exchange
-from lovagepier.entry._callers.explain import EXPLAIN_PATH, answer_explain
+from lovagepier.entry._callers.explain import EXPLAIN_PATH, Explainer
 from lovagepier.entry._callers.running_calls import (
     STOPPING_RETRY_AFTER_S,
     RunningCalls,
@@ -109,6 +109,7 @@
         self._loop = asyncio.get_running_loop()
         self._caller_conns = set()
         self._servers = []
+        self._explainer = Explainer(self)
 
     # Connections
 
@@ -338,7 +339,7 @@
 
     async def _handle_metrics(self, conn, call):
         if call.path == EXPLAIN_PATH:
-            return answer_explain(self, conn, call)
+            return await self._explainer.answer(conn, call)
         text = self.metrics.text(self._gauges())
         kind = (b"content-type", b"text/plain; version=0.0.4")
         return conn.send_response(200, [kind], text.encode())
