Pace: leave nothing behind after restarts and removals

Cause: a restarted target without requests stayed half-open after its pace had ended; crashes were remembered for targets that are gone; a target that never carries its share was counted for good. Change: each of them ends. Tests over sockets and of calls that may run once.

--- a/lovagepier/decisions/placement/pool_paces.py
+++ b/lovagepier/decisions/placement/pool_paces.py
@@ -125,12 +125,16 @@
             self._falls[state.name] = falls + 1, pace.own
         else:
             self._falls.pop(state.name, None)
+            if pace.cause == "restart":
+                # Without a pace, a restart alone makes no target half-open.
+                state.probing = False
         seconds = round(max(now - pace.began_at, 0.0), 3)
         self._note(PaceEvent("ends", state.name, cause, pace.limit, seconds))
 
     def remove(self, state, now):
         """Forget a target that is gone."""
         self.end(state, "removed", now)
+        self._falls.pop(state.name, None)
         self.young.drop(state.name)
 
     def expire(self, now):
--- a/lovagepier/decisions/placement/young_targets.py
+++ b/lovagepier/decisions/placement/young_targets.py
@@ -8,6 +8,8 @@
 # average in `WINDOW_S`. It is below 1 because slow machines get less than fast ones.
 SHARE_FRACTION = 0.5
 WINDOW_S = 1.0
+# Targets that don't carry their share by then, such as the slowest, are not waited for.
+MAX_SHARE_S = 60.0
 _LOST_STATUSES = frozenset(("vanished", "died", "failed", "unreachable"))
 
 
@@ -65,6 +67,8 @@
             self.shares += 1
             self.share_seconds += max(now - share.began_at, 0.0)
             del self._shares[name]
+        elif now - share.began_at >= MAX_SHARE_S:
+            del self._shares[name]
         share.window_at = now
         share.own = share.others = 0
 
--- a/test/test_target_pace.py
+++ b/test/test_target_pace.py
@@ -1,5 +1,8 @@
 """How many requests targets get that start or recover (`decisions/placement/pace`)."""
 
+import asyncio
+from types import SimpleNamespace
+
 import pytest
 
 from lovagepier.decisions.placement import scheduler as scheduler_module
@@ -13,6 +16,7 @@
     make_request,
     make_view,
 )
+from test.entry_builders import call, entry_fleet, wait_until
 from test.pace_model import Load, PoolModel
 
 SEEDS = (1, 2, 3)
@@ -297,6 +301,43 @@
     assert grant.target == "e1"
 
 
+def test_calls_of_routes_that_may_run_once_are_marked():
+    cfg, view = make_cfg(), make_view(2, 4)
+    cfg.scheduling_pace = "on"
+    coordinator = make_coordinator(cfg, view, None)
+    for routes, expected in (({"read"}, True), (set(), False)):
+        view.catalog = SimpleNamespace(once_routes=routes, accounts={})
+        quotas = coordinator.copy_quotas()
+        work = coordinator.make_work(quotas, "n1", make_request("r1"), 1.0)
+        assert work.runs_once == expected
+
+
+def test_a_restart_that_no_request_followed_leaves_nothing_behind():
+    scheduler = _scheduler()
+    _restart(scheduler, 20.0)
+    assert scheduler.fleet.get("e1").probing
+    scheduler.tick(20.0 + MAX_UNUSED_S)
+    assert not scheduler.fleet.get("e1").probing
+
+
+def test_a_target_added_during_traffic_serves_over_sockets():
+    async def scenario():
+        async with entry_fleet(scheduling={"pace": "on"}) as fleet:
+            (host,) = fleet.hosts
+            assert (await call(host, "/read/x", "r0")).status == 200
+            added = await fleet.add_target("w2", "ledger")
+            await wait_until(lambda: host.coordinator.pace_gauges()["paced_targets"])
+            fleet.targets["w1"].leaving = True
+            for number in range(4):
+                response = await call(host, "/read/x", f"r{number + 1}")
+                assert response.status == 200
+            assert added.runs
+            state = host.coordinator.scheduler_of("ledger").fleet.get("w2")
+            assert state.pace is None or state.pace.limit > 1.0
+
+    asyncio.run(scenario())
+
+
 # The setting off
 
 
