Settings: the memory and the descriptors of an entry host

Callers are to be held within the machine's memory and the process's descriptor limit, which the platform states as limits.memory_mb and limits.max_fds. [host] memory_mb and [host] max_fds take them; empty or missing means that they are not stated. Nothing uses them yet. test_entry_settings passes.

--- a/lovagepier/entry/_settings.py
+++ b/lovagepier/entry/_settings.py
@@ -32,6 +32,10 @@
     return number
 
 
+def _parse_stated_amount(text):
+    return _parse_amount(text) if text else 0.0
+
+
 def _duration(default=None):
     return Option(
         parse_duration, "a time with unit ms, s, m or h, such as 500ms", default
@@ -50,6 +54,11 @@
     return Option(_parse_amount, "a number that isn't negative", default)
 
 
+def _stated_amount():
+    """Return an option that a deployment may leave empty, which is read as 0."""
+    return Option(_parse_stated_amount, "a number that isn't negative, or empty", "")
+
+
 _SCHEMA = {
     "host": {
         "name": Option(parse_name, "a name of letters, digits, '.', '_' or '-'"),
@@ -58,6 +67,8 @@
         "cores": _amount("1"),
         "core_share": _amount("1"),
         "link_mbps": _amount("1000"),
+        "memory_mb": _stated_amount(),
+        "max_fds": _stated_amount(),
         "first_start": Option(parse_one_of("true", "false"), "true or false", "false"),
     },
     "zones": None,
--- a/test/test_entry_settings.py
+++ b/test/test_entry_settings.py
@@ -33,6 +33,8 @@
     "internal_ports.0": "7600",
     "seed_nodes": "10.1.0.25:8229,10.2.0.17:8229",
     "heartbeat_ms": "1200",
+    "limits.memory_mb": "128",
+    "limits.max_fds": "4100",
     "limits.link_mbps": "1000.0",
     "limits.cpu_cores": "2",
     "limits.cpu_share": "0.537",
@@ -77,6 +79,7 @@
     assert cfg.peers_seeds == [("10.1.0.25", 8229), ("10.2.0.17", 8229)]
     assert cfg.store_lease_least == 1.0
     assert cfg.budgets_quota_slack == 110000
+    assert (cfg.host_memory_mb, cfg.host_max_fds) == (128, 4100)
 
 
 @pytest.mark.parametrize(
