Bound what callers may take of an entry host

Cause: a host held all bodies that were sent, kept all answers that were not read, parsed what a connection had sent to its end before others had a turn, and accepted connections until it had no descriptor left.

Change: requests without a route or key, and those at the ready, directory and metrics listeners, are answered before their body is read; what still comes is dropped within a bound so that the answer isn't lost. One account covers connections, bodies and targets' long responses; what does not fit is refused with 503 and Retry-After. Connections have places by listener, the peers' too. The receive buffers of callers' sockets are bounded.

--- a/lovagepier/entry/_callers/exchange.py
+++ b/lovagepier/entry/_callers/exchange.py
@@ -54,6 +54,7 @@
     __slots__ = (
         "_caller",
         "_checking",
+        "_conn",
         "_frontend",
         "_grants",
         "_loop",
@@ -69,6 +70,7 @@
 
     def __init__(self, frontend, conn, call):
         self._frontend = frontend
+        self._conn = conn
         self.call = call
         self.is_waiting = False
         self._loop = asyncio.get_running_loop()
@@ -87,18 +89,23 @@
         running_calls = self._frontend.running_calls
         ends_at = self._progress.deadline - RESPONSE_MARGIN_S
         try:
-            async with asyncio.timeout_at(ends_at) as self._timeout:
-                running_calls.add(self)
-                await self._dispatch_until_done()
-        except TimeoutError:
-            if self._stop_why:
-                self._caller.end_at_stop(self._stop_why)
-            else:
-                self._caller.end_at_deadline()
+            try:
+                async with asyncio.timeout_at(ends_at) as self._timeout:
+                    running_calls.add(self)
+                    await self._dispatch_until_done()
+            except TimeoutError:
+                if self._stop_why:
+                    self._caller.end_at_stop(self._stop_why)
+                else:
+                    self._caller.end_at_deadline()
+            finally:
+                running_calls.discard(self)
+                self._grants.return_unused()
+            if self._conn.is_backed_up:
+                await self._conn.flush()
         finally:
-            running_calls.discard(self)
-            self._grants.return_unused()
-            # A failure's body may have been kept for the caller until now.
+            # A failure's body may have been kept for the caller until now, and a
+            # response until the caller has taken it.
             for reservation in self._reservations:
                 reservation.release()
         return self._caller.is_reusable
--- a/lovagepier/entry/_callers/frontend.py
+++ b/lovagepier/entry/_callers/frontend.py
@@ -5,12 +5,18 @@
 
 from lovagepier.decisions.learning.durations import DurationEstimates
 from lovagepier.entry._build_gauges import build_gauges
-from lovagepier.entry._callers.caller_conn import BadRequest, CallerConnection
+from lovagepier.entry._callers.caller_conn import (
+    NO_MEMORY_RETRY_AFTER_S,
+    BadRequest,
+    CallerConnection,
+)
+from lovagepier.entry._callers.connections import CallerConnections, memory_account
 from lovagepier.entry._callers.exchange import Exchange
 from lovagepier.entry._callers.running_calls import (
     STOPPING_RETRY_AFTER_S,
     RunningCalls,
 )
+from lovagepier.entry._sockets import ACCEPT_BACKLOG, accept_established
 from lovagepier.entry._targets.body_memory import BodyMemory
 from lovagepier.entry._targets.checks import TargetChecks
 from lovagepier.entry._targets.connector import TargetConnector
@@ -32,6 +38,8 @@
 
 # In force until a configuration is known.
 INITIAL_LIMITS = CallerLimits(16384, 4 << 20, 3.0, 15.0)
+# Connections that a listener accepts before other work has its turn.
+ACCEPTS_A_TURN = 32
 # Callers cache a directory response for this long.
 DIRECTORY_TTL_S = 2.0
 # Timeout for connecting to a target. The longest network path takes 16 ms; waiting
@@ -63,16 +71,6 @@
 _log = component_logger("callers")
 
 
-def _accept_established(sock):
-    """Yield the established connections in the queue of a listening socket."""
-    while True:
-        try:
-            accepted, _ = sock.accept()
-        except OSError:
-            return
-        yield accepted
-
-
 class Frontend:
     """Serves callers' connections and holds what all calls share.
 
@@ -99,14 +97,19 @@
             self.target_connections.put_idle,
             cluster.requests.report_target_down,
         )
-        self.body_memory = BodyMemory()
+        account = memory_account(cfg.host_memory_mb)
+        self.body_memory = BodyMemory(
+            account.parts.targets if cfg.host_memory_mb else None, account
+        )
         self.metrics = Metrics()
         self.running_calls = RunningCalls()
         self.durations = DurationEstimates()
         self.stops_at = None
         self.has_catalog = asyncio.Event()
         self._loop = asyncio.get_running_loop()
-        self._caller_conns = set()
+        self._caller_conns = CallerConnections(
+            cfg, account, self.metrics, lambda: self.body_memory.waiting_count > 0
+        )
         self._servers = []
 
     # Connections
@@ -119,17 +122,23 @@
             ("callers_ready", self._handle_ready),
             ("metrics_listen", self._handle_metrics),
         ):
+
+            def accept(name=name, handler=handler):
+                return self._accept(name, handler)
+
             server = await self._loop.create_server(
-                lambda handler=handler: self._accept(handler), sock=sockets[name]
+                accept, sock=sockets[name], backlog=ACCEPTS_A_TURN
             )
-            self._servers.append((server, sockets[name], handler))
+            sockets[name].listen(ACCEPT_BACKLOG)
+            self._servers.append((server, sockets[name], accept))
 
-    def _accept(self, handler):
+    def _accept(self, name, handler):
         async def serve(conn):
             await self._serve_requests(conn, handler)
 
-        conn = CallerConnection(serve, self._limits, self._caller_conns.discard)
-        self._caller_conns.add(conn)
+        conn = CallerConnection(serve, self._limits, self._caller_conns, name)
+        if not self._caller_conns.add(conn):
+            conn.abort()
         return conn
 
     def _limits(self):
@@ -168,13 +177,11 @@
 
     async def close(self):
         """Stop listening; accept the connections that are established already."""
-        for server, sock, handler in self._servers:
-            established = list(_accept_established(sock))
+        for server, sock, accept in self._servers:
+            established = list(accept_established(sock))
             server.close()
             for accepted in established:
-                await self._loop.connect_accepted_socket(
-                    lambda handler=handler: self._accept(handler), accepted
-                )
+                await self._loop.connect_accepted_socket(accept, accepted)
 
     def reject_unread(self):
         """Respond 503 to requests that have not been read whole."""
@@ -243,34 +250,59 @@
     # Endpoints
 
     async def _serve_requests(self, conn, handler):
+        """Serve a connection's requests; a handler reads the body if it wants it."""
+        conns = self._caller_conns
         while not conn.disconnected:
             try:
                 head = await conn.read_head()
                 if head is None:
                     return
                 conn.serving = True
+                conns.mark_busy(conn)
                 request, arrived_at = head
                 call = decode_call(
                     request.method, request.target, list(request.headers)
                 )
                 call.arrived_at = arrived_at
-                call.body = await conn.read_body()
                 reusable = await handler(conn, call)
+                if conn.is_backed_up:
+                    await conn.flush()
+                conn.serving = False
+                if reusable:
+                    await conn.finish_request()
             except BadRequest as exc:
-                _log.info(
-                    "rejected a malformed request", status=exc.status, why=str(exc)
-                )
-                conn.reject_unread(exc.status)
-                return
+                self._reject(conn, exc)
+                reusable = False
             finally:
                 conn.serving = False
             if not reusable:
+                await conn.linger()
                 return
+            conns.mark_idle(conn)
+
+    def _reject(self, conn, exc):
+        """Respond to a request that was not read whole; it has not run."""
+        self.metrics.count(f"connections_closed_{exc.reason.replace('-', '_')}")
+        _log.info(
+            "rejected a malformed request" if exc.status != 503 else "refused a body",
+            status=exc.status,
+            why=str(exc),
+            listener=conn.listener,
+        )
+        headers = []
+        if exc.status == 503:
+            headers.append((b"retry-after", b"%.2f" % NO_MEMORY_RETRY_AFTER_S))
+        conn.reject_unread(exc.status, headers)
 
     async def _handle_call(self, conn, call):
         if self.view.catalog is None:
             await self._wait_for_catalog()
         kind = self._check(call)
+        if kind is None and conn.has_body:
+            conn.tier = self.tier_of(call)
+            call.body = await conn.read_body()
+            # The configuration may have changed meanwhile.
+            kind = self._check(call)
         if kind is not None:
             retry_after = _RETRY_AFTER.get(kind)
             conn.closing = conn.closing or kind == ErrorKind.STOPPING
@@ -356,6 +388,8 @@
             # Whether this host is the coordinator.
             "is_home": int(self.cluster.coordinator_name == self.cfg.host_name),
             "target_connections_opened": self.target_connections.opened,
+            "memory_connections_bytes": self._caller_conns.account.connections,
+            "memory_bodies_bytes": self._caller_conns.account.bodies,
             "body_bytes_reserved": self.body_memory.held,
             "bodies_waiting": self.body_memory.waiting_count,
             **build_gauges(self.cluster.live_hosts(), self.cluster.link_counts),
--- a/lovagepier/entry/_cluster/links.py
+++ b/lovagepier/entry/_cluster/links.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import enum
+import functools
 import logging
+import math
 from dataclasses import dataclass
 
 from websockets.asyncio.client import connect
-from websockets.asyncio.server import serve
+from websockets.asyncio.server import ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, InvalidStatus, WebSocketException
 
 from lovagepier import formats
@@ -26,6 +28,8 @@
 # A peer that leaves this many messages unread is disconnected.
 MAX_OUTBOX_MESSAGES = 2000
 CONNECT_TIMEOUT_S = 0.5
+# A connection to the peers' listener has to state its formats within this time.
+HANDSHAKE_TIMEOUT_S = 5.0
 
 _log = component_logger("peers")
 _QUIET_LOG = logging.getLogger("lovagepier.links")
@@ -309,12 +313,44 @@
     )
 
 
+class _PeerConnection(ServerConnection):
+    """A connection to the peers' listener; `open_conns` are all that are open.
+
+    If there are `max_conns`, it takes the place of the oldest one that has not stated
+    its formats yet, and is closed if all have.
+    """
+
+    def __init__(self, *args, open_conns, max_conns, **kwargs):
+        super().__init__(*args, **kwargs)
+        self._open_conns = open_conns
+        self._max_conns = max_conns
+
+    def connection_made(self, transport):
+        """Take a place."""
+        super().connection_made(transport)
+        if len(self._open_conns) >= self._max_conns:
+            unstated = (conn for conn in self._open_conns if conn.request is None)
+            victim = next(unstated, self)
+            self._open_conns.pop(victim, None)
+            victim.transport.abort()
+            _log.info("closed a connection for want of a place", open=self._max_conns)
+            if victim is self:
+                return
+        self._open_conns[self] = None
+
+    def connection_lost(self, exc):
+        """Leave the place to another connection."""
+        self._open_conns.pop(self, None)
+        super().connection_lost(exc)
+
+
 class LinkServer:
-    """Accepts links from other entry hosts."""
+    """Accepts links from other entry hosts, `max_conns` at a time."""
 
-    __slots__ = ("_counts", "_on_close", "_on_message", "_server")
+    __slots__ = ("_counts", "_max_conns", "_on_close", "_on_message", "_server")
 
-    def __init__(self, on_message, on_close, counts):
+    def __init__(self, on_message, on_close, counts, max_conns=math.inf):
+        self._max_conns = max_conns
         self._on_message = on_message
         self._on_close = on_close
         self._counts = counts
@@ -331,6 +367,10 @@
             compression=None,
             max_size=MAX_FRAME_BYTES,
             logger=_QUIET_LOG,
+            open_timeout=HANDSHAKE_TIMEOUT_S,
+            create_connection=functools.partial(
+                _PeerConnection, open_conns={}, max_conns=self._max_conns
+            ),
         )
 
     def close(self):
--- a/lovagepier/entry/_host.py
+++ b/lovagepier/entry/_host.py
@@ -10,6 +10,7 @@
 
 from lovagepier import build_name
 from lovagepier.clocks import uptime
+from lovagepier.decisions.limits.connection_places import connection_places
 from lovagepier.decisions.rollouts.terms import Terms
 from lovagepier.entry._callers.frontend import GRACE_MARGIN_S, Frontend
 from lovagepier.entry._cluster.cluster import Cluster
@@ -53,6 +54,8 @@
         "callers_directory",
         "callers_listen",
         "callers_ready",
+        "host_max_fds",
+        "host_memory_mb",
         "host_name",
         "metrics_listen",
         "peers_listen",
@@ -150,7 +153,10 @@
 
     async def _serve(self):
         links = LinkServer(
-            self._on_link_message, self._on_link_closed, self.cluster.link_counts
+            self._on_link_message,
+            self._on_link_closed,
+            self.cluster.link_counts,
+            connection_places(int(self.cfg.host_max_fds))["peers_listen"],
         )
         await links.start(self.cfg.peers_listen)
         await self.frontend.listen(self._sockets)
--- a/lovagepier/entry/_settings.py
+++ b/lovagepier/entry/_settings.py
@@ -56,7 +56,7 @@
 
 def _stated_amount():
     """Return an option that a deployment may leave empty, which is read as 0."""
-    return Option(_parse_stated_amount, "a number that isn't negative, or empty", "")
+    return Option(_parse_stated_amount, "a number that isn't negative, or empty", "0")
 
 
 _SCHEMA = {
--- a/lovagepier/entry/_sockets.py
+++ b/lovagepier/entry/_sockets.py
@@ -9,10 +9,14 @@
 
 from lovagepier.errors import UserError
 
-__all__ = ["open_sockets"]
+__all__ = ["ACCEPT_BACKLOG", "accept_established", "open_sockets"]
 
 # Connections that may wait to be accepted on each socket.
 ACCEPT_BACKLOG = 512
+# What the kernel holds for a connection that isn't read; it takes twice this. Otherwise
+# the kernel lets the buffer grow to some megabytes. A path with a round trip of 16 ms
+# still carries 8 MB/s.
+RECEIVE_BUFFER_BYTES = 128 * 1024
 _LISTEN_SETTINGS = (
     "callers_listen",
     "callers_directory",
@@ -26,12 +30,28 @@
 
     Raise `UserError` if an address can't be used.
     """
-    return {name: _listen(name, getattr(cfg, name)) for name in _LISTEN_SETTINGS}
+    return {
+        name: _listen(name, getattr(cfg, name), cfg.host_memory_mb)
+        for name in _LISTEN_SETTINGS
+    }
 
 
-def _listen(name, address):
+def accept_established(sock):
+    """Yield the established connections in the queue of a listening socket."""
+    while True:
+        try:
+            accepted, _ = sock.accept()
+        except OSError:
+            return
+        yield accepted
+
+
+def _listen(name, address, has_bounds):
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if has_bounds:
+        # Accepted connections inherit it.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     sock.setblocking(False)
     try:
         sock.bind(address)
--- a/lovagepier/entry/_targets/body_memory.py
+++ b/lovagepier/entry/_targets/body_memory.py
@@ -32,12 +32,14 @@
     """Grants reservations in the order in which they are asked for, by target.
 
     A body that has none is not read further than `FREE_BYTES`, so its target has to
-    wait. Each reservation is for a whole body: those that have one can always end.
+    wait. The process's `MemoryAccount` shows what is reserved. Each reservation is for
+    a whole body: those that have one can always end.
     """
 
-    __slots__ = ("_budget", "_loop", "_waiting")
+    __slots__ = ("_account", "_budget", "_loop", "_waiting")
 
-    def __init__(self, capacity=None):
+    def __init__(self, capacity=None, account=None):
+        self._account = account
         self._budget = ByteBudget(capacity or default_capacity(), TARGET_SHARE)
         self._loop = asyncio.get_running_loop()
         self._waiting = {}
@@ -60,9 +62,21 @@
         """Return an empty `Reservation` for the bodies of one request."""
         return Reservation(self, owner, request_id)
 
+    def _reserve(self, owner, size):
+        if not self._budget.take(owner, size):
+            return False
+        if self._account is not None:
+            self._account.targets += size
+        return True
+
+    def _unreserve(self, owner, size):
+        self._budget.give_back(owner, size)
+        if self._account is not None:
+            self._account.targets -= size
+
     async def _take(self, owner, size):
         """Wait until `size` bytes are reserved; return whether that took a while."""
-        if owner not in self._waiting and self._budget.take(owner, size):
+        if owner not in self._waiting and self._reserve(owner, size):
             return False
         granted = self._loop.create_future()
         self._waiting.setdefault(owner, deque()).append((granted, size))
@@ -70,13 +84,13 @@
             await granted
         except asyncio.CancelledError:
             if not granted.cancelled():
-                self._budget.give_back(owner, size)
+                self._unreserve(owner, size)
             self._grant_waiting()
             raise
         return True
 
     def _give_back(self, owner, size):
-        self._budget.give_back(owner, size)
+        self._unreserve(owner, size)
         self._grant_waiting()
 
     def _grant_waiting(self):
@@ -84,7 +98,7 @@
             while waiting:
                 granted, size = waiting[0]
                 if not granted.cancelled():
-                    if not self._budget.take(owner, size):
+                    if not self._reserve(owner, size):
                         break
                     granted.set_result(None)
                 waiting.popleft()
