--- a/lovagepier/entry/_settings.py
+++ b/lovagepier/entry/_settings.py
@@ -39,6 +39,10 @@
     return _parse_amount(text)
 
 
+def _parse_stated_amount(text):
+    return _parse_optional_amount(text) or 0.0
+
+
 def _duration(default=None):
     return Option(
         parse_duration, "a time with unit ms, s, m or h, such as 500ms", default
@@ -63,6 +67,13 @@
     )
 
 
+def _stated_amount():
+    """Return an option that a deployment may leave empty, which is read as 0."""
+    return Option(
+        _parse_stated_amount, "a number that isn't negative, off or nothing", "0"
+    )
+
+
 _SCHEMA = {
     "host": {
         "name": Option(parse_name, "a name of letters, digits, '.', '_' or '-'"),
@@ -71,6 +82,8 @@
         "cores": _amount("1"),
         "core_share": _amount("1"),
         "link_mbps": _amount("1000"),
+        "memory_mb": _stated_amount(),
+        "max_fds": _stated_amount(),
         "first_start": Option(parse_one_of("true", "false"), "true or false", "false"),
     },
     "zones": None,
--- a/test/test_entry_settings.py
+++ b/test/test_entry_settings.py
@@ -33,6 +33,8 @@
     "internal_ports.0": "7600",
     "seed_nodes": "10.1.0.25:8229,10.2.0.17:8229",
     "heartbeat_ms": "1200",
+    "limits.memory_mb": "128",
+    "limits.max_fds": "4100",
     "limits.link_mbps": "1000.0",
     "limits.cpu_cores": "2",
     "limits.cpu_share": "0.537",
@@ -80,6 +82,7 @@
     assert cfg.store_lease_least == 1.0
     assert cfg.budgets_quota_slack == 110000
     assert (cfg.targets_cold_overage, cfg.targets_cold_slack) == (1.5, 5.0)
+    assert (cfg.host_memory_mb, cfg.host_max_fds) == (128, 4100)
 
 
 def test_bounds_that_a_deployment_does_not_have_are_off():
@@ -92,9 +95,11 @@
 
 def test_a_placeholder_that_the_platform_leaves_is_off():
     """Guards against a host that does not start where the platform lacks a field."""
-    unknown = {name: "{{" + name + "}}" for name in FIELDS if "cold" in name}
+    names = ("bounds.cold_slack", "limits.memory_mb", "limits.max_fds")
+    unknown = {name: "{{" + name + "}}" for name in names}
     cfg = parse_entry_settings(render(TEMPLATE.read_text(), FIELDS | unknown))
     assert cfg.targets_cold_slack is None
+    assert (cfg.host_memory_mb, cfg.host_max_fds) == (0.0, 0.0)
 
 
 @pytest.mark.parametrize("pace, is_on", [("auto", True), ("on", True), ("off", False)])
