Refuse long requests early and keep urgent ones out of full engines' queues

Cause: in a burst of long answers, long requests are refused after seconds of waiting, and urgent ones are sent to full engines, where they wait for that engine's next place while others free theirs.

Change: `[scheduling] reserve_room` (default off). A long, less urgent request that would be late is refused on arrival, with a Retry-After behind the queue; urgent requests wait for any place while places are freed often.

--- a/lovagepier/decisions/placement/policies.py
+++ b/lovagepier/decisions/placement/policies.py
@@ -42,11 +42,13 @@
     With `queues` a request waits at the coordinator for a free slot; without it the
     request is sent to an engine on arrival and waits there. With `sheds` a request
     that can't meet its deadline is refused before it starts. `zone_cost(zone, zone)`
-    returns the cost of crossing zones in seconds.
+    returns the cost of crossing zones in seconds. While `overbooks` is false no request
+    waits at a full target.
     """
 
     queues = False
     sheds = False
+    overbooks = True
 
     def __init__(self, zone_cost=None):
         self.zone_cost = zone_cost or default_zone_cost
@@ -55,10 +57,9 @@
         """Return (target state, hit tokens, why), or None if no target can start it."""
         raise NotImplementedError
 
-
-def _may_overbook(work):
-    """Return whether `work` may wait at a full target for its next slot."""
-    return work.may_overbook or work.tier == 0
+    def _may_overbook(self, work):
+        """Return whether `work` may wait at a full target for its next slot."""
+        return self.overbooks and (work.may_overbook or work.tier == 0)
 
 
 def _available(fleet, version, work, now):
@@ -134,14 +135,14 @@
         elsewhere.
         """
         work.awaits_cache = False
-        if fleet.is_full(version, _may_overbook(work)):
+        if fleet.is_full(version, self._may_overbook(work)):
             return None
         best = None
         held = 0.0
         for state, hit in self._considered(fleet, version, work, prefixes, now):
             if state.name in work.exclude or not state.takes_work(now):
                 continue
-            if not state.has_room(extra=int(_may_overbook(work))):
+            if not state.has_room(extra=int(self._may_overbook(work))):
                 held = max(held, hit / state.speed.prefill_rate)
                 continue
             cost = self._cost(state, hit, work)
@@ -180,7 +181,7 @@
                 if state is not None and state.version == version:
                     yield state, work.hit_tokens(depth)
         count = MAX_CONSIDERED + len(work.exclude)
-        for state in fleet.soonest(version, count, now, _may_overbook(work)):
+        for state in fleet.soonest(version, count, now, self._may_overbook(work)):
             if state.name not in hits:
                 yield state, work.hit_tokens(prefixes.depth(state.name, work.blocks))
 
@@ -194,7 +195,7 @@
         states = [
             state
             for state in _available(fleet, version, work, now)
-            if state.has_room(extra=int(_may_overbook(work)))
+            if state.has_room(extra=int(self._may_overbook(work)))
         ]
         if not states:
             return None
--- a/lovagepier/decisions/placement/scheduler.py
+++ b/lovagepier/decisions/placement/scheduler.py
@@ -11,6 +11,7 @@
 from lovagepier.decisions.placement.policies import POLICIES
 from lovagepier.decisions.placement.pool_targets import PoolTargets
 from lovagepier.decisions.placement.prefixes import PrefixIndex
+from lovagepier.decisions.placement.room_hook import RoomHook
 from lovagepier.decisions.placement.scheduler_options import SchedulerOptions
 from lovagepier.decisions.placement.versions import preferred_versions
 from lovagepier.decisions.placement.work import Grant, Outcome, Refusal
@@ -41,7 +42,8 @@
     `old_version` is the version in service; if it is None, targets of every version
     serve. During a rollout `share` is {new version: fraction of new requests}.
     `last_shed` is (tier, time) of the last request shed for lack of a slot. `pauses`
-    are what targets want from single entry hosts; several pools may share them.
+    are what targets want from single entry hosts; several pools may share them. `room`
+    is the `RoomHook`, None unless the options have `reserve_room`.
     `targets` are the `PoolTargets` of `fleet`, `learning` is the `OutcomeLearning`.
     """
 
@@ -73,6 +75,11 @@
             self.fleet, self.lengths, self.learning, options.demote_late
         )
         self._late = LateRequests(self.fleet, self.waiting, self._start_rates)
+        self.room = None
+        if options.reserve_room:
+            self.room = RoomHook(
+                self.fleet, self.waiting, self._start_rates, self._dispatched
+            )
 
     @property
     def poison_detector(self):
@@ -112,6 +119,8 @@
             kind = ErrorKind.DEADLINE_WAITING
             why = "the rate limits of all targets leave it no time"
             return [Refusal(work, kind, why, retry_after=excess_s)]
+        if self.room and (refusal := self.room.refuse_early(work, now)):
+            return [refusal]
         if not self.policy.queues:
             grant = self._place(work, now)
             if grant is None:
@@ -235,6 +244,8 @@
         work.exclude = excluded | self.pauses.avoided(work.entry, self.fleet, now)
         if self._trials.is_suspect(work):
             work.exclude |= self._trials.targets_with_suspects()
+        if self.room:
+            self.policy.overbooks = not self.room.waits_in_queue(work, now)
         try:
             return self._place_on_any(work, now)
         finally:
@@ -276,6 +287,8 @@
         if running is None:
             return
         running.first_byte_at = now
+        if self.room:
+            self.room.on_first_event(running.work, seconds)
         state = self.fleet.get(running.target)
         if state is None:
             return
--- a/lovagepier/decisions/placement/scheduler_options.py
+++ b/lovagepier/decisions/placement/scheduler_options.py
@@ -22,7 +22,8 @@
     `make_retry_budget` creates the pool's `RetryBudget`. `zone_cost(zone, zone)`
     returns the cost in seconds of dispatching to another zone. With `demote_late` a
     request that will miss its soft deadline moves to its `late_tier`: a late response
-    is worth little, so it must not make the next one late as well.
+    is worth little, so it must not make the next one late as well. With `reserve_room`
+    long answers yield to urgent requests, see `ReserveRoom`.
     """
 
     __slots__ = (
@@ -33,6 +34,7 @@
         "make_retry_budget",
         "max_waiting",
         "policy",
+        "reserve_room",
         "shed_pause_s",
         "tiers",
         "zone_cost",
@@ -50,6 +52,7 @@
         demote_late=False,
         zone_cost=None,
         lost_after_s=LOST_AFTER_S,
+        reserve_room=False,
     ):
         self.tiers = tiers
         self.max_waiting = max_waiting
@@ -61,3 +64,4 @@
         self.demote_late = demote_late
         self.zone_cost = zone_cost
         self.lost_after_s = lost_after_s
+        self.reserve_room = reserve_room
--- a/lovagepier/decisions/placement/work.py
+++ b/lovagepier/decisions/placement/work.py
@@ -28,6 +28,7 @@
     - `soft_deadline`: after this its response is late; 0 if there is none.
     - `abandoned_at`: when the caller leaves unless the response has begun.
     - `latest_on_time_start`: the last start at which it can still meet that.
+    - `least_first_s`: a lower bound on the time from its start to the first event.
 
     Order and place:
     - `entry`: the entry host that asked and holds the body.
@@ -87,6 +88,7 @@
     cost: float = 0.0
     late_tier: int = 0
     abandoned_at: float = float("inf")
+    least_first_s: float = 0.0
 
     def hit_tokens(self, depth):
         """Return the prompt tokens in the first `depth` blocks."""
--- a/lovagepier/decisions/queueing/feasibility.py
+++ b/lovagepier/decisions/queueing/feasibility.py
@@ -44,6 +44,7 @@
         if not heeds_soft_deadline and work.abandoned_at == float("inf"):
             return
         first_s = self._least_first_seconds(work, now)
+        work.least_first_s = first_s
         work.latest_start = min(work.latest_start, work.abandoned_at - first_s)
         if heeds_soft_deadline:
             work.latest_on_time_start = work.soft_deadline - first_s
--- a/lovagepier/decisions/queueing/start_rates.py
+++ b/lovagepier/decisions/queueing/start_rates.py
@@ -41,5 +41,7 @@
     def rate_from(self, tier, now):
         """Return the starts per second of a tier and all lower ones."""
         for each in range(tier, len(self._counts)):
-            self._decay(each, now)
+            # Most tiers are unused, and the exponential costs more than all else here.
+            if self._counts[each]:
+                self._decay(each, now)
         return sum(self._counts[tier:]) / DECAY_S
--- a/lovagepier/decisions/queueing/waiting.py
+++ b/lovagepier/decisions/queueing/waiting.py
@@ -156,6 +156,22 @@
                     yield account.works[depth]
                 depth += 1
 
+    def ahead_of(self, work):
+        """Return how many queued requests would be served before a new one.
+
+        Of the other accounts of its tier only those that come before it in fair
+        queueing count, so an account that sends much waits for itself. O(accounts).
+        """
+        tier = self._tiers[work.tier]
+        own = tier.accounts.get(work.account)
+        rounds = (len(own.works) + 1 if own else 1) / max(work.weight, 1e-6)
+        ahead = sum(each.size for each in self._tiers[: work.tier])
+        for _, name in tier.order:
+            account = tier.accounts[name]
+            turns = rounds * max(account.works[0].weight, 1e-6)
+            ahead += min(len(account.works), int(turns))
+        return ahead
+
     def take(self, work, cost):
         """Remove `work` for service and charge its account `cost` seconds."""
         tier = self._tiers[work.tier]
--- a/lovagepier/entry/_callers/frontend.py
+++ b/lovagepier/entry/_callers/frontend.py
@@ -353,6 +353,7 @@
             "hosts": len(self.view.members()),
             "callers_open": len(self._caller_conns),
             "waiting": self.coordinator.waiting_count(),
+            **self.coordinator.room_counts(),
             # Whether this host is the coordinator.
             "is_home": int(self.cluster.coordinator_name == self.cfg.host_name),
             "target_connections_opened": self.target_connections.opened,
--- a/lovagepier/entry/_coordination/coordinator.py
+++ b/lovagepier/entry/_coordination/coordinator.py
@@ -242,6 +242,7 @@
                 pool.scheduler.targets.begin_probing(name)
             self._send_decisions(pool.scheduler.release_lost((), now))
             self._send_decisions(pool.scheduler.tick(now))
+            pool.room_log.update(service, pool.scheduler.room, now)
 
     def _running_on_old_version(self, service):
         return self._pool(service).scheduler.fleet.in_flight("old")
@@ -254,6 +255,10 @@
         """Return the number of requests that wait in queues."""
         return sum(len(pool.scheduler.waiting) for pool in self._pools.values())
 
+    def room_counts(self):
+        """Return the counts of what `reserve_room` decided, by name of the metric."""
+        return self._pools.room_counts()
+
     # Decisions
 
     def _send_decisions(self, decisions):
--- a/lovagepier/entry/_coordination/service_pools.py
+++ b/lovagepier/entry/_coordination/service_pools.py
@@ -6,6 +6,7 @@
 from lovagepier.decisions.placement.scheduler import PoolScheduler, SchedulerOptions
 from lovagepier.entry._coordination.backoffs import TargetBackoffs
 from lovagepier.entry._coordination.budgets import make_retry_budget
+from lovagepier.entry._coordination.room_log import RoomLog
 from lovagepier.entry._coordination.stated_limits import StatedLimits
 from lovagepier.entry._coordination.target_groups import targets_by_service
 from lovagepier.entry._coordination.work import BANDS_PER_TIER, TIERS
@@ -31,6 +32,7 @@
     scheduler: PoolScheduler
     incarnations: dict = field(default_factory=dict)
     backoffs: TargetBackoffs = field(default_factory=TargetBackoffs)
+    room_log: RoomLog = field(default_factory=RoomLog)
 
 
 class ServicePools:
@@ -97,6 +99,7 @@
             zone_cost=make_zone_cost(self._cfg),
             lost_after_s=LOST_AFTER_S,
             max_waiting=self._cfg.scheduling_max_waiting,
+            reserve_room=self._cfg.scheduling_reserve_room == "on",
             shed_pause_s=SHED_PAUSE_S,
             finished_retention_s=FINISHED_RETENTION_S,
             make_retry_budget=lambda: make_retry_budget(self._cfg, self._quota_share),
@@ -107,6 +110,14 @@
         pool.scheduler.targets.set_rate_share(self._quota_share, 0.0)
         return pool
 
+    def room_counts(self):
+        """Return the counts of what `reserve_room` decided, by name of the metric."""
+        rooms = [each.room for each in self.schedulers() if each.room is not None]
+        return {
+            "early_refusals": sum(room.decision.early_refusals for room in rooms),
+            "kept_in_queue": sum(room.kept_in_queue for room in rooms),
+        }
+
     # Targets
 
     def refresh(self, now):
--- a/lovagepier/entry/_host.py
+++ b/lovagepier/entry/_host.py
@@ -47,7 +47,8 @@
 VERDICT_LEASE_S = 600.0
 # The settings file may change without a signal, so it is also polled.
 SETTINGS_POLL_S = 5.0
-# Settings that take effect only at a start: names and addresses in use.
+# Settings that take effect only at a start: names and addresses in use, and what
+# schedulers are made with.
 STARTUP_SETTINGS = frozenset(
     (
         "callers_directory",
@@ -56,6 +57,7 @@
         "host_name",
         "metrics_listen",
         "peers_listen",
+        "scheduling_reserve_room",
         "store_address",
     )
 )
--- a/lovagepier/entry/_settings.py
+++ b/lovagepier/entry/_settings.py
@@ -92,6 +92,7 @@
         "max_waiting": Option(
             parse_count(1, 100_000), "a whole number from 1 to 100000", "2000"
         ),
+        "reserve_room": Option(parse_one_of("on", "off"), "on or off", "off"),
     },
     "logs": {
         "level": Option(
