Bound the tokens that the requests of a target hold

Cause: a target crashes if its requests exceed its memory, though it has slots free, and the crash makes suspects of sound requests.

Change: `engine.kv_capacity` of a service bounds the prompts and longest answers that a target was granted and has not ended. A request without memory goes elsewhere or waits; others overtake it for a bounded time. One beyond the whole capacity runs alone on an idle target.

--- a/lovagepier/decisions/placement/fleet.py
+++ b/lovagepier/decisions/placement/fleet.py
@@ -21,6 +21,8 @@
 MAX_EJECTED_FRACTION = 0.34
 # The list of fastest targets is reused for this long, as speeds change slowly.
 MAX_FASTEST_AGE_S = 0.5
+# Targets without memory for a request that are passed over in the search for one.
+MAX_SKIPPED = 32
 
 
 class TargetState:
@@ -32,8 +34,9 @@
     time. `vanished` lists (`Run`, time) of requests that were lost there.
     `prefilling` maps running requests before their first byte to the tokens of their
     prefill. `rate_limit` and `rejection_limit` are the `RateLimit` and the
-    `RejectionLimit` that the target states. `key` is the target's place in the `Fleet`
-    index, None outside of it.
+    `RejectionLimit` that the target states. `memory_tokens` bounds the tokens of its
+    running requests, 0 for no bound; `held_tokens` are theirs now. `key` is the
+    target's place in the `Fleet` index, None outside of it.
     """
 
     __slots__ = (
@@ -42,10 +45,12 @@
         "ejected_until",
         "ejections",
         "failures",
+        "held_tokens",
         "incarnation",
         "key",
         "last_start_at",
         "limit",
+        "memory_tokens",
         "name",
         "prefilling",
         "probing",
@@ -75,6 +80,8 @@
         self.running = {}
         self.prefilling = {}
         self.queued_prefill = 0
+        self.memory_tokens = 0
+        self.held_tokens = 0
         self.failures = 0
         self.ejections = 0
         self.ejected_until = float("-inf")
@@ -126,6 +133,15 @@
             extra = 0
         return self.limit.has_room(self.in_flight - extra * self.limit.overbook_slots)
 
+    def has_memory(self, work):
+        """Return whether the target has memory for `work`.
+
+        An idle target takes any request, also one beyond its whole memory.
+        """
+        if not self.memory_tokens or not self.running:
+            return True
+        return self.held_tokens + work.memory_tokens <= self.memory_tokens
+
     def slots_within(self, seconds):
         """Return how many requests may start in a time in which each slot is freed."""
         return min(self.limit.value, self.rate_limit.starts_within(seconds))
@@ -143,6 +159,7 @@
         """Register `work` as running here."""
         prefill = max(work.prefill_tokens - hit_tokens, 0)
         self.running[work.id] = work
+        self.held_tokens += work.memory_tokens
         self.prefilling[work.id] = prefill
         self.queued_prefill += prefill
 
@@ -159,7 +176,11 @@
     def finish(self, request_id):
         """Remove a running request; return its work, or None if unknown."""
         self.prefilled(request_id)
-        return self.running.pop(request_id, None)
+        work = self.running.pop(request_id, None)
+        if work is not None:
+            # Estimated lengths are fractions, so sums would drift.
+            self.held_tokens -= work.memory_tokens if self.running else self.held_tokens
+        return work
 
     def on_success(self):
         """Close the circuit breaker after a successful request."""
@@ -287,12 +308,14 @@
             return False
         return not (may_overbook and self._order.get((version, True)))
 
-    def soonest(self, version, count, now, may_overbook=False):
+    def soonest(self, version, count, now, may_overbook=False, work=None):
         """Yield up to `count` healthy targets of `version`, soonest finish first.
 
         With `may_overbook`, full targets at which a request may wait for the next
-        slot come after those with a free one.
+        slot come after those with a free one. Targets without memory for `work` are
+        left out, or come as well if there are many of them.
         """
+        skipped = 0
         for full in (False, True) if may_overbook else (False,):
             for _, name in self._order.get((version, full), ()):
                 state = self._targets[name]
@@ -300,6 +323,9 @@
                 # ejection; idle ones would come first.
                 if not state.takes_work(now):
                     continue
+                if work and skipped < MAX_SKIPPED and not state.has_memory(work):
+                    skipped += 1
+                    continue
                 yield state
                 count -= 1
                 if not count:
--- a/lovagepier/decisions/placement/policies.py
+++ b/lovagepier/decisions/placement/policies.py
@@ -18,6 +18,11 @@
 # Running requests of a target that count as delayed by a new prefill.
 MAX_DELAYED_REQUESTS = 4
 OTHER_ZONE_COST_S = 0.001
+# A request that waits for memory of targets may be overtaken for this long, and for
+# this fraction of the time that it has to start on time. Smaller ones would otherwise
+# take all memory that is freed.
+MAX_OVERTAKEN_S = 1.0
+OVERTAKEN_FRACTION = 0.25
 
 
 def policy(name):
@@ -43,12 +48,14 @@
     request is sent to an engine on arrival and waits there. With `sheds` a request
     that can't meet its deadline is refused before it starts. `zone_cost(zone, zone)`
     returns the cost of crossing zones in seconds. While `overbooks` is false no request
-    waits at a full target.
+    waits at a full target. `memory_waits` counts how often a request was not placed for
+    want of memory at targets.
     """
 
     queues = False
     sheds = False
     overbooks = True
+    memory_waits = 0
 
     def __init__(self, zone_cost=None):
         self.zone_cost = zone_cost or default_zone_cost
@@ -69,6 +76,7 @@
         if state.version == version
         and state.name not in work.exclude
         and state.takes_work(now)
+        and state.has_memory(work)
     ]
 
 
@@ -132,9 +140,10 @@
 
         Sets `work.awaits_cache` and returns None if a target without a free slot
         has so much of the prompt cached that a short wait costs less than a prefill
-        elsewhere.
+        elsewhere. Sets `work.overtaken_until` if targets only lack memory for it.
         """
         work.awaits_cache = False
+        work.overtaken_until = float("-inf")
         if fleet.is_full(version, self._may_overbook(work)):
             return None
         best = None
@@ -142,6 +151,8 @@
         for state, hit in self._considered(fleet, version, work, prefixes, now):
             if state.name in work.exclude or not state.takes_work(now):
                 continue
+            if not state.has_memory(work):
+                continue
             if not state.has_room(extra=int(self._may_overbook(work))):
                 held = max(held, hit / state.speed.prefill_rate)
                 continue
@@ -149,6 +160,7 @@
             if best is None or cost < best[0]:
                 best = (cost, state, hit)
         if best is None:
+            self._note_lack_of_memory(fleet, version, work, now)
             return None
         cost, state, hit = best
         saved = held - hit / state.speed.prefill_rate
@@ -157,6 +169,18 @@
             return None
         return state, hit, f"finishes in {cost:.3f} s, {hit} tokens cached"
 
+    def _note_lack_of_memory(self, fleet, version, work, now):
+        for state in fleet.soonest(version, 1, now, self._may_overbook(work)):
+            if state.has_memory(work):
+                return
+            self.memory_waits += 1
+            # One that needs an idle target must not hold back all others until then.
+            if work.memory_tokens > state.memory_tokens:
+                work.overtaken_until = float("inf")
+                return
+            left_s = (work.latest_on_time_start - work.arrived) * OVERTAKEN_FRACTION
+            work.overtaken_until = work.arrived + min(MAX_OVERTAKEN_S, left_s)
+
     def _can_wait(self, work, saved, now):
         if now - work.arrived >= min(saved * AFFINITY_WAIT_FACTOR, MAX_AFFINITY_WAIT_S):
             return False
@@ -181,7 +205,8 @@
                 if state is not None and state.version == version:
                     yield state, work.hit_tokens(depth)
         count = MAX_CONSIDERED + len(work.exclude)
-        for state in fleet.soonest(version, count, now, self._may_overbook(work)):
+        may_overbook = self._may_overbook(work)
+        for state in fleet.soonest(version, count, now, may_overbook, work):
             if state.name not in hits:
                 yield state, work.hit_tokens(prefixes.depth(state.name, work.blocks))
 
--- a/lovagepier/decisions/placement/pool_targets.py
+++ b/lovagepier/decisions/placement/pool_targets.py
@@ -45,13 +45,15 @@
         slots=None,
         draining=None,
         rejection_limit=None,
+        memory_tokens=0,
     ):
         """Add a target, or update its zone, version, incarnation or draining state.
 
         `slots` is the concurrency that a new target states, None where its limit
         has to be learnt. A new incarnation counts as a restart; `rejection_limit` is
         the number that it starts with, None for none. With `draining` None an update
-        leaves that state as it is.
+        leaves that state as it is. `memory_tokens` bounds the tokens of its running
+        requests, 0 for no bound.
         """
         state = self._fleet.get(name)
         if state is None:
@@ -59,6 +61,7 @@
                 name, zone, version, incarnation, self._initial_limit, slots
             )
             state.draining = bool(draining)
+            state.memory_tokens = memory_tokens
             self._reset_stated_limits(state, rejection_limit, now)
             self._fleet.add(state)
             return
@@ -69,6 +72,7 @@
         if state.version != version:
             state.version = version
         state.zone = zone
+        state.memory_tokens = memory_tokens
         if draining is not None:
             state.draining = draining
         self._fleet.reindex(state)
--- a/lovagepier/decisions/placement/scheduler.py
+++ b/lovagepier/decisions/placement/scheduler.py
@@ -171,6 +171,8 @@
             return decisions
         for work in self.waiting.expired(now):
             why = "it could not finish by its deadline if started now"
+            if work.overtaken_until > float("-inf"):
+                why += "; targets lacked memory for it"
             kind = ErrorKind.DEADLINE_WAITING
             decisions.append(self._shed(work, now, kind, why))
         return decisions
@@ -228,7 +230,7 @@
         return None
 
     def _may_be_passed_over(self, work, now):
-        if work.exclude or work.awaits_cache:
+        if work.exclude or work.awaits_cache or now < work.overtaken_until:
             return True
         if self.pauses.avoided(work.entry, self.fleet, now):
             return True
--- a/lovagepier/decisions/placement/work.py
+++ b/lovagepier/decisions/placement/work.py
@@ -40,6 +40,8 @@
     - `may_overbook`: whether it may wait at a full target for the next slot, as
       tier 0 may.
     - `awaits_cache`: it is queued for a target that has its prefix cached.
+    - `overtaken_until`: until then others may overtake it, as it waits for memory of
+      targets; -inf if it doesn't.
     - `sequence`: its number in order of arrival.
 
     Size:
@@ -89,6 +91,12 @@
     late_tier: int = 0
     abandoned_at: float = float("inf")
     least_first_s: float = 0.0
+    overtaken_until: float = float("-inf")
+
+    @property
+    def memory_tokens(self):
+        """The tokens that it may hold in its target's memory: prompt and answer."""
+        return self.prefill_tokens + (self.max_decode_tokens or self.decode_tokens)
 
     def hit_tokens(self, depth):
         """Return the prompt tokens in the first `depth` blocks."""
--- a/lovagepier/entry/_coordination/coordinator.py
+++ b/lovagepier/entry/_coordination/coordinator.py
@@ -256,7 +256,7 @@
         return sum(len(pool.scheduler.waiting) for pool in self._pools.values())
 
     def room_counts(self):
-        """Return the counts of what `reserve_room` decided, by name of the metric."""
+        """Return counts of decisions on places and memory, by name of the metric."""
         return self._pools.room_counts()
 
     # Decisions
--- a/lovagepier/entry/_coordination/service_pools.py
+++ b/lovagepier/entry/_coordination/service_pools.py
@@ -111,11 +111,12 @@
         return pool
 
     def room_counts(self):
-        """Return the counts of what `reserve_room` decided, by name of the metric."""
+        """Return counts of decisions on places and memory, by name of the metric."""
         rooms = [each.room for each in self.schedulers() if each.room is not None]
         return {
             "early_refusals": sum(room.decision.early_refusals for room in rooms),
             "kept_in_queue": sum(room.kept_in_queue for room in rooms),
+            "memory_waits": sum(each.policy.memory_waits for each in self.schedulers()),
         }
 
     # Targets
@@ -171,6 +172,7 @@
                 slots=slots[target.id],
                 draining=draining[target.id],
                 rejection_limit=rejection_limit,
+                memory_tokens=self._usable_memory(target, slots[target.id]),
             )
             self._on_decisions(decisions)
 
@@ -216,8 +218,18 @@
             for state in pool.scheduler.fleet:
                 if state.name in slots:
                     state.limit.value = slots[state.name]
+                    target = self._view.target(state.name)
+                    state.memory_tokens = self._usable_memory(target, state.limit.value)
                     pool.scheduler.fleet.reindex(state)
 
+    def _usable_memory(self, target, slots):
+        """Return the tokens that `slots` of a target may hold, 0 for no bound."""
+        catalog = self._view.catalog
+        service = catalog.services.get(target.service) if catalog else None
+        if service is None or not service.memory_tokens:
+            return 0
+        return service.memory_tokens * min(slots / max(target.slots, 1), 1.0)
+
     def _usable_slots(self, targets):
         slots = {target.id: target.slots for target in targets}
         return slots_for_host(self._cfg.host_name, slots, self.share)
--- a/lovagepier/entry/catalog.py
+++ b/lovagepier/entry/catalog.py
@@ -54,10 +54,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Service:
-    """A named group of targets; one event of its streams holds `tokens_per_event`."""
+    """A named group of targets; one event of its streams holds `tokens_per_event`.
+
+    A target crashes if its requests hold more than `memory_tokens`, 0 for no bound.
+    """
 
     name: str
     tokens_per_event: int
+    memory_tokens: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/lovagepier/platform/_documents.py
+++ b/lovagepier/platform/_documents.py
@@ -151,6 +151,7 @@
     return Service(
         name=_name(raw, "name"),
         tokens_per_event=max(_whole(engine.get("stride", 1), MAX_STRIDE), 1),
+        memory_tokens=_whole(engine.get("kv_capacity") or 0),
     )
 
 
