Look at accounts only for requests that may be refused early

Cause: each offer to a pool with a queue looked at all accounts that wait, also for kinds that are never refused early.

Change: the hook asks first whether the kind yields, and whether all that waits ahead would make the request late.

--- a/lovagepier/decisions/placement/room_hook.py
+++ b/lovagepier/decisions/placement/room_hook.py
@@ -46,12 +46,15 @@
         work.latest_on_time_start = self.decision.latest_on_time_start(work, now)
         if not len(self._waiting) or not self._start_rates.is_known(now):
             return None
+        if not self.decision.yields(work, now):
+            return None
+        rate = self._start_rates.rate_from(work.tier, now)
+        ahead = sum(self._waiting.sizes()[: work.tier + 1])
+        if self.decision.is_late(work, ahead, rate, now):
+            # Looks at each account, so it is left out where the answer can't matter.
+            ahead = self._waiting.ahead_of(work)
         refusal = self.decision.refuse_early(
-            work,
-            self._waiting.ahead_of(work),
-            self._start_rates.rate_from(work.tier, now),
-            self.taken_fraction(now),
-            now,
+            work, ahead, rate, self.taken_fraction(now), now
         )
         if refusal is None:
             return None
--- a/lovagepier/decisions/queueing/reserve_room.py
+++ b/lovagepier/decisions/queueing/reserve_room.py
@@ -204,6 +204,11 @@
         self._find_pairs(now)
         return work.tier in self._yielded_to
 
+    def is_late(self, work, ahead, rate, now):
+        """Return whether `work` would start too late behind `ahead` requests."""
+        left_s = work.latest_on_time_start - now
+        return _wait_s(ahead, rate) > left_s * LATE_FACTOR
+
     def refuse_early(self, work, ahead, rate, taken_fraction, now):
         """Return the `EarlyRefusal` of a request, or None if it may wait.
 
@@ -215,9 +220,9 @@
             return None
         shares = self._count_shares(work, now)
         left_s = work.latest_on_time_start - now
-        wait_s = ahead / max(rate, 1e-3)
+        wait_s = _wait_s(ahead, rate)
         longest_s = (work.deadline - now) * RETRY_FRACTION
-        if wait_s <= left_s * LATE_FACTOR or wait_s > longest_s:
+        if not self.is_late(work, ahead, rate, now) or wait_s > longest_s:
             return None
         if work.decode_tokens > SIZE_FACTOR * self._kinds[work.tier].length.value:
             return None
@@ -233,6 +238,10 @@
         return EarlyRefusal(ahead, rate, wait_s, left_s, retry_after)
 
 
+def _wait_s(ahead, rate):
+    return ahead / max(rate, 1e-3)
+
+
 def _keys(work):
     # Sizes that differ by less than a factor of two count as one.
     size = int(work.decode_tokens).bit_length()
