--- a/lovagepier/decisions/placement/fleet.py
+++ b/lovagepier/decisions/placement/fleet.py
@@ -23,6 +23,8 @@
 MAX_EJECTED_FRACTION = 0.34
 # The list of fastest targets is reused for this long, as speeds change slowly.
 MAX_FASTEST_AGE_S = 0.5
+# Targets without memory for a request that are passed over in the search for one.
+MAX_SKIPPED = 32
 
 
 class TargetState:
@@ -35,9 +37,11 @@
     lists (`Run`, time) of requests that were lost there. `prefilling` maps running
     requests before their first byte to the tokens of their prefill. `rate_limit` and
     `rejection_limit` are the `RateLimit` and the `RejectionLimit` that the target
-    states, `cold_limit` is its `ColdLimit`, None without such a bound. `pace` is its
-    `Pace` while it starts or recovers, else None. `key` is the target's place in the
-    `Fleet` index, None outside of it. `region` is that of its zone, "" if unknown.
+    states, `cold_limit` is its `ColdLimit`, None without such a bound. `memory_tokens`
+    bounds the tokens of its running requests, 0 for no bound; `held_tokens` are theirs
+    now. `pace` is its `Pace` while it starts or recovers, else None. `key` is the
+    target's place in the `Fleet` index, None outside of it. `region` is that of its
+    zone, "" if unknown.
     """
 
     __slots__ = (
@@ -48,10 +52,12 @@
         "ejections",
         "evacuated",
         "failures",
+        "held_tokens",
         "incarnation",
         "key",
         "last_start_at",
         "limit",
+        "memory_tokens",
         "name",
         "pace",
         "prefilling",
@@ -92,6 +98,8 @@
         self.running = {}
         self.prefilling = {}
         self.queued_prefill = 0
+        self.memory_tokens = 0
+        self.held_tokens = 0
         self.failures = 0
         self.ejections = 0
         self.ejected_until = float("-inf")
@@ -154,6 +162,15 @@
             extra = 0
         return self.limit.has_room(self.in_flight - extra * self.limit.overbook_slots)
 
+    def has_memory(self, work):
+        """Return whether the target has memory for `work`.
+
+        An idle target takes any request, also one beyond its whole memory.
+        """
+        if not self.memory_tokens or not self.running:
+            return True
+        return self.held_tokens + work.memory_tokens <= self.memory_tokens
+
     def slots_within(self, seconds):
         """Return how many requests may start in a time in which each slot is freed."""
         return min(self.limit.value, self.rate_limit.starts_within(seconds))
@@ -171,6 +188,7 @@
         """Register `work` as running here."""
         prefill = max(work.prefill_tokens - hit_tokens, 0)
         self.running[work.id] = work
+        self.held_tokens += work.memory_tokens
         self.prefilling[work.id] = prefill
         self.queued_prefill += prefill
 
@@ -187,7 +205,11 @@
     def finish(self, request_id):
         """Remove a running request; return its work, or None if unknown."""
         self.prefilled(request_id)
-        return self.running.pop(request_id, None)
+        work = self.running.pop(request_id, None)
+        if work is not None:
+            # Estimated lengths are fractions, so sums would drift.
+            self.held_tokens -= work.memory_tokens if self.running else self.held_tokens
+        return work
 
     def on_success(self):
         """Close the circuit breaker after a successful request."""
@@ -345,26 +367,28 @@
             return False
         return not (may_overbook and self._order.get((version, True)))
 
-    def soonest(self, version, count, now, may_overbook=False, regions=()):
+    def soonest(self, version, count, now, may_overbook=False, regions=(), work=None):
         """Yield up to `count` healthy targets of `version`, soonest finish first.
 
         With `may_overbook`, full targets at which a request may wait for the next
         slot come after those with a free one. With `regions`, the targets of each one
-        are in a row, up to `count` of each.
+        are in a row, up to `count` of each. Targets without memory for `work` are
+        left out, or come as well if there are many of them.
         """
         fulls = (False, True) if may_overbook else (False,)
         if not regions:
             orders = [self._order.get((version, full), ()) for full in fulls]
-            yield from self._first_healthy(orders, count, now)
+            yield from self._first_healthy(orders, count, now, work)
         for region in regions:
             orders = [
                 order
                 for full in fulls
                 for order in self.regional.orders((region,), (version, full))
             ]
-            yield from self._first_healthy(orders, count, now)
+            yield from self._first_healthy(orders, count, now, work)
 
-    def _first_healthy(self, orders, count, now):
+    def _first_healthy(self, orders, count, now, work):
+        skipped = 0
         for order in orders:
             for _, name in order:
                 state = self._targets[name]
@@ -372,6 +396,9 @@
                 # ejection; idle ones would come first.
                 if not state.takes_work(now):
                     continue
+                if work and skipped < MAX_SKIPPED and not state.has_memory(work):
+                    skipped += 1
+                    continue
                 yield state
                 count -= 1
                 if not count:
--- a/lovagepier/decisions/placement/policies.py
+++ b/lovagepier/decisions/placement/policies.py
@@ -21,6 +21,11 @@
 # Running requests of a target that count as delayed by a new prefill.
 MAX_DELAYED_REQUESTS = 4
 OTHER_ZONE_COST_S = 0.001
+# A request that waits for memory of targets may be overtaken for this long, and for
+# this fraction of the time that it has to start on time. Smaller ones would otherwise
+# take all memory that is freed.
+MAX_OVERTAKEN_S = 1.0
+OVERTAKEN_FRACTION = 0.25
 
 
 def policy(name):
@@ -45,11 +50,15 @@
     With `queues` a request waits at the coordinator for a free slot; without it the
     request is sent to an engine on arrival and waits there. With `sheds` a request
     that can't meet its deadline is refused before it starts. `zone_cost(zone, zone)`
-    returns the cost of crossing zones in seconds.
+    returns the cost of crossing zones in seconds. While `overbooks` is false no request
+    waits at a full target. `memory_waits` counts how often a request was not placed for
+    want of memory at targets.
     """
 
     queues = False
     sheds = False
+    overbooks = True
+    memory_waits = 0
 
     def __init__(self, zone_cost=None):
         self.zone_cost = zone_cost or default_zone_cost
@@ -58,10 +67,9 @@
         """Return (target state, hit tokens, why), or None if no target can start it."""
         raise NotImplementedError
 
-
-def _may_overbook(work):
-    """Return whether `work` may wait at a full target for its next slot."""
-    return work.may_overbook or work.tier == 0
+    def _may_overbook(self, work):
+        """Return whether `work` may wait at a full target for its next slot."""
+        return self.overbooks and (work.may_overbook or work.tier == 0)
 
 
 def _available(fleet, version, work, now):
@@ -72,6 +80,7 @@
         and state.name not in work.exclude
         and may_go(work.regions, state.region)
         and state.takes_work(now)
+        and state.has_memory(work)
     ]
 
 
@@ -135,23 +144,27 @@
 
         Sets `work.awaits_cache` and returns None if a target without a free slot
         has so much of the prompt cached that a short wait costs less than a prefill
-        elsewhere.
+        elsewhere. Sets `work.overtaken_until` if targets only lack memory for it.
         """
         work.awaits_cache = False
-        if fleet.is_full(version, _may_overbook(work), work.regions):
+        work.overtaken_until = float("-inf")
+        if fleet.is_full(version, self._may_overbook(work), work.regions):
             return None
         best = None
         held = 0.0
         for state, hit in self._considered(fleet, version, work, prefixes, now):
             if state.name in work.exclude or not state.takes_work(now):
                 continue
-            if not state.has_room(extra=int(_may_overbook(work))):
+            if not state.has_memory(work):
+                continue
+            if not state.has_room(extra=int(self._may_overbook(work))):
                 held = max(held, hit / state.speed.prefill_rate)
                 continue
             cost = self._cost(state, hit, work)
             if best is None or cost < best[0]:
                 best = (cost, state, hit)
         if best is None:
+            self._note_lack_of_memory(fleet, version, work, now)
             return None
         cost, state, hit = best
         saved = held - hit / state.speed.prefill_rate
@@ -160,6 +173,18 @@
             return None
         return state, hit, f"finishes in {cost:.3f} s, {hit} tokens cached"
 
+    def _note_lack_of_memory(self, fleet, version, work, now):
+        for state in fleet.soonest(version, 1, now, self._may_overbook(work)):
+            if state.has_memory(work):
+                return
+            self.memory_waits += 1
+            # One that needs an idle target must not hold back all others until then.
+            if work.memory_tokens > state.memory_tokens:
+                work.overtaken_until = float("inf")
+                return
+            left_s = (work.latest_on_time_start - work.arrived) * OVERTAKEN_FRACTION
+            work.overtaken_until = work.arrived + min(MAX_OVERTAKEN_S, left_s)
+
     def _can_wait(self, work, saved, now):
         if now - work.arrived >= min(saved * AFFINITY_WAIT_FACTOR, MAX_AFFINITY_WAIT_S):
             return False
@@ -186,8 +211,9 @@
                 if not work.regions or may_go(work.regions, state.region):
                     yield state, work.hit_tokens(depth)
         count = MAX_CONSIDERED + len(work.exclude)
+        may_overbook = self._may_overbook(work)
         for state in fleet.soonest(
-            version, count, now, _may_overbook(work), work.regions
+            version, count, now, may_overbook, work.regions, work
         ):
             if state.name not in hits:
                 yield state, work.hit_tokens(prefixes.depth(state.name, work.blocks))
@@ -202,7 +228,7 @@
         states = [
             state
             for state in _available(fleet, version, work, now)
-            if state.has_room(extra=int(_may_overbook(work)))
+            if state.has_room(extra=int(self._may_overbook(work)))
         ]
         if not states:
             return None
--- a/lovagepier/decisions/placement/pool_targets.py
+++ b/lovagepier/decisions/placement/pool_targets.py
@@ -52,6 +52,7 @@
         rejection_limit=None,
         evacuated=None,
         cold_limit=None,
+        memory_tokens=0,
     ):
         """Add a target, or update its zone, version, incarnation or draining state.
 
@@ -59,7 +60,8 @@
         has to be learnt. A new incarnation counts as a restart; `rejection_limit` is
         the number that it starts with, None for none. With `draining` or `evacuated`
         None an update leaves that state as it is. `cold_limit` is the `ColdLimit`, None
-        without one.
+        without one. `memory_tokens` bounds the tokens of its running requests, 0 for no
+        bound.
         """
         state = self._fleet.get(name)
         if state is None:
@@ -75,6 +77,7 @@
             state.draining = bool(draining)
             state.evacuated = bool(evacuated)
             state.cold_limit = cold_limit
+            state.memory_tokens = memory_tokens
             self._reset_stated_limits(state, rejection_limit, now)
             self._fleet.add(state)
             self._paces.on_added(state, now)
@@ -88,6 +91,7 @@
         state.zone = zone
         # The settings may have been reloaded since.
         state.region = self._region_of(zone)
+        state.memory_tokens = memory_tokens
         if draining is not None:
             self._apply_draining(state, draining, now)
         if evacuated is not None:
--- a/lovagepier/decisions/placement/scheduler.py
+++ b/lovagepier/decisions/placement/scheduler.py
@@ -12,6 +12,7 @@
 from lovagepier.decisions.placement.pool_targets import PoolTargets
 from lovagepier.decisions.placement.prefixes import PrefixIndex
 from lovagepier.decisions.placement.residence import why_full, why_nowhere
+from lovagepier.decisions.placement.room_hook import RoomHook
 from lovagepier.decisions.placement.scheduler_options import SchedulerOptions
 from lovagepier.decisions.placement.versions import preferred_versions
 from lovagepier.decisions.placement.work import Grant, Outcome, Refusal
@@ -43,7 +44,8 @@
     `old_version` is the version in service; if it is None, targets of every version
     serve. During a rollout `share` is {new version: fraction of new requests}.
     `last_shed` is (tier, time) of the last request shed for lack of a slot. `pauses`
-    are what targets want from single entry hosts; several pools may share them.
+    are what targets want from single entry hosts; several pools may share them. `room`
+    is the `RoomHook`, None unless the options have `reserve_room`.
     `residence_left_out` counts targets that requests may not go to for their residence.
     `targets` are the `PoolTargets` of `fleet`, `paces` its `PoolPaces`, `learning` is
     the `OutcomeLearning`.
@@ -77,7 +79,14 @@
         self._feasibility = Feasibility(
             self.fleet, self.lengths, self.learning, options.demote_late
         )
-        self._late = LateRequests(self.fleet, self.waiting, self._start_rates)
+        self.room = None
+        if options.reserve_room:
+            self.room = RoomHook(
+                self.fleet, self.waiting, self._start_rates, self._dispatched
+            )
+        self._late = LateRequests(
+            self.fleet, self.waiting, self._start_rates, self.room
+        )
 
     @property
     def poison_detector(self):
@@ -117,6 +126,8 @@
             kind = ErrorKind.DEADLINE_WAITING
             why = "the rate limits of all targets leave it no time"
             return [Refusal(work, kind, why, retry_after=excess_s)]
+        if self.room and (refusal := self.room.refuse_early(work, now)):
+            return [refusal]
         if not self.policy.queues:
             grant = self._place(work, now)
             if grant is None:
@@ -176,6 +187,8 @@
             return decisions
         for work in self.waiting.expired(now):
             why = "it could not finish by its deadline if started now"
+            if work.overtaken_until > float("-inf"):
+                why += "; targets lacked memory for it"
             kind = ErrorKind.DEADLINE_WAITING
             decisions.append(self._shed(work, now, kind, why))
         return decisions
@@ -200,7 +213,8 @@
             tokens = self.lengths.typical()
             wait = expected_wait(self.fleet, ahead, tokens, work.regions)
             return Refusal(work, ErrorKind.RESIDENCE, why_full(work.regions), wait)
-        return Refusal(work, kind, why)
+        refusal = Refusal(work, kind, why)
+        return self.room.delay_retry(refusal, now) if self.room else refusal
 
     def pause_below(self, tier, now):
         """Pause tiers below `tier`, which another pool of the model had to shed."""
@@ -239,7 +253,7 @@
         return None
 
     def _may_be_passed_over(self, work, now):
-        if work.exclude or work.awaits_cache:
+        if work.exclude or work.awaits_cache or now < work.overtaken_until:
             return True
         if self.pauses.avoided(work.entry, self.fleet, now):
             return True
@@ -258,6 +272,8 @@
         if self._trials.is_suspect(work):
             work.exclude |= self._trials.targets_with_suspects()
         avoided = work.exclude
+        if self.room:
+            self.policy.overbooks = not self.room.waits_in_queue(work, now)
         try:
             work.exclude = avoided | self.paces.spared(work)
             grant = self._place_on_any(work, now)
@@ -306,6 +322,8 @@
         if running is None:
             return
         running.first_byte_at = now
+        if self.room:
+            self.room.on_first_event(running.work, seconds)
         state = self.fleet.get(running.target)
         if state is None:
             return
--- a/lovagepier/decisions/placement/scheduler_options.py
+++ b/lovagepier/decisions/placement/scheduler_options.py
@@ -24,7 +24,8 @@
     request that will miss its soft deadline moves to its `late_tier`: a late response
     is worth little, so it must not make the next one late as well. `region_of(zone)`
     returns a zone's region, "" if it is unknown; without it no zone has one. With
-    `pace` targets that start or recover get a `Pace`.
+    `pace` targets that start or recover get a `Pace`, with `reserve_room` long answers
+    yield to urgent requests, see `ReserveRoom`.
     """
 
     __slots__ = (
@@ -37,6 +38,7 @@
         "pace",
         "policy",
         "region_of",
+        "reserve_room",
         "shed_pause_s",
         "tiers",
         "zone_cost",
@@ -56,6 +58,7 @@
         lost_after_s=LOST_AFTER_S,
         region_of=None,
         pace=False,
+        reserve_room=False,
     ):
         self.tiers = tiers
         self.max_waiting = max_waiting
@@ -69,3 +72,4 @@
         self.lost_after_s = lost_after_s
         self.region_of = region_of or (lambda zone: "")
         self.pace = pace
+        self.reserve_room = reserve_room
--- a/lovagepier/decisions/placement/work.py
+++ b/lovagepier/decisions/placement/work.py
@@ -28,6 +28,7 @@
     - `soft_deadline`: after this its response is late; 0 if there is none.
     - `abandoned_at`: when the caller leaves unless the response has begun.
     - `latest_on_time_start`: the last start at which it can still meet that.
+    - `least_first_s`: a lower bound on the time from its start to the first event.
 
     Order and place:
     - `entry`: the entry host that asked and holds the body.
@@ -41,6 +42,8 @@
       tier 0 may.
     - `runs_once`: whether it must not run a second time.
     - `awaits_cache`: it is queued for a target that has its prefix cached.
+    - `overtaken_until`: until then others may overtake it, as it waits for memory of
+      targets; -inf if it doesn't.
     - `sequence`: its number in order of arrival.
 
     Size:
@@ -91,6 +94,13 @@
     abandoned_at: float = float("inf")
     regions: tuple = ()
     runs_once: bool = False
+    least_first_s: float = 0.0
+    overtaken_until: float = float("-inf")
+
+    @property
+    def memory_tokens(self):
+        """The tokens that it may hold in its target's memory: prompt and answer."""
+        return self.prefill_tokens + (self.max_decode_tokens or self.decode_tokens)
 
     def hit_tokens(self, depth):
         """Return the prompt tokens in the first `depth` blocks."""
--- a/lovagepier/decisions/queueing/waiting.py
+++ b/lovagepier/decisions/queueing/waiting.py
@@ -264,6 +264,23 @@
             for _, work in _lane(tier, (), tier.orders[()]):
                 yield work
 
+    def ahead_in_fair_order(self, work):
+        """Return how many requests with its regions would be served before a new one.
+
+        Of the other accounts of its tier only those that come before it in fair
+        queueing count, so an account that sends much waits for itself. O(accounts).
+        """
+        tier = self._tiers[work.tier]
+        own = tier.accounts.get(work.account)
+        own_size = len(own.lanes.get(work.regions, ())) if own else 0
+        rounds = (own_size + 1) / max(work.weight, 1e-6)
+        ahead = sum(self.lane_size(each, work.regions) for each in range(work.tier))
+        for _, name in tier.orders.get(work.regions, ()):
+            lane = tier.accounts[name].lanes[work.regions]
+            turns = rounds * max(lane[0].weight, 1e-6)
+            ahead += min(len(lane), int(turns))
+        return ahead
+
     def take(self, work, cost):
         """Remove `work` for service and charge its account `cost` seconds."""
         tier = self._tiers[work.tier]
--- a/lovagepier/entry/_callers/frontend.py
+++ b/lovagepier/entry/_callers/frontend.py
@@ -394,6 +394,7 @@
             "callers_open": len(self._caller_conns),
             "waiting": self.coordinator.waiting_count(),
             "residence_targets_left_out": self.coordinator.residence_left_out(),
+            **self.coordinator.room_counts(),
             # Whether this host is the coordinator.
             "is_home": int(self.cluster.coordinator_name == self.cfg.host_name),
             "target_connections_opened": self.target_connections.opened,
--- a/lovagepier/entry/_coordination/coordinator.py
+++ b/lovagepier/entry/_coordination/coordinator.py
@@ -267,6 +267,7 @@
             self._send_decisions(pool.scheduler.release_lost((), now))
             self._send_decisions(pool.scheduler.tick(now))
             log_paces(service, pool.scheduler.paces, is_coordinator)
+            pool.room_log.update(service, pool.scheduler.room, now)
 
     def _running_on_old_version(self, service):
         return self._pool(service).scheduler.fleet.in_flight("old")
@@ -288,6 +289,10 @@
         pools = self._pools.values()
         return sum(pool.scheduler.residence_left_out for pool in pools)
 
+    def room_counts(self):
+        """Return counts of decisions on places and memory, by name of the metric."""
+        return self._pools.room_counts()
+
     # Decisions
 
     def _send_decisions(self, decisions):
--- a/lovagepier/entry/_coordination/service_pools.py
+++ b/lovagepier/entry/_coordination/service_pools.py
@@ -9,6 +9,7 @@
 from lovagepier.entry._coordination.backoffs import TargetBackoffs
 from lovagepier.entry._coordination.budgets import make_retry_budget
 from lovagepier.entry._coordination.cold_targets import ColdTargets
+from lovagepier.entry._coordination.room_log import RoomLog
 from lovagepier.entry._coordination.stated_limits import StatedLimits
 from lovagepier.entry._coordination.target_groups import targets_by_service
 from lovagepier.entry._coordination.work import BANDS_PER_TIER, TIERS
@@ -34,6 +35,7 @@
     scheduler: PoolScheduler
     incarnations: dict = field(default_factory=dict)
     backoffs: TargetBackoffs = field(default_factory=TargetBackoffs)
+    room_log: RoomLog = field(default_factory=RoomLog)
 
 
 class ServicePools:
@@ -102,6 +104,7 @@
             lost_after_s=LOST_AFTER_S,
             max_waiting=self._cfg.scheduling_max_waiting,
             pace=self._cfg.paces_targets,
+            reserve_room=self._cfg.scheduling_reserve_room == "on",
             shed_pause_s=SHED_PAUSE_S,
             finished_retention_s=FINISHED_RETENTION_S,
             make_retry_budget=lambda: make_retry_budget(self._cfg, self._quota_share),
@@ -113,6 +116,15 @@
         pool.scheduler.targets.set_rate_share(self._quota_share, 0.0)
         return pool
 
+    def room_counts(self):
+        """Return counts of decisions on places and memory, by name of the metric."""
+        rooms = [each.room for each in self.schedulers() if each.room is not None]
+        return {
+            "early_refusals": sum(room.decision.early_refusals for room in rooms),
+            "kept_in_queue": sum(room.kept_in_queue for room in rooms),
+            "memory_waits": sum(each.policy.memory_waits for each in self.schedulers()),
+        }
+
     # Targets
 
     def refresh(self, now):
@@ -180,6 +192,7 @@
                 rejection_limit=rejection_limit,
                 evacuated=evacuated[target.id],
                 cold_limit=cold_limits[target.id],
+                memory_tokens=self._usable_memory(target, slots[target.id]),
             )
             self._on_decisions(decisions)
         self._on_decisions(refuse_waiting(pool.scheduler.fleet, pool.scheduler.waiting))
@@ -230,8 +243,18 @@
             for state in pool.scheduler.fleet:
                 if state.name in slots:
                     state.limit.value = slots[state.name]
+                    target = self._view.target(state.name)
+                    state.memory_tokens = self._usable_memory(target, state.limit.value)
                     pool.scheduler.fleet.reindex(state)
 
+    def _usable_memory(self, target, slots):
+        """Return the tokens that `slots` of a target may hold, 0 for no bound."""
+        catalog = self._view.catalog
+        service = catalog.services.get(target.service) if catalog else None
+        if service is None or not service.memory_tokens:
+            return 0
+        return service.memory_tokens * min(slots / max(target.slots, 1), 1.0)
+
     def _usable_slots(self, targets):
         slots = {target.id: target.slots for target in targets}
         return slots_for_host(self._cfg.host_name, slots, self.share)
--- a/lovagepier/entry/_host.py
+++ b/lovagepier/entry/_host.py
@@ -63,6 +63,7 @@
         "metrics_listen",
         "peers_listen",
         "scheduling_pace",
+        "scheduling_reserve_room",
         "store_address",
     )
 )
--- a/lovagepier/entry/catalog.py
+++ b/lovagepier/entry/catalog.py
@@ -61,12 +61,14 @@
 
     A target is cold for `cold_start_s` after it starts, and takes `cold_per_s` requests
     a second then; 0 in one of them means that there is no such bound.
+    A target crashes if its requests hold more than `memory_tokens`, 0 for no bound.
     """
 
     name: str
     tokens_per_event: int
     cold_start_s: float = 0.0
     cold_per_s: float = 0.0
+    memory_tokens: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/lovagepier/platform/_documents.py
+++ b/lovagepier/platform/_documents.py
@@ -163,6 +163,7 @@
         tokens_per_event=max(_whole(engine.get("stride", 1), MAX_STRIDE), 1),
         cold_start_s=_amount(raw, "cold_start_s"),
         cold_per_s=_amount(raw, "cold_per_s"),
+        memory_tokens=_whole(engine.get("kv_capacity") or 0),
     )
 
 
