Open connections without a residence as before

Cause: TargetConnector.open got the regions also for requests without any, and a test's stand-in for it has no such argument (test_crashes.py failed).

Change: the regions are passed only where there are some.

--- a/lovagepier/entry/_callers/exchange.py
+++ b/lovagepier/entry/_callers/exchange.py
@@ -212,8 +212,9 @@
                 return tconn
         # A call that must not run twice gets a new connection: an idle one may hold
         # a late response to another request or be about to be closed by the target.
-        regions = self._frontend.residence.regions(self.call)
-        return await self._frontend.connector.open(target, regions)
+        if regions := self._frontend.residence.regions(self.call):
+            return await self._frontend.connector.open(target, regions)
+        return await self._frontend.connector.open(target)
 
     async def _run_attempt(self, grant, target, tconn):
         started_at = self._loop.time()
