Keep the cost of a placement without a residence

Change: without restricted requests in the queue, candidates, pass and index take the loops of before; lanes are made on first use.

--- a/lovagepier/decisions/placement/fleet.py
+++ b/lovagepier/decisions/placement/fleet.py
@@ -1,6 +1,7 @@
 """The targets of one pool as its coordinator sees them."""
 
 from heapq import nlargest, nsmallest
+from itertools import islice
 
 from sortedcontainers import SortedList
 
@@ -285,21 +286,17 @@
         always targets that can start the request at hand.
         """
         self._unindex(state)
-        self._index(state)
+        if not state.draining and not state.down and state.has_room(extra=1):
+            load = state.in_flight / max(state.limit.value, 1.0)
+            pace = state.speed.token_seconds * 100 + 500 / state.speed.prefill_rate
+            key = (state.wait_seconds() + pace * (1.0 + load), state.name)
+            index = (state.version, not state.has_room())
+            state.key = (index, key)
+            order = self._order.setdefault(index, SortedList())
+            order.add(key)
         if self._regional is not None:
             self._regional.put(state)
 
-    def _index(self, state):
-        if state.draining or state.down or not state.has_room(extra=1):
-            return
-        load = state.in_flight / max(state.limit.value, 1.0)
-        pace = state.speed.token_seconds * 100 + 500 / state.speed.prefill_rate
-        key = (state.wait_seconds() + pace * (1.0 + load), state.name)
-        index = (state.version, not state.has_room())
-        state.key = (index, key)
-        order = self._order.setdefault(index, SortedList())
-        order.add(key)
-
     def versions(self, regions=()):
         """Return the versions of all targets."""
         return {
@@ -321,8 +318,8 @@
         """Return whether no target of `version` has room for a request."""
         if regions:
             return not any(
-                any(self.regional.orders(regions, (version, full)))
-                for full in ((False, True) if may_overbook else (False,))
+                any(True for _ in self.regional.names(region, version, may_overbook))
+                for region in regions
             )
         if self._order.get((version, False)):
             return False
@@ -335,21 +332,11 @@
         slot come after those with a free one. With `regions`, the targets of each one
         are in a row, up to `count` of each.
         """
-        fulls = (False, True) if may_overbook else (False,)
-        if not regions:
-            orders = [self._order.get((version, full), ()) for full in fulls]
-            yield from self._first_healthy(orders, count, now)
-        for region in regions:
-            orders = [
-                order
-                for full in fulls
-                for order in self.regional.orders((region,), (version, full))
-            ]
-            yield from self._first_healthy(orders, count, now)
-
-    def _first_healthy(self, orders, count, now):
-        for order in orders:
-            for _, name in order:
+        if regions:
+            yield from self._soonest_in(regions, version, count, now, may_overbook)
+            return
+        for full in (False, True) if may_overbook else (False,):
+            for _, name in self._order.get((version, full), ()):
                 state = self._targets[name]
                 # Ejected targets stay indexed, as no event marks the end of an
                 # ejection; idle ones would come first.
@@ -360,6 +347,12 @@
                 if not count:
                     return
 
+    def _soonest_in(self, regions, version, count, now, may_overbook):
+        for region in regions:
+            names = self.regional.names(region, version, may_overbook)
+            states = (self._targets[name] for name in names)
+            yield from islice((s for s in states if s.takes_work(now)), count)
+
     def in_flight(self, version=None):
         """Return the number of requests running on one version, or on all."""
         return sum(
--- a/lovagepier/decisions/placement/regional_index.py
+++ b/lovagepier/decisions/placement/regional_index.py
@@ -44,13 +44,16 @@
             index, key = placed
             self._orders[region][index].discard(key)
 
-    def orders(self, regions, index):
-        """Yield the orders of (cost, name) in some regions, without empty ones."""
-        for region in regions:
-            # Targets whose region is unknown are under the empty name.
-            order = self._orders.get(region, {}).get(index) if region else None
-            if order:
-                yield order
+    def names(self, region, version, may_overbook):
+        """Yield the targets of a version with room in a region, soonest finish first.
+
+        With `may_overbook`, full ones that have room for that come last.
+        """
+        # Targets whose region is unknown are under the empty name.
+        orders = self._orders.get(region, {}) if region else {}
+        for full in (False, True) if may_overbook else (False,):
+            for _, name in orders.get((version, full), ()):
+                yield name
 
     def has_room(self, regions):
         """Return whether a target in some regions has room, if only for overbooking."""
--- a/lovagepier/decisions/queueing/queue_scan.py
+++ b/lovagepier/decisions/queueing/queue_scan.py
@@ -24,11 +24,14 @@
         self._waiting = waiting
         self._max_scanned = max_scanned
         self._max_passed = max_passed
-        self._passed = {}
-        self._closed = set()
+        self._passed = None
+        self._closed = None
 
     def __iter__(self):
         lanes = len(self._waiting.restricted)
+        if not lanes:
+            return islice(self._waiting.candidates(), self._max_scanned)
+        self._closed = set()
         count = self._max_scanned + lanes * (self._max_passed + 1)
         return islice(self._waiting.candidates(self._closed), count)
 
@@ -38,6 +41,8 @@
         Without `may_be_passed_over` a free slot can help it, so that later ones in its
         lane must not overtake it.
         """
+        if self._passed is None:
+            self._passed = {}
         passed = self._passed[work.regions] = self._passed.get(work.regions, 0) + 1
         is_closed = not may_be_passed_over or passed >= self._max_passed
         if is_closed and work.regions:
--- a/lovagepier/decisions/queueing/waiting.py
+++ b/lovagepier/decisions/queueing/waiting.py
@@ -4,6 +4,7 @@
 room there in front of requests that could start elsewhere.
 """
 
+from collections import defaultdict
 from heapq import heapify, heappop, heappush
 
 from sortedcontainers import SortedList
@@ -24,16 +25,9 @@
         self.name = name
         self.virtual_time = virtual_time
         self.cost = 0.0
-        self.lanes = {(): SortedList(key=_latest_start_key)}
+        self.lanes = defaultdict(_new_lane)
         self.size = 0
 
-    def lane(self, regions):
-        """Return the queued requests with these regions."""
-        lane = self.lanes.get(regions)
-        if lane is None:
-            lane = self.lanes[regions] = SortedList(key=_latest_start_key)
-        return lane
-
 
 class _Tier:
     """The accounts of one tier.
@@ -48,16 +42,13 @@
 
     def __init__(self):
         self.accounts = {}
-        self.orders = {(): SortedList()}
+        self.orders = defaultdict(SortedList)
         self.floor = 0.0
         self.size = 0
 
-    def order(self, regions):
-        """Return the order of the accounts in a lane."""
-        order = self.orders.get(regions)
-        if order is None:
-            order = self.orders[regions] = SortedList()
-        return order
+
+def _new_lane():
+    return SortedList(key=_latest_start_key)
 
 
 def _latest_start_key(work):
@@ -112,13 +103,15 @@
     Within a tier the account with the least service per weight has precedence
     (start-time fair queueing over estimated seconds), and within an account the
     request with the earliest latest start. Adding and removing take O(log n).
+    `restricted` holds the number of queued requests by their regions, of those that
+    have any.
     """
 
     __slots__ = (
         "_by_id",
         "_by_latest_start",
         "_by_on_time_start",
-        "_restricted",
+        "restricted",
         "_tiers",
         "limit",
     )
@@ -126,7 +119,7 @@
     def __init__(self, tiers, limit):
         self._tiers = [_Tier() for _ in range(tiers)]
         self._by_id = {}
-        self._restricted = {}
+        self.restricted = {}
         self._by_latest_start = SortedList(key=_latest_start_key)
         self._by_on_time_start = SortedList(key=_on_time_start_key)
         self.limit = limit
@@ -151,14 +144,14 @@
         While restricted requests are queued these are the ones with the same regions:
         the others may start elsewhere, or wait for other targets.
         """
-        if not self._restricted:
+        if not self.restricted:
             return sum(self.sizes()[: work.tier + 1])
         return sum(self.lane_size(tier, work.regions) for tier in range(work.tier + 1))
 
     def lane_size(self, number, regions):
         """Return how many requests of one tier wait with these regions."""
         tier = self._tiers[number]
-        if not self._restricted:
+        if not self.restricted:
             return 0 if regions else tier.size
         return sum(
             len(tier.accounts[name].lanes[regions])
@@ -185,15 +178,15 @@
             tier.accounts[work.account] = account
         if not account.size:
             account.virtual_time = max(account.virtual_time, tier.floor)
-        lane = account.lane(work.regions)
+        lane = account.lanes[work.regions]
         if not lane:
-            tier.order(work.regions).add((account.virtual_time, account.name))
+            tier.orders[work.regions].add((account.virtual_time, account.name))
         lane.add(work)
         account.size += 1
         tier.size += 1
         if work.regions:
-            count = self._restricted.get(work.regions, 0)
-            self._restricted[work.regions] = count + 1
+            count = self.restricted.get(work.regions, 0)
+            self.restricted[work.regions] = count + 1
         self._by_id[work.id] = work
         self._by_latest_start.add(work)
         self._by_on_time_start.add(work)
@@ -234,9 +227,9 @@
             if not account.size:
                 self._drop_if_settled(tier, account)
         if work.regions:
-            self._restricted[work.regions] -= 1
-            if not self._restricted[work.regions]:
-                del self._restricted[work.regions]
+            self.restricted[work.regions] -= 1
+            if not self.restricted[work.regions]:
+                del self.restricted[work.regions]
         return work
 
     def _drop_if_settled(self, tier, account):
@@ -244,31 +237,41 @@
         if account.virtual_time <= tier.floor:
             del tier.accounts[account.name]
 
-    @property
-    def restricted(self):
-        """The number of queued requests by their regions, of those that have any."""
-        return self._restricted
-
     def candidates(self, closed=frozenset()):
-        """Yield queued requests in service order without removing them.
+        """Return an iterator over queued requests in service order.
 
         Within a tier the first request of each account comes first, then the second
         one of each, and so on. Requests whose regions are in `closed`, also if they are
         added meanwhile, are left out at no cost for each.
         """
+        return self._of_all_lanes(closed) if self.restricted else self._of_one_lane()
+
+    def _of_one_lane(self):
+        for tier in self._tiers:
+            deeper = []
+            for _, name in tier.orders[()]:
+                lane = tier.accounts[name].lanes[()]
+                yield lane[0]
+                deeper.append(lane)
+            depth = 1
+            while deeper:
+                deeper = [lane for lane in deeper if len(lane) > depth]
+                for lane in deeper:
+                    yield lane[depth]
+                depth += 1
+
+    def _of_all_lanes(self, closed):
         for tier in self._tiers:
-            if self._restricted:
-                lanes = [_lane(tier, *item) for item in tier.orders.items() if item[1]]
-                yield from _merged(lanes, closed)
-                continue
-            for _, work in _lane(tier, (), tier.orders[()]):
-                yield work
+            lanes = [_lane(tier, *item) for item in tier.orders.items() if item[1]]
+            yield from _merged(lanes, closed)
 
     def take(self, work, cost):
         """Remove `work` for service and charge its account `cost` seconds."""
         tier = self._tiers[work.tier]
         account = tier.accounts[work.account]
-        orders = [tier.orders[each] for each, lane in account.lanes.items() if lane]
+        orders = (tier.orders[()],)
+        if self.restricted:
+            orders = [tier.orders[each] for each, lane in account.lanes.items() if lane]
         for order in orders:
             order.remove((account.virtual_time, account.name))
         tier.floor = max(tier.floor, account.virtual_time)
