Keep a waiting call to the residence of the route that it came with

Cause: a call whose route was removed while it waited was bound by the route that its path falls to now, which may have no residence.

Change: the configuration in force binds by the name of the call's route; tests of that, of the share of a new version, and of what messages carry.

--- a/lovagepier/entry/_callers/residence_check.py
+++ b/lovagepier/entry/_callers/residence_check.py
@@ -42,12 +42,14 @@
         """Return the regions that a call may go to, empty for any.
 
         The route and the account that the call came with bind if the configuration
-        has them no more.
+        has them no more: the call goes to that route's service.
         """
         catalog = self._view.catalog
         if not catalog.common_regions:
             return ()
-        route = catalog.find_route(call.host, call.path) or call.route
+        route = catalog.find_route(call.host, call.path)
+        if route is None or route.name != call.route.name:
+            route = call.route
         account = catalog.account_for_key(call.key) or call.account
         return allowed_regions(route, account)
 
--- a/test/test_residence.py
+++ b/test/test_residence.py
@@ -1,6 +1,8 @@
 """Decisions on requests that may be served in some regions only, without a network."""
 
 import json
+from dataclasses import fields
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import given, settings
@@ -10,7 +12,15 @@
 from lovagepier.decisions.placement.paths import Peer, TargetPaths
 from lovagepier.decisions.placement.policies import POLICIES, default_zone_cost
 from lovagepier.decisions.placement.work import Grant, Refusal
+from lovagepier.entry._callers.residence_check import ResidenceCheck
+from lovagepier.entry._cluster.messages import (
+    DispatchRequest,
+    StoreDelta,
+    StoreSnapshot,
+)
+from lovagepier.entry._targets.tunnel_messages import TunnelData
 from lovagepier.errors import ErrorKind
+from lovagepier.frames import layouts
 from lovagepier.platform import decode_catalog
 from test.builders import ended, make_scheduler, make_work
 from test.entry_builders import HOST, KEY, config, route
@@ -79,6 +89,27 @@
     assert catalog.common_regions == residence.NOWHERE
 
 
+def test_the_route_that_a_waiting_call_came_with_binds_if_it_is_gone():
+    def catalog(*names, regions):
+        rows = [
+            route(name, "idempotent", "ledger", prefix=prefix, allowed_regions=each)
+            for (name, prefix), each in zip(names, regions, strict=True)
+        ]
+        return decode_catalog(json.dumps(config(routes=rows)).encode())
+
+    every, read = ("all", "/"), ("read", "/read/")
+    first = catalog(every, read, regions=[["b"], ["a"]])
+    found = first.find_route(HOST, "/read/x")
+    call = SimpleNamespace(host=HOST, path="/read/x", key="", route=found, account=None)
+    view = SimpleNamespace(catalog=first)
+    check = ResidenceCheck(SimpleNamespace(zones=REGIONS), view, None)
+    assert check.regions(call) == ("a",)
+    view.catalog = catalog(every, regions=[["b"]])
+    assert check.regions(call) == ("a",)
+    view.catalog = catalog(every, read, regions=[[], ["b"]])
+    assert check.regions(call) == ("b",)
+
+
 # Placement
 
 
@@ -138,6 +169,17 @@
     assert list(grants(first).values()) == ["e1"]
 
 
+def test_a_residence_does_not_raise_the_share_of_a_new_version():
+    # The bound on the exposure to a new version holds also where only it has targets.
+    scheduler = pool({})
+    scheduler.set_target("e1", "a1", "new", "i1", 0.0, slots=4)
+    scheduler.set_target("e2", "b1", "old", "i1", 0.0, slots=4)
+    scheduler.old_version, scheduler.share = "old", {"new": 0.1}
+    assert offer(scheduler, "r1", draw=0.5) == []
+    assert grants(offer(scheduler, "r2", (), draw=0.5)) == {"r2": "e2"}
+    assert grants(offer(scheduler, "r3", tier=0, draw=0.05)) == {"r3": "e1"}
+
+
 def test_an_overtaken_request_keeps_its_precedence_and_its_account_its_share():
     scheduler = pool({"e1": "a1", "e2": "b1"}, slots=1)
     offer(scheduler, "x1")
@@ -251,6 +293,20 @@
 # Hosts
 
 
+def test_only_tunnels_carry_bytes_of_a_request_between_hosts():
+    # The other two carry documents of the store.
+    with_bytes = {
+        layout.cls
+        for layout in layouts().values()
+        for each in fields(layout.cls)
+        if each.type is bytes and layout.tag.startswith("e.")
+    }
+    assert with_bytes == {StoreDelta, StoreSnapshot, TunnelData}
+    told = {each.name: each.type for each in fields(DispatchRequest)}
+    assert told["regions"] is list
+    assert not {"body", "headers", "target", "method"} & set(told)
+
+
 def test_only_hosts_in_allowed_regions_are_asked_for_tunnels():
     paths = TargetPaths("n1", "a1", default_zone_cost)
     peers = [Peer("n2", "a1", region="a"), Peer("n3", "b1", region="b")]
