--- a/lovagepier/entry/_coordination/cold_targets.py
+++ b/lovagepier/entry/_coordination/cold_targets.py
@@ -9,6 +9,9 @@
 # The targets of a service that register in this time after the first one, as this host
 # sees it, do not start during traffic: the fleet or this host starts.
 SETTLING_S = 5.0
+# Targets are remembered this long: one whose entry expired in an outage of the store
+# registers again with the same incarnation and has not started.
+GONE_RETENTION_S = 120.0
 
 _log = component_logger("targets")
 
@@ -16,12 +19,20 @@
 class _Known:
     """What is known of a target: its limit and what was seen of it last."""
 
-    __slots__ = ("evacuated", "incarnation", "limit", "revision", "was_cold")
+    __slots__ = (
+        "evacuated",
+        "gone_at",
+        "incarnation",
+        "limit",
+        "revision",
+        "was_cold",
+    )
 
     def __init__(self, target, limit):
         self.limit = limit
         self.incarnation = target.incarnation
         self.evacuated = False
+        self.gone_at = None
         self.revision = None
         self.was_cold = False
 
@@ -79,6 +90,7 @@
             self._known[target.id] = known
             if now - since >= SETTLING_S:
                 self._begin(target.id, known, service, "registered in traffic", now)
+        known.gone_at = None
         known.limit.use_bound(bound)
         self._note_changes(target, known, service, evacuated, now)
         self._note_warm(target.id, known, now)
@@ -119,9 +131,16 @@
         if known is not None and service is not None:
             self._begin(target, known, service, "refused connections", now)
 
-    def drop(self, target):
-        """Forget a target that is gone."""
-        self._known.pop(target, None)
+    def drop(self, target, now):
+        """Forget a target that is gone, after a time."""
+        known = self._known.get(target)
+        if known is None:
+            return
+        known.gone_at = now
+        for name, other in list(self._known.items()):
+            gone_at = now if other.gone_at is None else other.gone_at
+            if now - gone_at >= GONE_RETENTION_S:
+                del self._known[name]
 
     def may_send(self, target, is_paced, age_s, now):
         """Return whether an entry host may use a grant for a target.
@@ -136,4 +155,7 @@
 
     def count(self, now):
         """Return how many targets are cold."""
-        return sum(known.limit.is_cold(now) for known in self._known.values())
+        return sum(
+            known.gone_at is None and known.limit.is_cold(now)
+            for known in self._known.values()
+        )
--- a/lovagepier/entry/_coordination/service_pools.py
+++ b/lovagepier/entry/_coordination/service_pools.py
@@ -132,7 +132,7 @@
             pool.scheduler.targets.remove(name, now)
             self._drop_limits(name, pool.incarnations.pop(name))
             self._pauses.drop(name)
-            self.cold_targets.drop(name)
+            self.cold_targets.drop(name, now)
         slots = self._usable_slots(targets.values())
         labels = {
             target.id: self._rollouts.version_label(target)
--- a/test/test_cold_limits.py
+++ b/test/test_cold_limits.py
@@ -214,6 +214,19 @@
     assert cold.count(SETTLING_S + 32.0) == 1
 
 
+def test_a_target_that_registers_again_after_an_outage_has_not_started():
+    view, cold = make_cold_targets()
+    cold.limit(view.put("w1"), False, 0.0)
+    for gone_at, is_cold in ((20.0, False), (40.0, True)):
+        cold.drop("w1", gone_at)
+        at = gone_at + (200.0 if is_cold else 10.0)
+        # Another one that leaves then lets those be forgotten that left long ago.
+        cold.limit(view.put("w2"), False, at)
+        cold.drop("w2", at)
+        limit = cold.limit(view.put("w1"), False, at)
+        assert limit.is_cold(at + 1.0) == is_cold
+
+
 @pytest.mark.parametrize("options", [{"overage": None}, {"cold_start_s": 0.0}])
 def test_without_settings_or_fields_there_is_no_limit(options):
     view, cold = make_cold_targets(**options)
