--- a/test/test_cold_targets.py
+++ b/test/test_cold_targets.py
@@ -125,3 +125,42 @@
         assert not fleet.targets["w2"].arrived_at
 
     run_scenario(scenario)
+
+
+def test_what_happens_to_targets_makes_them_cold_until_they_register_again():
+    async def scenario(fleet):
+        loop = asyncio.get_running_loop()
+
+        async def wait_for_cold(count, hosts=fleet.hosts):
+            for host in hosts:
+                known = host.coordinator.cold_targets
+                await wait_until(lambda known=known: known.count(loop.time()) == count)
+
+        async def register(name, **fields):
+            entry = {**fleet.targets[name].entry(), **fields}
+            await fleet.store.write(f"servers/{name}", entry)
+
+        await wait_for_cold(0)
+        await fleet.store.write("op/evacuate/a1", {})
+        for host in fleet.hosts:
+            await wait_until(lambda host=host: host.view.evacuations.zones)
+        await fleet.store.remove("op/evacuate/a1")
+        await wait_for_cold(2)
+        # Longer than a registration may take that was written before the event.
+        await asyncio.sleep(0.6)
+        await register("w1", seq=2)
+        await register("w2", seq=2)
+        await wait_for_cold(0)
+        await register("w1", born=2)
+        await wait_for_cold(1)
+        await asyncio.sleep(0.6)
+        await register("w1", born=2, seq=2)
+        await wait_for_cold(0)
+        # The other one shows that the hosts' paths are whole.
+        await register("w2", state="draining", seq=3)
+        await wait_until(lambda: fleet.hosts[0].view.target("w2").draining)
+        await fleet.targets["w1"].stop()
+        await call(fleet.hosts[0], "/read/x", "r1")
+        await wait_for_cold(1, fleet.hosts[:1])
+
+    run_scenario(scenario)
