Give the stand-in catalog of test_quota_refunds its services

Cause: since a coordinator looks up the memory of a service's targets in the configuration.

Change: the stand-in has an empty `services`. No check is changed.

--- a/test/test_quota_refunds.py
+++ b/test/test_quota_refunds.py
@@ -25,7 +25,7 @@
         account = Account("blue", (), 1, 1e-6, BURST, False, 1.0)
         view = make_view(1, slots=1)
         view.catalog = SimpleNamespace(
-            accounts={"blue": account}, service_names={"read"}
+            accounts={"blue": account}, service_names={"read"}, services={}
         )
         self.answers = []
         self.coordinator = make_coordinator(
