--- a/lovagepier/decisions/placement/pool_targets.py
+++ b/lovagepier/decisions/placement/pool_targets.py
@@ -2,7 +2,7 @@
 
 from lovagepier.decisions.limits.rate_limits import RateLimit
 from lovagepier.decisions.limits.rejections import RejectionLimit
-from lovagepier.decisions.placement.fleet import TargetState
+from lovagepier.decisions.placement.target_state import TargetState
 
 __all__ = ["PoolTargets"]
 
--- a/lovagepier/decisions/placement/scheduler.py
+++ b/lovagepier/decisions/placement/scheduler.py
@@ -4,14 +4,14 @@
 from lovagepier.decisions.learning.estimates import LengthEstimates
 from lovagepier.decisions.learning.outcome_learning import OutcomeLearning
 from lovagepier.decisions.limits.pauses import Pauses
-from lovagepier.decisions.placement import evacuation
+from lovagepier.decisions.placement.admission import Admission
 from lovagepier.decisions.placement.dispatch_log import DispatchLog
 from lovagepier.decisions.placement.fleet import Fleet
 from lovagepier.decisions.placement.policies import POLICIES
 from lovagepier.decisions.placement.pool_paces import PoolPaces
 from lovagepier.decisions.placement.pool_targets import PoolTargets
 from lovagepier.decisions.placement.prefixes import PrefixIndex
-from lovagepier.decisions.placement.residence import why_full, why_nowhere
+from lovagepier.decisions.placement.residence import why_full
 from lovagepier.decisions.placement.room_hook import RoomHook
 from lovagepier.decisions.placement.scheduler_options import SchedulerOptions
 from lovagepier.decisions.placement.versions import preferred_versions
@@ -46,7 +46,6 @@
     `last_shed` is (tier, time) of the last request shed for lack of a slot. `pauses`
     are what targets want from single entry hosts; several pools may share them. `room`
     is the `RoomHook`, None unless the options have `reserve_room`.
-    `residence_left_out` counts targets that requests may not go to for their residence.
     `targets` are the `PoolTargets` of `fleet`, `paces` its `PoolPaces`, `learning` is
     the `OutcomeLearning`.
     """
@@ -68,8 +67,8 @@
         self._start_rates = StartRates(options.tiers)
         self._pause = ShedPause(options.shed_pause_s)
         self.last_shed = None
-        self.residence_left_out = 0
         self._sequence = 0
+        self.admission = Admission(self.fleet, self._trials, self.retry_budget)
         self.paces = PoolPaces(self.fleet, options.pace)
         parts = (self.fleet, self.prefixes, self._trials, self._dispatched, self.paces)
         self.targets = PoolTargets(options, *parts)
@@ -107,7 +106,7 @@
         # A duplicate of a queued request replaces it: the entry host that asked
         # last serves the request.
         self.waiting.remove(work.id)
-        refusal = self._refuse_at_once(work, now)
+        refusal = self.admission.refuse(work, now)
         if refusal is not None:
             return [refusal]
         self._sequence += 1
@@ -140,28 +139,6 @@
             decisions.append(self._shed(victim, now, ErrorKind.SHED, "queue full"))
         return decisions + self._drain(now)
 
-    def _refuse_at_once(self, work, now):
-        if self._trials.is_poison(work):
-            return _refuse_poison(work)
-        if not len(self.fleet):
-            return Refusal(work, ErrorKind.NO_TARGET, "the pool has no targets")
-        if work.regions:
-            left_out = self.fleet.regional.count_outside(work.regions)
-            self.residence_left_out += left_out
-            if left_out == len(self.fleet):
-                return Refusal(work, ErrorKind.RESIDENCE, why_nowhere(work.regions))
-        if evacuation.has_only_evacuated(self.fleet, work.regions):
-            return evacuation.refuse(work)
-        excluded = work.exclude
-        if excluded and not self.fleet.has_target_besides(excluded, work.regions):
-            why = "no target but those that it was offered to"
-            return Refusal(work, ErrorKind.NO_TARGET, why)
-        if work.attempt == 0:
-            self.retry_budget.on_first_attempt(now)
-        elif not self.retry_budget.spend(now, work.retry_reserve):
-            return Refusal(work, ErrorKind.SHED, "the retry budget is spent")
-        return None
-
     def withdraw(self, request_id, now):
         """Drop a request that no longer needs a grant; return its work if queued."""
         return self.waiting.remove(request_id)
@@ -193,15 +170,6 @@
             decisions.append(self._shed(work, now, kind, why))
         return decisions
 
-    def _remove_poison(self):
-        """Refuse queued requests that have proved poisonous since the last call."""
-        if not self._trials.has_new_verdicts():
-            return []
-        poison = [work for work in self.waiting.works() if self._trials.is_poison(work)]
-        for work in poison:
-            self.waiting.remove(work.id)
-        return [_refuse_poison(work) for work in poison]
-
     def _shed(self, work, now, kind, why):
         # With a free slot in the pool, lower tiers did not cause this refusal.
         # Pausing them would only make their requests miss deadlines in turn.
@@ -221,7 +189,7 @@
         self._pause.on_shed(tier, now)
 
     def _drain(self, now):
-        decisions = self._remove_poison() + self._expire(now)
+        decisions = self.admission.remove_poisonous(self.waiting) + self._expire(now)
         if self.options.demote_late:
             why = "it is late already, and more such work waits than can run"
             kind = ErrorKind.DEADLINE_WAITING
@@ -424,8 +392,3 @@
         """Add or update a target, see `PoolTargets.set`; return the decisions."""
         self.targets.set(name, zone, version, incarnation, now, **options)
         return self._drain(now)
-
-
-def _refuse_poison(work):
-    why = "targets died each time this body, or a part of its prompt, ran"
-    return Refusal(work, ErrorKind.SUSPECT_REQUEST, why, retry_after=0)
--- a/lovagepier/entry/_coordination/coordinator.py
+++ b/lovagepier/entry/_coordination/coordinator.py
@@ -287,7 +287,7 @@
     def residence_left_out(self):
         """Return how many targets requests could not go to because of residence."""
         pools = self._pools.values()
-        return sum(pool.scheduler.residence_left_out for pool in pools)
+        return sum(pool.scheduler.admission.residence_left_out for pool in pools)
 
     def room_counts(self):
         """Return counts of decisions on places and memory, by name of the metric."""
--- a/test/test_residence.py
+++ b/test/test_residence.py
@@ -241,7 +241,10 @@
 def test_a_region_without_targets_refuses_at_once_and_a_full_one_in_time():
     scheduler = pool({"e1": "a1", "e2": "c9", "e3": "b1"}, slots=1)
     (refusal,) = offer(scheduler, "r1", ("c",))
-    assert (refusal.kind, scheduler.residence_left_out) == (ErrorKind.RESIDENCE, 3)
+    assert (refusal.kind, scheduler.admission.residence_left_out) == (
+        ErrorKind.RESIDENCE,
+        3,
+    )
     assert "allowed regions c" in refusal.why
     offer(scheduler, "r2", ("a",))
     assert offer(scheduler, "r3", ("a",), deadline=2.0) == []
