--- a/lovagepier/entry/_callers/exchange.py
+++ b/lovagepier/entry/_callers/exchange.py
@@ -6,6 +6,7 @@
 from lovagepier.entry._callers.call_progress import RESPONSE_MARGIN_S, CallProgress
 from lovagepier.entry._callers.caller_response import CallerResponse
 from lovagepier.entry._callers.events import NotContinued
+from lovagepier.entry._callers.grant_check import GrantCheck
 from lovagepier.entry._callers.grants import FailedOver, Grants
 from lovagepier.entry._callers.response_notes import ResponseNotes
 from lovagepier.entry._callers.stream_relay import (
@@ -53,6 +54,7 @@
 
     __slots__ = (
         "_caller",
+        "_check",
         "_checking",
         "_conn",
         "_frontend",
@@ -77,6 +79,7 @@
         self._checking = None
         self._notes = ResponseNotes(frontend, call.request_id)
         self._progress = CallProgress(call)
+        self._check = GrantCheck(frontend, self._progress)
         self._grants = Grants(frontend, self._progress)
         self._caller = CallerResponse(frontend, conn, self._progress)
         self._stream = StreamRelay(self._progress, self._grants, self._caller)
@@ -176,21 +179,8 @@
     async def _dispatch(self, grant):
         started_at = self._loop.time()
         target = self._frontend.view.target(grant.target)
-        if target is None or target.incarnation != grant.incarnation:
-            self._progress.excluded.add_mismatched(grant.target)
-            self._grants.report(grant, "returned", started_at)
-            return _Outcome.NOT_EXECUTED
-        if target.draining:
-            self._progress.excluded.add(grant.target)
-            self._grants.report(grant, "returned", started_at)
-            return _Outcome.NOT_EXECUTED
-        if self._frontend.view.evacuations.holds(target):
-            return self._return_evacuated(grant, started_at)
-        if not self._frontend.residence.accepts(self._progress, target):
-            self._grants.report(grant, "returned", started_at)
-            return _Outcome.NOT_EXECUTED
-        if self._frontend.cluster.statements.is_paused(target):
-            return self._return_paused(grant, target, started_at)
+        if not self._check.may_connect(grant, target):
+            return self._return(grant, started_at)
         try:
             tconn = await self._connect(target)
         except ConnectFailed as exc:
@@ -202,42 +192,13 @@
         except BaseException:
             self._grants.report(grant, "returned", started_at)
             raise
-        if self._frontend.view.evacuations.holds(target):
-            tconn.close()
-            return self._return_evacuated(grant, started_at)
-        if self._frontend.cluster.statements.is_paused(target):
-            tconn.close()
-            return self._return_paused(grant, target, started_at)
         now = self._loop.time()
-        cold_targets = self._frontend.coordinator.cold_targets
-        if not cold_targets.may_send(target, grant.paced, now - started_at, now):
+        if not self._check.may_send(grant, target, now - started_at, now):
             tconn.close()
-            return self._return_cold(grant, started_at)
+            return self._return(grant, started_at)
         return await self._run_attempt(grant, target, tconn)
 
-    def _return_evacuated(self, grant, started_at):
-        """Return a grant for a target whose zone this host sees as evacuated.
-
-        The coordinator's view of the store, or this host's, is late by a moment.
-        """
-        self._frontend.metrics.count("evacuated_grants_returned")
-        self._progress.excluded.add_mismatched(grant.target)
-        self._grants.report(grant, "returned", started_at)
-        return _Outcome.NOT_EXECUTED
-
-    def _return_cold(self, grant, started_at):
-        """Return a grant that would exceed the bound of a cold target."""
-        self._frontend.metrics.count("cold_grants_returned")
-        if not grant.paced:
-            # The coordinator does not know yet that the target is cold.
-            self._progress.excluded.add_mismatched(grant.target)
-        self._grants.report(grant, "returned", started_at)
-        return _Outcome.NOT_EXECUTED
-
-    def _return_paused(self, grant, target, started_at):
-        """Return a grant for a target that wants a pause from this host."""
-        self._progress.excluded.add(grant.target)
-        self._frontend.cluster.statements.repeat_pause(target)
+    def _return(self, grant, started_at):
         self._grants.report(grant, "returned", started_at)
         return _Outcome.NOT_EXECUTED
 
