--- a/test/rollout_hosts.py
+++ b/test/rollout_hosts.py
@@ -5,6 +5,7 @@
 from lovagepier import platform
 from lovagepier.decisions.rollouts.terms import Terms
 from lovagepier.entry._coordination.rollouts import Rollouts
+from lovagepier.entry._store.evacuations import Evacuations
 from lovagepier.entry.store_types import RolloutOrder
 from lovagepier.platform import Item
 
@@ -50,10 +51,13 @@
             state=None,
             rollout_state=lambda service: self.view.state,
             targets={
-                "e1": SimpleNamespace(service=SERVICE, version="v2", draining=False)
+                "e1": SimpleNamespace(
+                    service=SERVICE, version="v2", draining=False, zone="a1"
+                )
             },
             last_answer_at=None,
             restored_at=None,
+            evacuations=Evacuations(),
         )
         cfg = SimpleNamespace(moves_exposure_share=0.1, moves_exposure_slack=50)
         self.rollouts = Rollouts(cfg, self.view, lambda *args: self.unsent.append(args))
--- a/test/test_rollout_eras.py
+++ b/test/test_rollout_eras.py
@@ -5,6 +5,7 @@
 from lovagepier import platform
 from lovagepier.decisions.rollouts.rollout_plan import Stage
 from lovagepier.entry._coordination.rollouts import RESTORE_PERIOD_S, Rollouts
+from lovagepier.entry._store.evacuations import Evacuations
 from lovagepier.entry.store_types import RolloutOrder
 from lovagepier.platform import Item, make_revision
 
@@ -27,6 +28,7 @@
             targets={},
             last_answer_at=None,
             restored_at=None,
+            evacuations=Evacuations(),
         )
         self.cfg = SimpleNamespace(moves_exposure_share=0.1, moves_exposure_slack=50)
         self.rollouts = Rollouts(self.cfg, self.view, self._write)
--- a/test/test_rollout_evidence.py
+++ b/test/test_rollout_evidence.py
@@ -15,6 +15,7 @@
 from lovagepier.entry._cluster.messages import Roster
 from lovagepier.entry._cluster.older_formats import readable_progress
 from lovagepier.entry._coordination.rollouts import Rollouts
+from lovagepier.entry._store.evacuations import Evacuations
 from lovagepier.entry.store_types import RolloutOrder
 from lovagepier.frames import decode, encode
 from test.builders import ended, make_work
@@ -35,10 +36,13 @@
         orders={"model": order} if is_ordered else {},
         rollout_state=lambda service: None,
         targets={
-            "e1": SimpleNamespace(service="model", version="v2", draining=False),
+            "e1": SimpleNamespace(
+                service="model", version="v2", draining=False, zone="a1"
+            ),
         },
         last_answer_at=None,
         restored_at=None,
+        evacuations=Evacuations(),
     )
     cfg = SimpleNamespace(moves_exposure_share=0.1, moves_exposure_slack=EXPOSURE_SLACK)
     rollouts = Rollouts(cfg, view, lambda *args: None)
@@ -202,6 +206,20 @@
     assert rollouts.share("model", DURATION_S / 2) < 0.5
 
 
+@pytest.mark.parametrize("is_evacuated", [False, True])
+def test_a_rollout_is_not_completed_into_an_evacuated_zone(is_evacuated):
+    """The old version's targets would be stopped while those of the new get nothing."""
+    rollouts = make_rollouts()
+    observe(rollouts, "old", OLD_FIRST_S, 60)
+    observe(rollouts, "new", OLD_FIRST_S, 60)
+    if is_evacuated:
+        rollouts._view.evacuations.put(platform.Item("op/evacuate/a1", b"{}", 1, 1))
+    rollouts.step(lambda service: 0, DURATION_S * 0.99)
+    rollouts.step(lambda service: 0, DURATION_S)
+    stage = rollouts._rollouts["model"].plan.stage
+    assert stage == (Stage.ROLLED_BACK if is_evacuated else Stage.DONE)
+
+
 PATIENCE_S = 0.4
 
 
