--- a/test/test_early_answers.py
+++ b/test/test_early_answers.py
@@ -42,6 +42,8 @@
     assert sum(places.values()) <= 0.75 * (max_fds - 200)
     assert places["callers_listen"] == max(places.values())
     assert connection_places(0)["callers_listen"] == float("inf")
+    # A coordinator of the largest fleet has a link from each other host.
+    assert connection_places(4100)["peers_listen"] >= 420
 
 
 def test_a_short_body_that_nobody_wants_leaves_the_connection_usable():
