--- a/lovagepier/decisions/limits/connection_places.py
+++ b/lovagepier/decisions/limits/connection_places.py
@@ -10,15 +10,15 @@
 # Descriptors that the platform reserves for files.
 RESERVED_FDS = 200
 MIN_PLACES = 4
-# Parts of the other descriptors, by listener. The rest, a quarter, is for targets, links
+# Parts of the other descriptors, by listener. The rest, a third, is for targets, links
 # to peers and the store. A coordinator has a link from each other host: with the 4,100
-# descriptors of the smallest machines, 780 fit.
+# descriptors of the smallest machines, 585 fit.
 _PARTS = {
     "callers_listen": 0.41,
     "callers_directory": 0.08,
     "callers_ready": 0.02,
     "metrics_listen": 0.02,
-    "peers_listen": 0.2,
+    "peers_listen": 0.15,
 }
 
 
