Test of mixed quotas: the first coordinator registers first

Since format 7 a host of this build with half a core has as many points as the largest one of the oldest build, and of two equals the one that registers first precedes.

--- a/test/metered_fleet.py
+++ b/test/metered_fleet.py
@@ -84,6 +84,7 @@
             for number in range(1, HOSTS + 1)
         }
         self.fleet = Fleet(folder, None, builds["old"], extra)
+        self.fleet.registers_first = True
         self.quota = quota
         self.left = set()
         self._sent_at = {}
--- a/trials/soak_fleet.py
+++ b/trials/soak_fleet.py
@@ -152,6 +152,8 @@
         self.hosts = []
         self.version = 1
         self._target_number = 0
+        # Whether n1 registers before the others start, and so precedes its equals.
+        self.registers_first = False
         self._tasks = []
 
     async def start(self, build_folder=None):
@@ -173,7 +175,13 @@
             if number % 2 and self.old_build is not None:
                 host.build_folder = self.old_build
             self.hosts.append(host)
-        await asyncio.gather(*(host.start() for host in self.hosts))
+        if self.registers_first:
+            await self.hosts[0].start()
+            while not any("/hosts/n1." in key for key in self.store.items):
+                await asyncio.sleep(0.02)
+        await asyncio.gather(
+            *(host.start() for host in self.hosts[self.registers_first :])
+        )
 
     async def write_config(self):
         """Write the next version of the configuration; it has one more route."""
