--- a/lovagepier/entry/_callers/caller_conn.py
+++ b/lovagepier/entry/_callers/caller_conn.py
@@ -219,7 +219,8 @@
         if self._body and len(self._body[-1]) + len(data) <= BLOCK_BYTES:
             self._body[-1] += data
         else:
-            self._body.append(bytearray(data))
+            # The parser's own copy, a bytearray.
+            self._body.append(data)
 
     async def finish_request(self):
         """Read the rest of a request whose response was sent; give back its memory.
--- a/lovagepier/entry/_callers/caller_transport.py
+++ b/lovagepier/entry/_callers/caller_transport.py
@@ -145,7 +145,7 @@
             if self._drops_left < 0:
                 self._wake(self._readable)
             return
-        data = bytes(_read_buffer[:nbytes])
+        data = _read_buffer[:nbytes]
         try:
             self._http.receive_data(data)
         except h11.RemoteProtocolError:
@@ -156,7 +156,7 @@
             self.received_at = self._loop.time()
             self._wire_bytes += nbytes
         elif not self.serving:
-            self._newlines += data.count(b"\n")
+            self._newlines += bytes(data).count(b"\n")
         if self.unparsed_bytes > FREE_BYTES or self._body is not None:
             self._take_memory()
         if self.unparsed_bytes > MAX_UNPARSED_BYTES:
--- a/test/test_early_answers.py
+++ b/test/test_early_answers.py
@@ -1,6 +1,7 @@
 """Requests that are answered before their body is read, and what callers get of it."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -11,7 +12,15 @@
     memory_parts,
     refusal_rank,
 )
-from test.entry_builders import connect, raw_request, read_response, wait_until
+from lovagepier.entry._settings import parse_entry_settings
+from lovagepier.entry._sockets import RECEIVE_BUFFER_BYTES, open_sockets
+from test.entry_builders import (
+    connect,
+    raw_request,
+    read_response,
+    settings,
+    wait_until,
+)
 from test.test_http_edges import run_scenario
 
 
@@ -111,3 +120,13 @@
         assert account.bodies == 0
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("host, is_bounded", [({"memory_mb": 128}, True), ({}, False)])
+def test_the_kernel_holds_little_for_a_connection_that_is_not_read(host, is_bounded):
+    """Guards against megabytes in the kernel; without the setting nothing changes."""
+    cfg = parse_entry_settings(settings("n1", 80, host=host))
+    for sock in open_sockets(cfg).values():
+        size = sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+        assert (size == 2 * RECEIVE_BUFFER_BYTES) == is_bounded
+        sock.close()
