--- a/lovagepier/entry/_cluster/candidates.py
+++ b/lovagepier/entry/_cluster/candidates.py
@@ -41,6 +41,14 @@
         is_restart = self._cfg.host_first_start != "true"
         return is_restart and bool(seeds) and self._cfg.peers_listen not in seeds
 
+    def may_read_from_peers(self):
+        """Return whether this host may leave reading the store to the seeds.
+
+        After a loss of all hosts, 84 scans and watches at once filled the link
+        between regions for more than a second, and no host could join another one.
+        """
+        return self.starts_with_peers and self._outgoing.has_any_up()
+
     def names(self, roster):
         """Return the hosts that may be coordinator, most senior first.
 
--- a/lovagepier/entry/_cluster/cluster.py
+++ b/lovagepier/entry/_cluster/cluster.py
@@ -219,7 +219,7 @@
 
     def should_watch(self):
         """Return whether this host must watch the store itself."""
-        if self._reads_from_peers():
+        if self._is_starting() and self.candidates.may_read_from_peers():
             return False
         if self.coordinator_name is None or self._is_coordinator():
             return True
@@ -233,16 +233,6 @@
             in self.candidates.names(self._roster)[:MAX_WATCHING_HOSTS]
         )
 
-    def _reads_from_peers(self):
-        """Return whether a restarted host leaves reading the store to the seeds.
-
-        After a loss of all hosts, 84 scans and watches at once filled the link
-        between regions for more than a second, and no host could join another one.
-        """
-        if not self.candidates.starts_with_peers:
-            return False
-        return self._is_starting() and self._outgoing.has_any_up()
-
     def _is_coordinator(self):
         return self.coordinator_name == self._cfg.host_name
 
