--- a/test/test_mixed_builds.py
+++ b/test/test_mixed_builds.py
@@ -181,7 +181,7 @@
     asyncio.run(run())
 
 
-@pytest.mark.parametrize("commit", ["3794c33", "0953dc6"])
+@pytest.mark.parametrize("commit", ["3794c33", "0953dc6", "cff0e99"])
 def test_hosts_are_replaced_one_after_the_other_and_back(
     cases, commit, tmp_path_factory
 ):
