--- a/lovagepier/entry/_callers/frontend.py
+++ b/lovagepier/entry/_callers/frontend.py
@@ -4,7 +4,6 @@
 import math
 
 from lovagepier.decisions.learning.durations import DurationEstimates
-from lovagepier.entry._build_gauges import build_gauges
 from lovagepier.entry._callers.caller_conn import (
     NO_MEMORY_RETRY_AFTER_S,
     BadRequest,
@@ -13,6 +12,7 @@
 from lovagepier.entry._callers.connections import CallerConnections, memory_account
 from lovagepier.entry._callers.exchange import Exchange
 from lovagepier.entry._callers.explain import EXPLAIN_PATH, Explainer
+from lovagepier.entry._callers.gauges import host_gauges
 from lovagepier.entry._callers.residence_check import ResidenceCheck
 from lovagepier.entry._callers.running_calls import (
     STOPPING_RETRY_AFTER_S,
@@ -32,7 +32,6 @@
     decode_call,
     decode_lookup,
     encode_addresses,
-    era_of,
     number_of,
 )
 
@@ -154,6 +153,11 @@
         """Number of open connections from callers."""
         return len(self._caller_conns)
 
+    @property
+    def memory_account(self):
+        """The `MemoryAccount` of this process."""
+        return self._caller_conns.account
+
     @property
     def is_serving(self):
         """Whether any request is being served, of this host's callers or another's."""
@@ -371,41 +375,10 @@
     async def _handle_metrics(self, conn, call):
         if call.path == EXPLAIN_PATH:
             return await self._explainer.answer(conn, call)
-        text = self.metrics.text(self._gauges())
+        text = self.metrics.text(host_gauges(self, self._loop.time()))
         kind = (b"content-type", b"text/plain; version=0.0.4")
         return conn.send_response(200, [kind], text.encode())
 
-    def _gauges(self):
-        now = self._loop.time()
-        return {
-            "config_version": self.view.version,
-            "store_era": era_of(self.view.as_of),
-            "store_revision": number_of(self.view.as_of),
-            "store_age_seconds": round(self.view.store_age(now), 3),
-            "unreadable_documents": self.view.undecoded_count,
-            "unreadable_document_changes": self.view.undecoded_changes,
-            "targets": len(self.view.targets),
-            "evacuated_zones": len(self.view.evacuations.zones),
-            "evacuated_targets": self.view.evacuations.count(
-                self.view.targets.values()
-            ),
-            "cold_targets": self.coordinator.cold_targets.count(now),
-            "hosts": len(self.view.members()),
-            "callers_open": len(self._caller_conns),
-            "waiting": self.coordinator.waiting_count(),
-            "residence_targets_left_out": self.coordinator.residence_left_out(),
-            **self.coordinator.room_counts(),
-            # Whether this host is the coordinator.
-            "is_home": int(self.cluster.coordinator_name == self.cfg.host_name),
-            "target_connections_opened": self.target_connections.opened,
-            "memory_connections_bytes": self._caller_conns.account.connections,
-            "memory_bodies_bytes": self._caller_conns.account.bodies,
-            "body_bytes_reserved": self.body_memory.held,
-            "bodies_waiting": self.body_memory.waiting_count,
-            **self.coordinator.pace_gauges(),
-            **build_gauges(self.cluster.live_hosts(), self.cluster.link_counts),
-        }
-
     async def _handle_ready(self, conn, call):
         ready = self.view.catalog is not None and self.stops_at is None
         return conn.send_response(200 if ready else 503, [], b"")
--- a/lovagepier/entry/_cluster/capacity.py
+++ b/lovagepier/entry/_cluster/capacity.py
@@ -1,6 +1,6 @@
-"""The fractions of all targets and quotas that this host's coordinator hands out."""
+"""A host's capacity as coordinator, and the shares that its coordinator hands out."""
 
-__all__ = ["CapacityShares"]
+__all__ = ["CapacityShares", "capacity_score"]
 
 # From this fraction of the live hosts on, a coordinator uses all targets. With
 # fewer hosts, another coordinator may be using the same targets.
@@ -12,6 +12,19 @@
 # Minimum number of hosts assumed to share the targets while registrations still
 # come in.
 MIN_STARTUP_HOSTS = 8
+# Cores and link rate per point of a host's capacity score. The coordinator of 60 hosts
+# needs no more than `MAX_CAPACITY_SCORE` points.
+CORES_PER_POINT = 0.5
+MBPS_PER_POINT = 50.0
+MAX_CAPACITY_SCORE = 4
+
+
+def capacity_score(cfg):
+    """Return the host's score as coordinator, limited by its cores and its link."""
+    cores = cfg.host_cores * cfg.host_core_share
+    cores = min(int(cores / CORES_PER_POINT), MAX_CAPACITY_SCORE)
+    link = min(int(cfg.host_link_mbps / MBPS_PER_POINT), MAX_CAPACITY_SCORE)
+    return min(cores, link)
 
 
 class CapacityShares:
--- a/lovagepier/entry/_host.py
+++ b/lovagepier/entry/_host.py
@@ -13,6 +13,7 @@
 from lovagepier.decisions.limits.connection_places import connection_places
 from lovagepier.decisions.rollouts.terms import Terms
 from lovagepier.entry._callers.frontend import GRACE_MARGIN_S, Frontend
+from lovagepier.entry._cluster.capacity import capacity_score
 from lovagepier.entry._cluster.cluster import Cluster
 from lovagepier.entry._cluster.links import LinkServer
 from lovagepier.entry._coordination.coordinator import Coordinator
@@ -77,23 +78,9 @@
 END_MARGIN_S = 0.25
 # How often a stopping host checks whether its work is complete.
 DRAIN_POLL_S = 0.05
-# Cores and link rate per point of a host's capacity score. The coordinator of 60 hosts
-# needs no more than `MAX_CAPACITY_SCORE` points.
-CORES_PER_POINT = 0.5
-MBPS_PER_POINT = 50.0
-MAX_CAPACITY_SCORE = 4
-
 _log = component_logger("node")
 
 
-def _capacity_score(cfg):
-    """Return the host's score as coordinator, limited by its cores and its link."""
-    cores = cfg.host_cores * cfg.host_core_share
-    cores = min(int(cores / CORES_PER_POINT), MAX_CAPACITY_SCORE)
-    link = min(int(cfg.host_link_mbps / MBPS_PER_POINT), MAX_CAPACITY_SCORE)
-    return min(cores, link)
-
-
 def _log_unhandled(loop, context):
     """Log what no task or callback handled; the loop goes on."""
     _log.error(
@@ -231,7 +218,7 @@
 
     def _registration(self):
         host, port = self.cfg.peers_listen
-        score = _capacity_score(self.cfg) + self.cluster.candidates.precedence.points
+        score = capacity_score(self.cfg) + self.cluster.candidates.precedence.points
         return encode_host(self.cfg.host_name, f"{host}:{port}", score)
 
     def _on_link_message(self, link, message):
