--- a/lovagepier/decisions/placement/pool_paces.py
+++ b/lovagepier/decisions/placement/pool_paces.py
@@ -132,7 +132,7 @@
         self._note(PaceEvent("ends", state.name, cause, pace.limit, seconds))
 
     def remove(self, state, now):
-        """Forget a target that is gone."""
+        """Drop a target that is gone."""
         self.end(state, "removed", now)
         self._falls.pop(state.name, None)
         self.young.drop(state.name)
--- a/lovagepier/decisions/placement/young_targets.py
+++ b/lovagepier/decisions/placement/young_targets.py
@@ -47,7 +47,7 @@
         self._shares[name] = _Share(began_at)
 
     def drop(self, name):
-        """Forget a target that is gone."""
+        """Drop a target that is gone."""
         self._began_at.pop(name, None)
         self._shares.pop(name, None)
 
--- a/lovagepier/entry/_callers/caller_conn.py
+++ b/lovagepier/entry/_callers/caller_conn.py
@@ -37,7 +37,7 @@
 # The whole body has to arrive within this multiple of the head timeout, which bounds
 # each pause in it.
 BODY_TIMEOUT_HEADS = 5.0
-# The rest of a body that nobody wants is read for reuse of its connection up to this
+# The rest of an unwanted body is read for reuse of its connection up to this
 # size.
 MAX_SKIPPED_BYTES = 64 * 1024
 # Retry-After of a body that got no memory.
--- a/lovagepier/entry/_callers/connections.py
+++ b/lovagepier/entry/_callers/connections.py
@@ -119,7 +119,7 @@
         for conns in (listener.unanswered, listener.idle, listener.receiving):
             conn = next(iter(conns), None)
             if conn is not None:
-                self.count_closed("crowded", conn)
+                self.count_closed("evicted", conn)
                 conn.abort()
                 self.discard(conn)
                 return True
@@ -146,7 +146,7 @@
         self._by_listener[conn.listener].receiving[conn] = None
 
     def mark_received(self, conn):
-        """Note that a connection receives a body no more."""
+        """Note that a connection no longer receives a body."""
         self._receiving.pop(conn, None)
         self._by_listener[conn.listener].receiving.pop(conn, None)
 
--- a/lovagepier/entry/_callers/residence_check.py
+++ b/lovagepier/entry/_callers/residence_check.py
@@ -42,7 +42,7 @@
         """Return the regions that a call may go to, empty for any.
 
         The route and the account that the call came with bind if the configuration
-        has them no more: the call goes to that route's service.
+        no longer has them: the call goes to that route's service.
         """
         catalog = self._view.catalog
         if not catalog.common_regions:
--- a/lovagepier/entry/_coordination/cold_targets.py
+++ b/lovagepier/entry/_coordination/cold_targets.py
@@ -132,7 +132,7 @@
             self._begin(target, known, service, "refused connections", now)
 
     def drop(self, target, now):
-        """Forget a target that is gone, after a time."""
+        """Drop a target that is gone, after a time."""
         known = self._known.get(target)
         if known is None:
             return
--- a/test/crowds.py
+++ b/test/caller_floods.py
@@ -24,7 +24,7 @@
 # The part of `memory_mb` by which callers may raise the memory of a host.
 CALLERS_SHARE = 0.5
 MAX_BODY_BYTES = 4 * MIB
-# Ends a test that hangs. On the code without bounds, the crowds that block a host do
+# Ends a test that hangs. On the code without bounds, the floods that block a host do
 # so for longer.
 HANG_GUARD_S = 15.0
 RESPONSE_BYTES = 2 * MIB
@@ -42,7 +42,7 @@
 
 
 class HostProcess:
-    """A running host; `calm_kb` is its memory before the crowd."""
+    """A running host; `calm_kb` is its memory before the flood."""
 
     def __init__(self, process, cfg):
         self.process = process
@@ -66,7 +66,7 @@
 
     @property
     def raised_mb(self):
-        """By how much the crowd raised the peak of the process's memory."""
+        """By how much the flood raised the peak of the process's memory."""
         return (self.peak_kb - self.calm_kb) / 1024
 
     async def ask(self, path="/read/x", endpoint="listen", **options):
@@ -99,7 +99,7 @@
         "idle_timeout_ms": 15000,
         **dict(limits),
     }
-    # Requests don't end before the crowd does.
+    # Requests don't end before the flood does.
     routes = [
         route(name, "idempotent", "ledger", timeout_ms=60_000)
         for name in ("read", "file")
@@ -175,7 +175,7 @@
 
 
 @contextlib.asynccontextmanager
-async def crowd(host, count, pieces, endpoint="listen", pause_s=0, reads=False):
+async def flood(host, count, pieces, endpoint="listen", pause_s=0, reads=False):
     """Have `count` connections send what `pieces()` yields, for the block's length."""
     gate = asyncio.Semaphore(20)
     tasks = [
@@ -191,7 +191,7 @@
 
 
 async def settle(host, seconds=3.0):
-    """Let the crowd send; watch the descriptors; return the most that were open."""
+    """Let the clients send; watch the descriptors; return the most that were open."""
     most = 0
     ends_at = time.monotonic() + seconds
     while time.monotonic() < ends_at:
--- a/test/test_misbehaving_callers.py
+++ b/test/test_misbehaving_callers.py
@@ -1,7 +1,7 @@
 """Callers that misbehave: the process lives, keeps within its memory, and serves.
 
-Crowds and bounds follow from the requirement that a process stays within its memory:
-each crowd would take more than the callers' part of `memory_mb`, or block the loop
+Floods and bounds follow from the requirement that a process stays within its memory:
+each flood would take more than the callers' part of `memory_mb`, or block the loop
 for longer than the hang guard, on a host without bounds.
 """
 
@@ -10,10 +10,10 @@
 
 import pytest
 
-from test.crowds import (
+from test.caller_floods import (
     MAX_BODY_BYTES,
     check_sound,
-    crowd,
+    flood,
     host_process,
     post_head,
     settle,
@@ -91,7 +91,7 @@
     """Guards against holding every body that has been sent."""
 
     async def scenario(host):
-        async with crowd(host, SENDERS, lambda: FORMS[form]("/file/x")):
+        async with flood(host, SENDERS, lambda: FORMS[form]("/file/x")):
             await settle(host, SOME_S)
             await check_sound(host)
 
@@ -104,7 +104,7 @@
     endpoint, path = PLACES[place]
 
     async def scenario(host):
-        async with crowd(host, SENDERS, lambda: in_one_piece(path), endpoint):
+        async with flood(host, SENDERS, lambda: in_one_piece(path), endpoint):
             await settle(host, SOME_S)
             await check_sound(host)
 
@@ -117,7 +117,7 @@
     endpoint, path = PLACES[place]
 
     async def scenario(host):
-        async with crowd(host, BLOCKERS, lambda: one_byte_chunks(path), endpoint):
+        async with flood(host, BLOCKERS, lambda: one_byte_chunks(path), endpoint):
             await settle(host, SOME_S)
             await check_sound(host)
         await check_sound(host)
@@ -131,7 +131,7 @@
     endpoint, path = PLACES[place]
 
     async def scenario(host):
-        async with crowd(host, BLOCKERS, lambda: many_requests(path), endpoint):
+        async with flood(host, BLOCKERS, lambda: many_requests(path), endpoint):
             await settle(host, SOME_S)
             await check_sound(host)
         await check_sound(host)
@@ -146,7 +146,7 @@
         yield raw_request("/nothing/x", "r1", headers=["a:"] * 3000) * HEADS_AHEAD
 
     async def scenario(host):
-        async with crowd(host, BLOCKERS, heads):
+        async with flood(host, BLOCKERS, heads):
             await settle(host, SOME_S)
             await check_sound(host)
 
@@ -160,7 +160,7 @@
         yield post_head() + (b"1;" + b"e" * 15000 + b"\r\na\r\n") * 200
 
     async def scenario(host):
-        async with crowd(host, SENDERS, extensions):
+        async with flood(host, SENDERS, extensions):
             await settle(host, SOME_S)
             await check_sound(host)
 
@@ -179,7 +179,7 @@
             yield b"a"
 
     async def scenario(host):
-        async with crowd(host, SENDERS, bytewise, pause_s=0.1, reads=True):
+        async with flood(host, SENDERS, bytewise, pause_s=0.1, reads=True):
             await settle(host, 1.0)
             await wait_for_fds(host, host.calm_fds + 5)
             await check_sound(host)
@@ -194,7 +194,7 @@
         yield raw_request("/read/x", "r1")[:30]
 
     async def scenario(host):
-        async with crowd(host, SENDERS, half, reads=True):
+        async with flood(host, SENDERS, half, reads=True):
             await settle(host, 1.0)
             await wait_for_fds(host, host.calm_fds + 5)
             await check_sound(host)
@@ -214,7 +214,7 @@
     """Guards against responses that wait for a caller that never reads."""
 
     async def scenario(host):
-        async with crowd(host, SENDERS, large_requests):
+        async with flood(host, SENDERS, large_requests):
             await settle(host, SOME_S)
             await check_sound(host)
             await wait_for_fds(host, host.calm_fds + 5)
@@ -230,7 +230,7 @@
     max_fds = 260
 
     async def scenario(host):
-        async with crowd(host, 300, lambda: iter(()), endpoint):
+        async with flood(host, 300, lambda: iter(()), endpoint):
             assert await settle(host, 2.0) <= max_fds
             await check_sound(host)
 
--- a/test/workers.py
+++ b/test/workers.py
@@ -50,7 +50,7 @@
     "test_mixed_quotas.py": "builds",
     "test_mixed_splits.py": "builds",
     # One host under load at a time.
-    "test_misbehaving_callers.py": "crowds",
+    "test_misbehaving_callers.py": "caller_floods",
 }
 
 
