--- a/lovagepier/decisions/limits/cold_limits.py
+++ b/lovagepier/decisions/limits/cold_limits.py
@@ -190,7 +190,7 @@
         self._tokens.refill(self._bound.rate * share, self._bound.burst * share, now)
 
     def _has_room(self, share, now):
-        """Return whether recent grants leave room, those from before the cold included."""
+        """Return whether recent grants leave room, also those from before the cold."""
         most = int(self._bound.most_grants * share + EPSILON)
         if len(self._grants) < most:
             return True
--- a/test/concurrent_cases.py
+++ b/test/concurrent_cases.py
@@ -18,6 +18,8 @@
 
     def play(self, function):
         """Call `function` with the parameters of each case, in threads."""
+        # Two threads that ask for a folder first would both create the base folder.
+        self._request.getfixturevalue("tmp_path_factory").getbasetemp()
         return self._outcome(_play_in_threads, function)
 
     def gather(self, function):
