--- a/trials/soak_faults.py
+++ b/trials/soak_faults.py
@@ -4,7 +4,7 @@
 import signal
 import time
 
-from trials.soak_fleet import SERVICES
+from trials.soak_fleet import SECOND_ZONE, SERVICES
 
 __all__ = ["Faults"]
 
@@ -34,7 +34,13 @@
         "rubbish",
     ),
 }
-PLANNED = ("stop_host", "reload_host", "new_config", "leaving_target")
+PLANNED = (
+    "stop_host",
+    "reload_host",
+    "new_config",
+    "leaving_target",
+    "evacuate_zone",
+)
 # Planned work in a soak of two builds.
 REPLACEMENT = "replace_host"
 UNPLANNED = (
@@ -182,6 +188,12 @@
 
     # Targets
 
+    async def _evacuate_zone(self):
+        key = f"op/evacuate/{SECOND_ZONE}"
+        await self._fleet.store.write(key, {})
+        await self._duration()
+        await self._fleet.store.remove(key)
+
     async def _leaving_target(self):
         """Empty a target, replace it and remove it, in order."""
         target = self._pick_target()
--- a/trials/soak_fleet.py
+++ b/trials/soak_fleet.py
@@ -17,6 +17,8 @@
 HOSTS = 4
 # The first letter of target names, their number and their usual mode.
 SERVICES = {"ledger": ("w", 2, "ok"), "model": ("m", 3, "stream")}
+# Every other target is in this zone, the rest in the hosts' own.
+SECOND_ZONE = "a2"
 STREAM_EVENTS = 4
 EVENT_GAP_S = 0.1
 WORK_S = 0.15
@@ -202,6 +204,8 @@
         else:
             target = SoakTarget(ended.id, service)
             target.born = ended.born + 1
+        if int(target.id[1:]) % 2 == 0:
+            target.zone = SECOND_ZONE
         target.mode = mode
         target.events = STREAM_EVENTS
         target.gap_s = EVENT_GAP_S
