Test of tunnels in allowed regions: wait for the registration; gauges by name

The test asked for a tunnel through a host as soon as that host had sent a heartbeat. The gauges that a test reads are a public method of the frontend again.

--- a/lovagepier/entry/_callers/frontend.py
+++ b/lovagepier/entry/_callers/frontend.py
@@ -375,10 +375,14 @@
     async def _handle_metrics(self, conn, call):
         if call.path == EXPLAIN_PATH:
             return await self._explainer.answer(conn, call)
-        text = self.metrics.text(host_gauges(self, self._loop.time()))
+        text = self.metrics.text(self.gauges())
         kind = (b"content-type", b"text/plain; version=0.0.4")
         return conn.send_response(200, [kind], text.encode())
 
+    def gauges(self):
+        """Return the current values that the metrics listener shows, by name."""
+        return host_gauges(self, self._loop.time())
+
     async def _handle_ready(self, conn, call):
         ready = self.view.catalog is not None and self.stops_at is None
         return conn.send_response(200 if ready else 503, [], b"")
--- a/test/test_odd_entries_path.py
+++ b/test/test_odd_entries_path.py
@@ -107,12 +107,12 @@
                 await asyncio.sleep(0.3)
             await fleet.store.write("servers/w1", fleet.targets["w1"].entry())
             await follow_on(fleet)
-            gauges = host.frontend._gauges()
+            gauges = host.frontend.gauges()
             assert gauges["unreadable_documents"] == 1
             assert gauges["unreadable_document_changes"] == 2
             await fleet.store.remove("servers/odd")
             await wait_until(
-                lambda: host.frontend._gauges()["unreadable_documents"] == 0
+                lambda: host.frontend.gauges()["unreadable_documents"] == 0
             )
 
     asyncio.run(scenario())
--- a/test/test_residence_path.py
+++ b/test/test_residence_path.py
@@ -191,10 +191,11 @@
             # Without a residence the request goes through the other host.
             assert (await call(fleet.hosts[0], "/file/x", "r2")).status == 200
             await fleet.host("n3", zone="a2", **ZONES)
-            await wait_until(
-                lambda: len(fleet.hosts[0].cluster.live_hosts()) == 3,
-            )
-            assert (await call(fleet.hosts[0], "/read/x", "r3")).status == 200
+            first = fleet.hosts[0]
+            await wait_until(lambda: len(first.cluster.live_hosts()) == 3)
+            # The address of a host for tunnels is that of its registration.
+            await wait_until(lambda: len(first.view.members()) == 3)
+            assert (await call(first, "/read/x", "r3")).status == 200
 
     asyncio.run(run())
 
