--- a/review/harness2.py
+++ b/review/harness2.py
@@ -440,12 +440,12 @@
         return 0, type(exc).__name__.encode()
 
 
-def peak_mb(host):
-    """Return the most memory that a host's process has had, in MB."""
+def memory_mb(host):
+    """Return the memory that a host's process has, in MB; 0 if it has ended."""
     try:
         with open(f"/proc/{host.process.pid}/status") as lines:
             for line in lines:
-                if line.startswith("VmHWM:"):
+                if line.startswith("VmRSS:"):
                     return int(line.split()[1]) / 1024
     except OSError:
         pass
@@ -486,6 +486,124 @@
     return rows
 
 
+class Platform:
+    """The platform's bound on memory: it kills a process that exceeds it.
+
+    `kills` are the names of the hosts whose processes it has killed. A killed process
+    is started again, as DEPLOY.md says.
+    """
+
+    def __init__(self, deployment, memory_mb=150, restart_s=1.0):
+        self.kills = []
+        self._deployment = deployment
+        self._memory_mb = memory_mb
+        self._restart_s = restart_s
+        self._task = asyncio.create_task(self._watch())
+
+    async def _watch(self):
+        while True:
+            for host in self._deployment.hosts:
+                if host.is_running and memory_mb(host) > self._memory_mb:
+                    await self._kill(host)
+            await asyncio.sleep(0.05)
+
+    async def _kill(self, host):
+        size = memory_mb(host)
+        host.process.kill()
+        await host.process.wait()
+        self.kills.append(host.name)
+        self._deployment.record.say(
+            f"the platform kills {host.name}: {size:.0f} MB, {self._memory_mb} allowed"
+        )
+        await asyncio.sleep(self._restart_s)
+        host.settings = host.settings.replace(
+            "first_start = true", "first_start = false"
+        )
+        await self._deployment.start_process(host)
+
+    def stop(self):
+        """Watch no more."""
+        self._task.cancel()
+
+
+class KeptCallers:
+    """Ordinary callers that send one entry after the other on kept connections.
+
+    `lost` are the ids of requests on a connection that had carried one before, which
+    were read, as a worker got them, and whose connection then ended without an answer.
+    """
+
+    def __init__(self, deployment, record, path, at_each, limit_s=2.0):
+        self._deployment = deployment
+        self._record = record
+        self._path = path
+        self._limit_s = limit_s
+        self._unanswered = []
+        self._count = 0
+        self.statuses = {}
+        self._tasks = [
+            asyncio.create_task(self._call(host))
+            for host in deployment.hosts
+            for _ in range(at_each)
+        ]
+
+    async def _call(self, host):
+        while True:
+            try:
+                async with asyncio.timeout(1.0):
+                    reader, writer = await asyncio.open_connection(
+                        "127.0.0.1", host.listen
+                    )
+            except (OSError, TimeoutError):
+                await asyncio.sleep(0.1)
+                continue
+            try:
+                await self._use(host, reader, writer)
+            finally:
+                writer.transport.abort()
+
+    async def _use(self, host, reader, writer):
+        is_kept = False
+        while True:
+            self._count += 1
+            request_id = f"entry-{self._count}"
+            self._record.write("client sends", host.name, request_id)
+            try:
+                async with asyncio.timeout(self._limit_s):
+                    writer.write(
+                        request_bytes(self._path, request_id, "POST", (), b"tally")
+                    )
+                    head = await read_head(reader)
+                    await read_body(reader, head)
+            except TimeoutError:
+                self._note(request_id, "time limit")
+                return
+            except (OSError, asyncio.IncompleteReadError):
+                self._note(request_id, "no answer")
+                if is_kept:
+                    self._unanswered.append(request_id)
+                return
+            self._note(request_id, head.status)
+            if head.fields.get("connection") == "close":
+                return
+            is_kept = True
+
+    def _note(self, request_id, status):
+        self._record.write("client gets", request_id, status)
+        self.statuses[status] = self.statuses.get(status, 0) + 1
+
+    @property
+    def lost(self):
+        """The requests that were passed on and never answered."""
+        ran = {run[0] for worker in self._deployment.workers for run in worker.runs}
+        return [each for each in self._unanswered if each in ran]
+
+    def stop(self):
+        """Send no more."""
+        for task in self._tasks:
+            task.cancel()
+
+
 def play(case, folder):
     """Run a case, `await case(deployment, record)`; exit with `BROKEN` or 0.
 
@@ -504,6 +622,10 @@
             return 2
         finally:
             await deployment.close()
+            left = asyncio.all_tasks() - {asyncio.current_task()}
+            for task in left:
+                task.cancel()
+            await asyncio.gather(*left, return_exceptions=True)
         record.say("the rule was broken" if broken else "the rule held")
         return BROKEN if broken else 0
 
